Serve a program end to end by separate processes

Cause: nothing existed. The path goes caller, any entry host, backend server and back, through three entry hosts, two model engines, one plain service and one platform stand-in, each a process with its own settings file.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches: measurements over real processes."""
--- /dev/null
+++ b/src/carobfork/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line: ``python -m carobfork``."""
+
+from carobfork.commands import main
+
+main.main()
--- /dev/null
+++ b/src/carobfork/clock.py
@@ -0,0 +1,45 @@
+"""Clocks in milliseconds: the system's own and one moved by tests."""
+
+import time
+from typing import Protocol
+
+MS_PER_SECOND = 1000
+
+
+class Clock(Protocol):
+    """Tell monotonic time, in milliseconds since an arbitrary start."""
+
+    def now_ms(self) -> float:
+        """Return the monotonic time in ms."""
+
+
+class SystemClock:
+    """Read the machine's monotonic clock.
+
+    Spans measured with it are comparable within one process only.
+    """
+
+    def now_ms(self) -> float:
+        """Return the monotonic time in ms."""
+        return time.monotonic() * MS_PER_SECOND
+
+
+class ManualClock:
+    """Stand still until a test advances it."""
+
+    def __init__(self, start_ms: float = 0) -> None:
+        """Start the clock at ``start_ms``."""
+        self._now_ms = start_ms
+
+    def now_ms(self) -> float:
+        """Return the time that was last set, in ms."""
+        return self._now_ms
+
+    def advance(self, span_ms: float) -> None:
+        """Move the clock forward by ``span_ms``."""
+        self._now_ms += span_ms
+
+
+def to_seconds(span_ms: float) -> float:
+    """Convert a span for libraries that count in seconds."""
+    return span_ms / MS_PER_SECOND
--- /dev/null
+++ b/src/carobfork/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands: the command line."""
--- /dev/null
+++ b/src/carobfork/coordination/control.py
@@ -0,0 +1,189 @@
+"""Control: the host list and the bundle, followed through one watch."""
+
+import json
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+import gevent
+import structlog
+
+from carobfork import clock, exceptions
+from carobfork.coordination import ports, routing
+from carobfork.state import bundles, identifiers
+
+PREFIX = 'control/'
+HOSTS_PREFIX = 'control/hosts/'
+BUNDLE_KEY = 'control/bundle'
+RETRY_DELAY_MS = 500
+
+logger = structlog.get_logger(part='control')
+
+
+class BundleReader(Protocol):
+    """Check and parse signed bundles."""
+
+    def read(self, envelope: bytes) -> bundles.Bundle:
+        """Return the bundle.
+
+        :raises SettingsError: the signature or the content is wrong.
+        """
+
+
+class BundleHolder:
+    """Hold the bundle in force; its version never goes back."""
+
+    def __init__(self) -> None:
+        """Start without a bundle."""
+        self._bundle: bundles.Bundle | None = None
+        self._listeners: list[Callable[[bundles.Bundle], None]] = []
+
+    @property
+    def version(self) -> int:
+        """The version in force, 0 for none."""
+        return self._bundle.version if self._bundle else 0
+
+    @property
+    def current(self) -> bundles.Bundle:
+        """The bundle in force.
+
+        :raises NotRunError: there is none yet.
+        """
+        if self._bundle is None:
+            raise exceptions.NotRunError(
+                'no bundle is in force yet', step='look up', peer='bundle'
+            )
+        return self._bundle
+
+    def subscribe(self, listener: Callable[[bundles.Bundle], None]) -> None:
+        """Call ``listener`` with each bundle that comes into force."""
+        self._listeners.append(listener)
+
+    def offer(self, bundle: bundles.Bundle) -> bool:
+        """Put a bundle in force if it is newer, and say whether it is."""
+        if bundle.version <= self.version:
+            return False
+        self._bundle = bundle
+        for listener in self._listeners:
+            listener(bundle)
+        logger.info('A bundle came into force.', version=bundle.version)
+        return True
+
+
+class HostDirectory:
+    """The entry hosts registered at the platform."""
+
+    def __init__(self) -> None:
+        """Start without hosts."""
+        self._hosts: dict[str, routing.EntryHost] = {}
+
+    def live(self) -> list[routing.EntryHost]:
+        """Return the registered hosts."""
+        return list(self._hosts.values())
+
+    def note(self, host: routing.EntryHost) -> None:
+        """Add a host or replace its older incarnation."""
+        known = self._hosts.get(host.incarnation.host)
+        if known is None or known.incarnation <= host.incarnation:
+            self._hosts[host.incarnation.host] = host
+
+
+def register_host(
+    store: ports.ObjectStore, describe: Callable[[int], routing.EntryHost]
+) -> routing.EntryHost:
+    """Register a new incarnation of a host at the platform.
+
+    :param describe: returns the host for an incarnation's number.
+    """
+    while True:
+        try:
+            return _register_once(store, describe)
+        except exceptions.PlatformError as error:
+            # A lost answer only skips a number; numbers need not be dense.
+            logger.warning('Registration will be retried.', error=str(error))
+            gevent.sleep(clock.to_seconds(RETRY_DELAY_MS))
+
+
+def _register_once(
+    store: ports.ObjectStore, describe: Callable[[int], routing.EntryHost]
+) -> routing.EntryHost:
+    key = HOSTS_PREFIX + describe(0).incarnation.host
+    found = store.fetch(key)
+    number = 1
+    version = 0
+    if found is not None:
+        number = decode_host(found.body).incarnation.number + 1
+        version = found.version
+    host = describe(number)
+    store.update(key, encode_host(host), expected_version=version)
+    return host
+
+
+def encode_host(host: routing.EntryHost) -> bytes:
+    """Return a host's object at the platform."""
+    return json.dumps(attrs.asdict(host)).encode()
+
+
+def decode_host(body: bytes) -> routing.EntryHost:
+    """Return the host that an object describes."""
+    fields = json.loads(body)
+    return routing.EntryHost(
+        incarnation=identifiers.Incarnation(**fields['incarnation']),
+        failure_domain=fields['failure_domain'],
+        caller_address=bundles.Address(**fields['caller_address']),
+        leaving=fields['leaving'],
+    )
+
+
+class ControlWatch:
+    """Follow the platform's control objects.
+
+    :param store: the platform's object API.
+    :param holder: where accepted bundles go.
+    :param reader: checks bundles' signatures.
+    :param directory: where hosts go.
+    """
+
+    def __init__(
+        self,
+        store: ports.ObjectStore,
+        holder: BundleHolder,
+        reader: BundleReader,
+        directory: HostDirectory,
+    ) -> None:
+        """Start before the first revision."""
+        self._store = store
+        self._holder = holder
+        self._reader = reader
+        self._directory = directory
+        self._revision = 0
+
+    def run(self) -> None:
+        """Follow changes until the greenlet is killed."""
+        while True:
+            try:
+                self.poll()
+            except exceptions.PlatformError as error:
+                logger.warning('The watch broke off.', error=str(error))
+                gevent.sleep(clock.to_seconds(RETRY_DELAY_MS))
+
+    def poll(self) -> None:
+        """Wait for one round of changes and apply it."""
+        revision, changes = self._store.watch(PREFIX, self._revision)
+        for change in changes:
+            self._apply(change)
+        self._revision = revision
+
+    def _apply(self, change: ports.StoredObject) -> None:
+        if change.key.startswith(HOSTS_PREFIX):
+            self._directory.note(decode_host(change.body))
+        elif change.key == BUNDLE_KEY:
+            self._accept_bundle(change.body)
+
+    def _accept_bundle(self, envelope: bytes) -> None:
+        try:
+            bundle = self._reader.read(envelope)
+        except exceptions.SettingsError as error:
+            logger.warning('A bundle was refused.', error=str(error))
+            return
+        self._holder.offer(bundle)
--- /dev/null
+++ b/src/carobfork/coordination/homes.py
@@ -0,0 +1,104 @@
+"""Homes: the programs of one incarnation, their order and their journal."""
+
+import contextlib
+from collections.abc import Iterator
+
+import attrs
+from gevent import lock
+
+from carobfork.coordination import calls, control, journals, slots
+from carobfork.state import bundles, identifiers, programs, records
+
+OPEN_TIMEOUT_MS = 10_000
+
+
+@attrs.frozen
+class OpenedProgram:
+    """What a caller needs to use its program."""
+
+    program: str
+    token: str
+
+
+class Home:
+    """Own the programs that were opened at this incarnation.
+
+    :param journal: where their records go.
+    :param table: the programs, kept up to date by the journal's commits.
+    :param holder: holds the bundle in force.
+    :param broker: where calls get their slots.
+    """
+
+    def __init__(
+        self,
+        journal: journals.Journal,
+        table: programs.ProgramTable,
+        holder: control.BundleHolder,
+        broker: slots.SlotBroker,
+    ) -> None:
+        """Start with the programs of the table."""
+        self.journal = journal
+        self.table = table
+        self._holder = holder
+        self.slots = broker
+        self._turns: dict[str, lock.BoundedSemaphore] = {}
+
+    @property
+    def bundle(self) -> bundles.Bundle:
+        """The bundle in force."""
+        return self._holder.current
+
+    def open_program(self, kind_name: str, parent: str = '') -> OpenedProgram:
+        """Open a program and record it.
+
+        :param kind_name: a program kind of the bundle.
+        :param parent: the program whose sub-agent this is, or nothing.
+        """
+        kind = bundles.find(self.bundle.programs, kind_name, 'program')
+        opened = OpenedProgram(
+            program=identifiers.new_program_id(self.journal.incarnation),
+            token=identifiers.new_token(),
+        )
+        record = records.ProgramOpened(
+            program=opened.program,
+            kind=kind.name,
+            rank=kind.rank,
+            budget=kind.budget,
+            token_digest=identifiers.digest(opened.token.encode()),
+            parent=parent,
+        )
+        self.journal.append(record, OPEN_TIMEOUT_MS)
+        return opened
+
+    def close_program(self, identifier: str, token: str, reason: str) -> None:
+        """End a program; it takes no further calls."""
+        self.authorise(identifier, token)
+        self.journal.append(
+            records.ProgramClosed(identifier, reason), OPEN_TIMEOUT_MS
+        )
+
+    def authorise(self, identifier: str, token: str) -> programs.Program:
+        """Return a program if the token opens it."""
+        program = self.table.find(identifier)
+        calls.authorise(program, token)
+        return program
+
+    def turn(
+        self, program: programs.Program
+    ) -> contextlib.AbstractContextManager:
+        """Hold the program's turn: its calls run one at a time, in order."""
+        return self._turns.setdefault(
+            program.identifier, lock.BoundedSemaphore(1)
+        )
+
+    @contextlib.contextmanager
+    def reservation(
+        self, program: programs.Program, tokens: int
+    ) -> Iterator[None]:
+        """Reserve one call and a number of tokens while a call runs."""
+        calls.require_open(program)
+        program.ledger.reserve(tokens)
+        try:
+            yield
+        finally:
+            program.ledger.release(tokens)
--- /dev/null
+++ b/src/carobfork/coordination/ports.py
@@ -0,0 +1,144 @@
+"""Interfaces through which coordination reaches the outside.
+
+The transport layer implements them; the composition root connects them.
+"""
+
+from collections.abc import Iterable, Iterator
+from typing import Protocol
+
+import attrs
+
+from carobfork.state import bundles, records
+
+
+@attrs.frozen
+class StoredObject:
+    """An object of the platform: its key, version and body."""
+
+    key: str
+    version: int
+    body: bytes
+
+
+class ObjectStore(Protocol):
+    """The platform's object API.
+
+    Each method raises ``PlatformError`` where no answer came; an update
+    may then have taken effect all the same.
+    """
+
+    def fetch(self, key: str) -> StoredObject | None:
+        """Return an object, or nothing where it does not exist."""
+
+    def update(self, key: str, body: bytes, expected_version: int) -> int:
+        """Replace an object of this version and return the new version.
+
+        :param expected_version: 0 creates the object.
+        :raises ConflictError: another version is in force.
+        """
+
+    def delete(self, key: str) -> None:
+        """Remove an object if it exists."""
+
+    def list_keys(self, prefix: str) -> list[str]:
+        """Return the keys that start with ``prefix``, sorted."""
+
+    def watch(
+        self, prefix: str, since_revision: int
+    ) -> tuple[int, list[StoredObject]]:
+        """Wait for changes after a revision.
+
+        Return the revision reached and the changed objects, possibly none.
+        """
+
+
+class RecordCodec(Protocol):
+    """Turn records into a segment's bytes and back."""
+
+    def encode(self, record: records.Record) -> bytes:
+        """Return one record's bytes."""
+
+    def pack(self, encoded: Iterable[bytes]) -> bytes:
+        """Return the compressed bytes of a segment."""
+
+    def unpack(self, segment: bytes) -> list[records.Record]:
+        """Return the records of a segment."""
+
+
+@attrs.frozen
+class Prompt:
+    """What a model engine is asked.
+
+    ``messages`` are JSON objects separated by commas, oldest first.
+    """
+
+    model: str
+    program: str
+    attempt: str
+    messages: bytes
+    options: bytes
+    rank: str
+
+
+@attrs.frozen
+class ModelAnswer:
+    """A model's whole answer.
+
+    ``text`` is the answer, ``tokens`` counts prompt and answer together,
+    ``cached_tokens`` the part of the prompt found in the engine's cache.
+    """
+
+    text: str
+    tokens: int
+    cached_tokens: int = 0
+
+
+class ModelBackend(Protocol):
+    """Model engines."""
+
+    def stream(self, worker: bundles.Worker, prompt: Prompt) -> Iterator[bytes]:
+        """Yield whole server-sent events as they come.
+
+        Closing the iterator cancels the stream at the engine.
+
+        :raises ConnectionFailedError: the engine broke off.
+        """
+
+    def decode(self, events: bytes) -> ModelAnswer:
+        """Return the answer that the events spell."""
+
+    def turn(self, messages: bytes, answer: bytes) -> bytes:
+        """Return a turn's messages with the model's answer after them."""
+
+
+@attrs.frozen
+class ServiceRequest:
+    """A call to a plain service, passed through unchanged."""
+
+    method: str
+    path: str
+    body: bytes
+    content_type: str
+    call: str
+    """Program and key; the service sees it as an idempotency key."""
+
+
+@attrs.frozen
+class ServiceReply:
+    """A plain service's answer."""
+
+    status: int
+    body: bytes
+    content_type: str
+
+
+class ServiceBackend(Protocol):
+    """Plain services."""
+
+    def send(
+        self, server: bundles.Server, request: ServiceRequest, timeout_ms: int
+    ) -> ServiceReply:
+        """Send a request once and wait for its answer.
+
+        :raises ConnectionFailedError: no whole answer came.
+        """
--- /dev/null
+++ b/src/carobfork/coordination/routing.py
@@ -0,0 +1,88 @@
+"""Routing: which entry host is a program's home, and which to call."""
+
+import random
+from typing import Protocol
+
+import attrs
+
+from carobfork import exceptions
+from carobfork.state import bundles, identifiers, programs
+
+ADDRESS_TTL_MS = 5000
+
+
+@attrs.frozen
+class EntryHost:
+    """A live entry host as its peers know it."""
+
+    incarnation: identifiers.Incarnation
+    failure_domain: str
+    caller_address: bundles.Address
+    leaving: bool = False
+
+
+class HostList(Protocol):
+    """The entry hosts believed to be live."""
+
+    def live(self) -> list[EntryHost]:
+        """Return the live hosts, this one included."""
+
+
+@attrs.frozen
+class AddressAnswer:
+    """Which entry hosts to use, best first, and for how long.
+
+    Each address is ``ip:port``; the answer expires after ``ttl_ms``.
+    """
+
+    addresses: list[str]
+    ttl_ms: int
+
+
+class Router:
+    """Find the home of a program.
+
+    :param own: this host's incarnation.
+    :param table: the programs homed here.
+    :param hosts: the live entry hosts.
+    """
+
+    def __init__(
+        self,
+        own: identifiers.Incarnation,
+        table: programs.ProgramTable,
+        hosts: HostList,
+    ) -> None:
+        """Remember where to look."""
+        self._own = own
+        self._table = table
+        self._hosts = hosts
+
+    def resolve(self, program: str) -> bundles.Address | None:
+        """Return the home's address, or nothing if it is this host.
+
+        :raises UnknownProgramError: no live host is its home.
+        """
+        home = identifiers.home_of(program)
+        if home == self._own or program in self._table.programs:
+            return None
+        for host in self._hosts.live():
+            if host.incarnation == home:
+                return host.caller_address
+        raise exceptions.UnknownProgramError(
+            f'no live host is the home of "{program}"',
+            step='route',
+            peer=str(home),
+        )
+
+    def addresses(self, program: str = '') -> AddressAnswer:
+        """Return the hosts to use: a program's home first."""
+        hosts = [host for host in self._hosts.live() if not host.leaving]
+        random.shuffle(hosts)
+        if program:
+            home = identifiers.home_of(program)
+            hosts.sort(key=lambda host: host.incarnation != home)
+        return AddressAnswer(
+            addresses=[str(host.caller_address) for host in hosts],
+            ttl_ms=ADDRESS_TTL_MS,
+        )
--- /dev/null
+++ b/src/carobfork/exceptions.py
@@ -0,0 +1,191 @@
+"""Exceptions: one root, a code each, and the outcome they imply.
+
+Every error carries the step and the peer at which it arose. The outcome
+class tells a caller whether the refused work ran:
+
+* ``not_run``: nothing left this system; the call may be sent again.
+* ``unknown``: the call may have run; ask again under the same call key.
+* ``failed``: the call ran and its backend server reported a failure.
+"""
+
+import enum
+
+
+class Outcome(enum.StrEnum):
+    """What is known about a call that was asked for."""
+
+    done = 'done'
+    not_run = 'not_run'
+    unknown = 'unknown'
+    failed = 'failed'
+
+
+class CarobforkError(Exception):
+    """Root of all errors raised by this package.
+
+    :param message: what went wrong, as a short sentence.
+    :param step: the step at which it arose, such as ``dispatch``.
+    :param peer: the peer concerned, such as ``service/orders``.
+    :param retry_after_ms: when a retry is worth trying, if known.
+    """
+
+    code = 'internal'
+    outcome = Outcome.unknown
+    http_status = 500
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str = '',
+        peer: str = '',
+        retry_after_ms: int | None = None,
+    ) -> None:
+        """Keep the message, the step and the peer."""
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+        self.retry_after_ms = retry_after_ms
+
+    def __str__(self) -> str:
+        """Return code, message, step and peer in one line."""
+        return (
+            f'{self.code}: {self.message} (step {self.step}, peer {self.peer})'
+        )
+
+
+class BadRequestError(CarobforkError):
+    """The request is malformed; nothing ran."""
+
+    code = 'bad_request'
+    outcome = Outcome.not_run
+    http_status = 400
+
+
+class TooLargeError(BadRequestError):
+    """The request is larger than this system accepts."""
+
+    code = 'too_large'
+    http_status = 413
+
+
+class ForbiddenError(BadRequestError):
+    """The caller's token does not open this program."""
+
+    code = 'forbidden'
+    http_status = 403
+
+
+class UnknownProgramError(BadRequestError):
+    """No live host knows the program."""
+
+    code = 'unknown_program'
+    http_status = 404
+
+
+class ProgramClosedError(BadRequestError):
+    """The program has ended and takes no further calls."""
+
+    code = 'program_closed'
+    http_status = 410
+
+
+class KeyReuseError(BadRequestError):
+    """The call key was used before with another request."""
+
+    code = 'key_reuse'
+    http_status = 409
+
+
+class BudgetExceededError(BadRequestError):
+    """The program's budget does not cover the call."""
+
+    code = 'budget_exceeded'
+    http_status = 402
+
+
+class NotRunError(CarobforkError):
+    """The call was refused before anything left this system."""
+
+    code = 'unavailable'
+    outcome = Outcome.not_run
+    http_status = 503
+
+
+class OverloadedError(NotRunError):
+    """The call was refused because its rank's queue is full."""
+
+    code = 'overloaded'
+    http_status = 429
+
+
+class StoppingError(NotRunError):
+    """The host is stopping and takes no new work."""
+
+    code = 'stopping'
+
+
+class UnknownOutcomeError(CarobforkError):
+    """The call may have run; its outcome is not known yet."""
+
+    code = 'outcome_unknown'
+    outcome = Outcome.unknown
+    http_status = 504
+
+
+class CallFailedError(CarobforkError):
+    """The call ran and its backend server reported a failure."""
+
+    code = 'call_failed'
+    outcome = Outcome.failed
+    http_status = 502
+
+
+class SettingsError(CarobforkError):
+    """A settings or bundle file has problems; none of it was used."""
+
+    code = 'bad_settings'
+    outcome = Outcome.not_run
+
+
+class PlatformError(CarobforkError):
+    """The platform's object API did not answer or refused."""
+
+    code = 'platform_unavailable'
+
+
+class ConflictError(PlatformError):
+    """A conditional update lost against another version.
+
+    :param current_version: the version in force, 0 where none exists.
+    """
+
+    code = 'conflict'
+    outcome = Outcome.not_run
+    http_status = 409
+
+    def __init__(self, message: str, current_version: int, **where) -> None:
+        """Keep the version that won."""
+        super().__init__(message, **where)
+        self.current_version = current_version
+
+
+class SealedError(NotRunError):
+    """Another host has taken this incarnation's programs over."""
+
+    code = 'sealed'
+
+
+class ConnectionFailedError(CarobforkError):
+    """A connection failed.
+
+    :param sent: whether any byte of the request may have left.
+    """
+
+    code = 'connection_failed'
+
+    def __init__(self, message: str, sent: bool, **where) -> None:
+        """Keep whether the request may have reached the peer."""
+        super().__init__(message, **where)
+        self.sent = sent
--- /dev/null
+++ b/src/carobfork/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol: how requests, events and records look outside the process."""
--- /dev/null
+++ b/src/carobfork/state/__init__.py
@@ -0,0 +1,1 @@
+"""State: programs, records, budgets and bundles, without any I/O."""
--- /dev/null
+++ b/src/carobfork/state/bundles.py
@@ -0,0 +1,138 @@
+"""Bundles: which programs run where, under which ranks and budgets.
+
+A bundle is one versioned unit. Its classes mirror the file's structure.
+"""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+import attrs
+
+from carobfork import exceptions
+
+
+@attrs.frozen
+class Address:
+    """An IP number and a TCP port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``ip:port``."""
+        return f'{self.ip}:{self.port}'
+
+
+@attrs.frozen
+class Rank:
+    """A class of service; ranks are listed most urgent first."""
+
+    name: str
+    share: float
+    """Part of the capacity kept for this rank under any flood, 0 to 1."""
+    queue_limit_ms: int = 4000
+    """Longest expected wait for a slot before calls are refused."""
+
+
+@attrs.frozen
+class Budget:
+    """Upper bounds for one program and all of its sub-agents."""
+
+    tokens: int
+    calls: int
+    time_ms: int
+
+
+@attrs.frozen
+class ProgramKind:
+    """A kind of program that callers may open."""
+
+    name: str
+    rank: str
+    budget: Budget
+
+
+@attrs.frozen
+class Worker:
+    """One model engine."""
+
+    name: str
+    address: Address
+    fencing: bool = True
+    """Whether the engine refuses orders with an old fencing number."""
+
+
+@attrs.frozen
+class Model:
+    """A model and the engines that serve it."""
+
+    name: str
+    workers: tuple[Worker, ...]
+
+
+@attrs.frozen
+class Operation:
+    """One kind of call to a plain service."""
+
+    name: str
+    method: str
+    path: str
+    repeatable: bool = False
+    timeout_ms: int = 10_000
+
+
+@attrs.frozen
+class Server:
+    """One host of a plain service."""
+
+    name: str
+    address: Address
+
+
+@attrs.frozen
+class Service:
+    """A plain service, its hosts and its operations."""
+
+    name: str
+    servers: tuple[Server, ...]
+    operations: tuple[Operation, ...]
+
+
+@attrs.frozen
+class Policy:
+    """Names of the registered policies that the bundle chooses."""
+
+    order: str = 'least_attained'
+    placement: str = 'affinity'
+
+
+@attrs.frozen
+class Bundle:
+    """Everything that operators sign off and roll as one unit."""
+
+    version: int
+    ranks: tuple[Rank, ...]
+    programs: tuple[ProgramKind, ...]
+    models: tuple[Model, ...]
+    services: tuple[Service, ...]
+    policy: Policy = attrs.Factory(Policy)
+
+    def rank_position(self, name: str) -> int:
+        """Return a rank's place, 0 for the most urgent."""
+        return [rank.name for rank in self.ranks].index(name)
+
+
+Named = TypeVar('Named')
+
+
+def find(named: Iterable[Named], name: str, noun: str) -> Named:
+    """Return the member called ``name``.
+
+    :raises BadRequestError: there is none.
+    """
+    for member in named:
+        if member.name == name:
+            return member
+    raise exceptions.BadRequestError(
+        f'the bundle has no {noun} "{name}"', step='look up', peer=noun
+    )
--- /dev/null
+++ b/src/carobfork/state/identifiers.py
@@ -0,0 +1,73 @@
+"""Identifiers of incarnations and programs.
+
+A program's identifier names the incarnation at which it was opened, so any
+host finds its home without a directory: ``entry-1.4.k3jx...``.
+"""
+
+import hashlib
+import secrets
+
+import attrs
+
+from carobfork import exceptions
+
+_SEPARATOR = '.'
+_RANDOM_BYTES = 9
+_TOKEN_BYTES = 18
+
+
+@attrs.frozen(order=True)
+class Incarnation:
+    """One life of an entry host, numbered by the platform."""
+
+    host: str
+    number: int
+
+    def __str__(self) -> str:
+        """Return ``host.number``."""
+        return f'{self.host}{_SEPARATOR}{self.number}'
+
+    @classmethod
+    def parse(cls, text: str) -> 'Incarnation':
+        """Parse ``host.number``.
+
+        :raises UnknownProgramError: the text has another form.
+        """
+        host, _, number = text.rpartition(_SEPARATOR)
+        if not host or not number.isdecimal():
+            raise exceptions.UnknownProgramError(
+                f'"{text}" does not name an incarnation', step='identify'
+            )
+        return cls(host=host, number=int(number))
+
+
+def new_program_id(home: Incarnation) -> str:
+    """Return a fresh program identifier that names its home."""
+    return f'{home}{_SEPARATOR}{secrets.token_urlsafe(_RANDOM_BYTES)}'
+
+
+def home_of(program_id: str) -> Incarnation:
+    """Return the incarnation at which a program was opened.
+
+    :raises UnknownProgramError: the identifier is malformed.
+    """
+    home, _, suffix = program_id.rpartition(_SEPARATOR)
+    if not suffix:
+        raise exceptions.UnknownProgramError(
+            f'"{program_id}" is not a program identifier', step='identify'
+        )
+    return Incarnation.parse(home)
+
+
+def new_token() -> str:
+    """Return an unguessable program token."""
+    return secrets.token_urlsafe(_TOKEN_BYTES)
+
+
+def digest(*parts: bytes) -> str:
+    """Return the SHA-256 of the parts, in hexadecimal."""
+    sha = hashlib.sha256()
+    for part in parts:
+        sha.update(len(part).to_bytes(8, 'big'))
+        sha.update(part)
+    return sha.hexdigest()
--- /dev/null
+++ b/src/carobfork/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Transport: sockets, HTTP servers and clients."""
--- /dev/null
+++ b/src/carobfork/transport/servers.py
@@ -0,0 +1,39 @@
+"""Servers: HTTP listeners that can be closed before they are stopped."""
+
+from collections.abc import Callable
+from types import TracebackType
+
+from gevent import pywsgi
+
+from carobfork import clock
+from carobfork.state import bundles
+
+STOP_TIMEOUT_MS = 30_000
+
+
+class HttpServer:
+    """Serve a WSGI application on one address, as a context manager.
+
+    :param address: where to listen.
+    :param application: a WSGI application.
+    """
+
+    def __init__(self, address: bundles.Address, application: Callable) -> None:
+        """Prepare the server; entering it listens."""
+        self._server = pywsgi.WSGIServer(
+            (address.ip, address.port), application, log=None
+        )
+
+    def __enter__(self) -> 'HttpServer':
+        """Start listening."""
+        self._server.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop listening and wait for the requests in progress."""
+        self._server.stop(timeout=clock.to_seconds(STOP_TIMEOUT_MS))
--- /dev/null
+++ b/src/carobfork_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, and a lab that runs them."""
--- /dev/null
+++ b/src/carobfork_standins/__main__.py
@@ -0,0 +1,31 @@
+"""Run one stand-in: ``python -m carobfork_standins KIND SETTINGS``."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys  # noqa: E402
+
+from carobfork import daemons  # noqa: E402
+from carobfork.protocol import documents  # noqa: E402
+from carobfork.transport import servers  # noqa: E402
+from carobfork_standins import engine, platform, service  # noqa: E402
+
+KINDS = {  # noqa: WPS407
+    'engine': (engine.EngineSettings, engine.EngineApplication),
+    'platform': (platform.PlatformSettings, platform.PlatformApplication),
+    'service': (service.ServiceSettings, service.ServiceApplication),
+}
+
+
+def main() -> None:
+    """Serve one stand-in until it is told to stop."""
+    kind, path = sys.argv[1:]
+    settings_class, application_class = KINDS[kind]
+    settings = documents.load(path, settings_class)
+    application = application_class(settings)
+    daemons.run_until_stopped(servers.HttpServer(settings.address, application))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/carobfork_standins/labs.py
@@ -0,0 +1,254 @@
+"""Labs: a whole deployment of separate processes on loopback addresses.
+
+Each lab takes a loopback network of its own, so labs can run side by side.
+"""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from types import TracebackType
+
+import attrs
+import gevent
+from gevent import socket
+
+from carobfork import exceptions, sessions
+from carobfork.protocol import documents, signatures
+from carobfork.state import bundles
+from carobfork.transport import connections
+from carobfork_standins import layouts
+
+READY_SECONDS = 30
+STOP_SECONDS = 30
+LOG_LINES = 25
+_POLL_SECONDS = 0.05
+
+
+class LabError(exceptions.CarobforkError):
+    """A process of the lab did not do what it should."""
+
+    code = 'lab'
+
+
+@attrs.define
+class LabProcess:
+    """A process of the lab and how to start it."""
+
+    name: str
+    arguments: list[str]
+    address: bundles.Address
+    log_path: pathlib.Path
+    handle: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process and wait until it listens."""
+        with self.log_path.open('ab') as log:
+            self.handle = subprocess.Popen(
+                [sys.executable, '-m', *self.arguments],
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+        self._wait_until_ready()
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self.handle.send_signal(number)
+
+    def wait(self) -> int:
+        """Wait for the process to end and return its exit code."""
+        deadline = time.monotonic() + STOP_SECONDS
+        while self.handle.poll() is None:
+            if time.monotonic() > deadline:
+                raise LabError('the process does not end', peer=self.name)
+            gevent.sleep(_POLL_SECONDS)
+        return self.handle.returncode
+
+    def _wait_until_ready(self) -> None:
+        deadline = time.monotonic() + READY_SECONDS
+        while not _listens(self.address):
+            if self.handle.poll() is not None or time.monotonic() > deadline:
+                raise LabError(
+                    f'not ready, see {self.log_path}', peer=self.name
+                )
+            gevent.sleep(_POLL_SECONDS)
+
+
+class Lab:
+    """Run a layout's processes, as a context manager.
+
+    :param directory: where settings, keys and logs go.
+    :param layout: which processes there are.
+    """
+
+    def __init__(self, directory: str, layout: layouts.Layout) -> None:
+        """Prepare the lab; entering starts its processes."""
+        self.directory = pathlib.Path(directory)
+        self.layout = layout
+        self.processes: dict[str, LabProcess] = {}
+
+    def __enter__(self) -> 'Lab':
+        """Start everything and roll the first bundle."""
+        self.directory.mkdir(parents=True, exist_ok=True)
+        signatures.make_keys(
+            self.path('operators.key'), self.path('operators.pub')
+        )
+        try:
+            self._start_all()
+        except BaseException:
+            self._kill_all()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop everything gracefully, or kill it after a failure."""
+        try:
+            if kind is None:
+                self._stop_all()
+            else:
+                self._show_logs()
+        finally:
+            self._kill_all()
+
+    def path(self, name: str) -> str:
+        """Return the path of one of the lab's files."""
+        return str(self.directory / name)
+
+    def start(self, name: str) -> None:
+        """Start a process, anew if it ran before."""
+        self.processes[name].start()
+
+    def kill(self, name: str) -> None:
+        """Kill a process without warning."""
+        self.processes[name].send(signal.SIGKILL)
+        self.processes[name].wait()
+
+    def stop(self, name: str) -> int:
+        """Stop a process gracefully and return its exit code."""
+        self.processes[name].send(signal.SIGTERM)
+        return self.processes[name].wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process from running, without ending it."""
+        self.processes[name].send(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.processes[name].send(signal.SIGCONT)
+
+    def session(self, entry: str = '', **options) -> sessions.Session:
+        """Return a caller's session by one or all entry hosts."""
+        names = [entry] if entry else self.layout.entry_names
+        addresses = [str(self.processes[name].address) for name in names]
+        return sessions.Session(addresses, pinned=bool(entry), **options)
+
+    def ask(
+        self,
+        name: str,
+        path: str,
+        method: str = 'GET',
+        fields: dict | None = None,
+    ) -> dict:
+        """Exchange JSON with a process."""
+        return ask(self.processes[name].address, path, method, fields)
+
+    def state(self, entry: str) -> dict:
+        """Return an entry host's state dump."""
+        return ask(self.layout.operator_address(entry), '/state')
+
+    def roll(self, bundle: bundles.Bundle) -> None:
+        """Sign a bundle off and roll it by the command line."""
+        plain = self.path(f'bundle-{bundle.version}.jsonc')
+        signed = self.path(f'bundle-{bundle.version}.signed.json')
+        text = json.dumps(documents.to_fields(bundle), indent=2)
+        pathlib.Path(plain).write_text(text)
+        self.command(
+            'bundle', 'sign', plain, self.path('operators.key'), signed
+        )
+        self.command(
+            'bundle', 'roll', signed, str(self.layout.platform_address)
+        )
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Run the command line.
+
+        :raises LabError: it fails.
+        """
+        done = subprocess.run(
+            [sys.executable, '-m', 'carobfork', *arguments],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        if done.returncode:
+            raise LabError(done.stderr or done.stdout, step=' '.join(arguments))
+        return done
+
+    def _start_all(self) -> None:
+        for name, settings in self.layout.settings(self.path('operators.pub')):
+            path = self.directory / f'{name}.jsonc'
+            path.write_text(json.dumps(documents.to_fields(settings), indent=2))
+            self.processes[name] = LabProcess(
+                name=name,
+                arguments=layouts.arguments(name, str(path)),
+                address=layouts.main_address(settings),
+                log_path=self.directory / f'{name}.log',
+            )
+            self.start(name)
+        self.roll(self.layout.bundle())
+        self._wait_for_bundle()
+
+    def _wait_for_bundle(self) -> None:
+        deadline = time.monotonic() + READY_SECONDS
+        for entry in self.layout.entry_names:
+            while not self.state(entry)['bundle_version']:
+                if time.monotonic() > deadline:
+                    raise LabError('no bundle came into force', peer=entry)
+                gevent.sleep(_POLL_SECONDS)
+
+    def _stop_all(self) -> None:
+        for name in reversed(self.processes):
+            if self.processes[name].handle.poll() is None:
+                self.thaw(name)
+                self.stop(name)
+
+    def _show_logs(self) -> None:
+        for process in self.processes.values():
+            lines = process.log_path.read_text().splitlines()[-LOG_LINES:]
+            sys.stderr.write('\n'.join([f'--- {process.name}', *lines, '']))
+
+    def _kill_all(self) -> None:
+        for process in self.processes.values():
+            if process.handle is not None and process.handle.poll() is None:
+                os.killpg(process.handle.pid, signal.SIGKILL)
+                process.handle.wait()
+
+
+def ask(
+    address: bundles.Address,
+    path: str,
+    method: str = 'GET',
+    fields: dict | None = None,
+) -> dict:
+    """Exchange JSON with an address."""
+    body = b'' if fields is None else json.dumps(fields).encode()
+    request = connections.HttpRequest(method, path, body)
+    with connections.Exchange(address, request) as exchange:
+        return json.loads(exchange.read())
+
+
+def _listens(address: bundles.Address) -> bool:
+    try:
+        socket.create_connection((address.ip, address.port), timeout=1).close()
+    except OSError:
+        return False
+    return True
--- /dev/null
+++ b/src/carobfork_standins/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios: scripted sessions over real processes, with their failures."""
