Add encrypted messages between entry hosts and heartbeats on a ring

Cause: hosts knew each other only through the platform's list, which lags, and had no way to ask each other anything.

Change: ZeroMQ links with CURVE keys that admit only the deployment's key; message classes in a registry; heartbeats go to at most six ring successors, so a host's traffic does not grow with the fleet. Ruled out: all-to-all heartbeats, which at 830 hosts would alone exceed 2 KB/s a host.

The traffic is not measured yet.

--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -11,16 +11,18 @@
     control,
     homes,
     journals,
+    membership,
     model_calls,
     routing,
     service_calls,
     slots,
 )
-from carobfork.protocol import callers, codecs, operators, signatures
+from carobfork.protocol import callers, codecs, documents, operators, signatures
 from carobfork.state import bundles, identifiers, programs
 from carobfork.transport import (
     engines,
     forwarders,
+    peers,
     platforms,
     servers,
     services,
@@ -35,8 +37,10 @@
     failure_domain: str
     caller_address: bundles.Address
     operator_address: bundles.Address
+    peer_address: bundles.Address
     platform_address: bundles.Address
     bundle_public_key_file: str
+    peer_key_file: str
     log_format: str = 'json'
 
 
@@ -47,28 +51,35 @@
     """
 
     def __init__(self, settings: EntrySettings) -> None:
-        """Remember the settings; entering starts the host."""
-        self._settings = settings
+        """Build what needs no other process; entering starts the host."""
+        self.settings = settings
+        self.timer = clock.SystemClock()
+        self.store = platforms.HttpObjectStore(settings.platform_address)
+        self.holder = control.BundleHolder()
+        self.directory = control.HostDirectory()
+        self.table = programs.ProgramTable()
         self._greenlets: list[gevent.Greenlet] = []
         self._exits = contextlib.ExitStack()
 
     def __enter__(self) -> 'EntryHost':
         """Register, follow the control objects and listen."""
-        store = platforms.HttpObjectStore(self._settings.platform_address)
-        own = control.register_host(store, self._describe_host)
-        holder = control.BundleHolder()
-        directory = control.HostDirectory()
-        directory.note(own)
-        table = programs.ProgramTable()
-        journal = journals.Journal(
-            store, codecs.MsgpackRecordCodec(), own.incarnation, table.apply
+        self.own = control.register_host(self.store, self._describe)
+        self.directory.note(self.own)
+        self.link = self._exits.enter_context(self._build_link())
+        self.watch = self._build_watch()
+        self.members = membership.Membership(
+            self.own, self.directory, self.link, self.holder, self.timer
         )
-        watch = self._build_watch(store, holder, directory)
-        self._start(journal.run, watch.run)
-        router = routing.Router(own.incarnation, table, directory)
-        home = homes.Home(journal, table, holder, self._build_broker(holder))
-        state = _StateDump(own.incarnation, holder, journal, table)
-        self._listen(_build_parts(home, router), state)
+        self.journal = journals.Journal(
+            self.store,
+            codecs.MsgpackRecordCodec(),
+            self.own.incarnation,
+            self.table.apply,
+        )
+        self.broker = slots.LocalSlots(self.timer)
+        self.holder.subscribe(self.broker.apply_bundle)
+        self._start(self.journal.run, self.watch.run, self.members.run)
+        self._listen()
         return self
 
     def __exit__(
@@ -81,85 +92,65 @@
         self._exits.close()
         gevent.killall(self._greenlets)
 
-    def _build_watch(
-        self,
-        store: platforms.HttpObjectStore,
-        holder: control.BundleHolder,
-        directory: control.HostDirectory,
-    ) -> control.ControlWatch:
+    def describe_state(self) -> dict:
+        """Return the state dump as JSON-ready fields."""
+        return {
+            'incarnation': str(self.own.incarnation),
+            'bundle_version': self.holder.version,
+            'programs': len(self.table.programs),
+            'live_hosts': [
+                str(host.incarnation) for host in self.members.live()
+            ],
+            'journal': {
+                'sealed': self.journal.sealed,
+                'records_committed': self.journal.records_committed,
+                'platform_writes': self.journal.platform_writes,
+            },
+            'peers': attrs.asdict(self.link.traffic),
+        }
+
+    def _build_link(self) -> peers.PeerLink:
+        keys = documents.load(self.settings.peer_key_file, peers.PeerKeys)
+        return peers.PeerLink(self.settings.peer_address, keys)
+
+    def _build_watch(self) -> control.ControlWatch:
         reader = signatures.SignedBundleReader(
-            self._settings.bundle_public_key_file
+            self.settings.bundle_public_key_file
+        )
+        return control.ControlWatch(
+            self.store, self.holder, reader, self.directory
         )
-        return control.ControlWatch(store, holder, reader, directory)
 
-    def _build_broker(self, holder: control.BundleHolder) -> slots.LocalSlots:
-        broker = slots.LocalSlots(clock.SystemClock())
-        holder.subscribe(broker.apply_bundle)
-        return broker
+    def _build_parts(self) -> callers.CallerParts:
+        home = homes.Home(self.journal, self.table, self.holder, self.broker)
+        backend = services.HttpServiceBackend()
+        return callers.CallerParts(
+            home=home,
+            router=routing.Router(
+                self.own.incarnation, self.table, self.members
+            ),
+            models=model_calls.ModelCaller(home, engines.HttpModelBackend()),
+            services=service_calls.ServiceCaller(home, backend),
+            forwarder=forwarders.HttpForwarder(),
+        )
 
     def _start(self, *loops) -> None:
         self._greenlets.extend(gevent.spawn(loop) for loop in loops)
 
-    def _listen(self, parts: callers.CallerParts, state: '_StateDump') -> None:
-        self._exits.enter_context(
-            servers.HttpServer(
-                self._settings.operator_address,
-                operators.OperatorApplication(state.describe),
-            )
-        )
-        self._exits.enter_context(
-            servers.HttpServer(
-                self._settings.caller_address,
-                callers.CallerApplication(parts),
-            )
-        )
-
-    def _describe_host(self, number: int) -> routing.EntryHost:
+    def _listen(self) -> None:
+        operator = operators.OperatorApplication(self.describe_state)
+        caller = callers.CallerApplication(self._build_parts())
+        settings = self.settings
+        for address, application in (
+            (settings.operator_address, operator),
+            (settings.caller_address, caller),
+        ):
+            self._exits.enter_context(servers.HttpServer(address, application))
+
+    def _describe(self, number: int) -> routing.EntryHost:
         return routing.EntryHost(
-            incarnation=identifiers.Incarnation(self._settings.host, number),
-            failure_domain=self._settings.failure_domain,
-            caller_address=self._settings.caller_address,
+            incarnation=identifiers.Incarnation(self.settings.host, number),
+            failure_domain=self.settings.failure_domain,
+            caller_address=self.settings.caller_address,
+            peer_address=self.settings.peer_address,
         )
-
-
-def _build_parts(
-    home: homes.Home, router: routing.Router
-) -> callers.CallerParts:
-    return callers.CallerParts(
-        home=home,
-        router=router,
-        models=model_calls.ModelCaller(home, engines.HttpModelBackend()),
-        services=service_calls.ServiceCaller(
-            home, services.HttpServiceBackend()
-        ),
-        forwarder=forwarders.HttpForwarder(),
-    )
-
-
-class _StateDump:
-    """Describe the process for operators."""
-
-    def __init__(
-        self,
-        incarnation: identifiers.Incarnation,
-        holder: control.BundleHolder,
-        journal: journals.Journal,
-        table: programs.ProgramTable,
-    ) -> None:
-        self._incarnation = incarnation
-        self._holder = holder
-        self._journal = journal
-        self._table = table
-
-    def describe(self) -> dict:
-        """Return the state as JSON-ready fields."""
-        return {
-            'incarnation': str(self._incarnation),
-            'bundle_version': self._holder.version,
-            'programs': len(self._table.programs),
-            'journal': {
-                'sealed': self._journal.sealed,
-                'records_committed': self._journal.records_committed,
-                'platform_writes': self._journal.platform_writes,
-            },
-        }
--- a/src/carobfork/coordination/control.py
+++ b/src/carobfork/coordination/control.py
@@ -4,18 +4,19 @@
 from collections.abc import Callable
 from typing import Protocol
 
-import attrs
+import cattrs
 import gevent
 import structlog
 
 from carobfork import clock, exceptions
 from carobfork.coordination import ports, routing
-from carobfork.state import bundles, identifiers
+from carobfork.state import bundles
 
 PREFIX = 'control/'
 HOSTS_PREFIX = 'control/hosts/'
 BUNDLE_KEY = 'control/bundle'
 RETRY_DELAY_MS = 500
+_converter = cattrs.Converter()
 
 logger = structlog.get_logger(part='control')
 
@@ -77,10 +78,14 @@
         """Start without hosts."""
         self._hosts: dict[str, routing.EntryHost] = {}
 
-    def live(self) -> list[routing.EntryHost]:
-        """Return the registered hosts."""
+    def registered(self) -> list[routing.EntryHost]:
+        """Return the newest incarnation of each host."""
         return list(self._hosts.values())
 
+    def find(self, name: str) -> routing.EntryHost | None:
+        """Return a host's newest incarnation, if it is registered."""
+        return self._hosts.get(name)
+
     def note(self, host: routing.EntryHost) -> None:
         """Add a host or replace its older incarnation."""
         known = self._hosts.get(host.incarnation.host)
@@ -121,18 +126,12 @@
 
 def encode_host(host: routing.EntryHost) -> bytes:
     """Return a host's object at the platform."""
-    return json.dumps(attrs.asdict(host)).encode()
+    return json.dumps(_converter.unstructure(host)).encode()
 
 
 def decode_host(body: bytes) -> routing.EntryHost:
     """Return the host that an object describes."""
-    fields = json.loads(body)
-    return routing.EntryHost(
-        incarnation=identifiers.Incarnation(**fields['incarnation']),
-        failure_domain=fields['failure_domain'],
-        caller_address=bundles.Address(**fields['caller_address']),
-        leaving=fields['leaving'],
-    )
+    return _converter.structure(json.loads(body), routing.EntryHost)
 
 
 class ControlWatch:
--- a/src/carobfork/coordination/ports.py
+++ b/src/carobfork/coordination/ports.py
@@ -3,7 +3,7 @@
 The transport layer implements them; the composition root connects them.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
 import attrs
@@ -52,6 +52,27 @@
         """
 
 
+class PeerLink(Protocol):
+    """Messages to and from other entry hosts."""
+
+    def on(self, kind: type, handler: Callable) -> None:
+        """Call ``handler`` with each message of a kind.
+
+        What it returns is the reply, if the sender waits for one.
+        """
+
+    def send(self, address: bundles.Address, message: object) -> None:
+        """Send a message that needs no reply; it may get lost."""
+
+    def request(
+        self, address: bundles.Address, message: object, timeout_ms: int
+    ) -> object:
+        """Send a message and return the reply.
+
+        :raises ConnectionFailedError: no reply came in time.
+        """
+
+
 class RecordCodec(Protocol):
     """Turn records into a segment's bytes and back."""
 
--- a/src/carobfork/coordination/routing.py
+++ b/src/carobfork/coordination/routing.py
@@ -18,7 +18,14 @@
     incarnation: identifiers.Incarnation
     failure_domain: str
     caller_address: bundles.Address
+    peer_address: bundles.Address
     leaving: bool = False
+    adopted: tuple[identifiers.Incarnation, ...] = ()
+    """Incarnations whose programs this host has taken over."""
+
+    def is_home_of(self, incarnation: identifiers.Incarnation) -> bool:
+        """Tell whether an incarnation's programs are here."""
+        return incarnation == self.incarnation or incarnation in self.adopted
 
 
 class HostList(Protocol):
@@ -27,6 +34,9 @@
     def live(self) -> list[EntryHost]:
         """Return the live hosts, this one included."""
 
+    def is_leaving(self, host: EntryHost) -> bool:
+        """Tell whether a host is about to stop."""
+
 
 @attrs.frozen
 class AddressAnswer:
@@ -67,7 +77,7 @@
         if home == self._own or program in self._table.programs:
             return None
         for host in self._hosts.live():
-            if host.incarnation == home:
+            if host.is_home_of(home):
                 return host.caller_address
         raise exceptions.UnknownProgramError(
             f'no live host is the home of "{program}"',
@@ -77,11 +87,15 @@
 
     def addresses(self, program: str = '') -> AddressAnswer:
         """Return the hosts to use: a program's home first."""
-        hosts = [host for host in self._hosts.live() if not host.leaving]
+        hosts = [
+            host
+            for host in self._hosts.live()
+            if not self._hosts.is_leaving(host)
+        ]
         random.shuffle(hosts)
         if program:
             home = identifiers.home_of(program)
-            hosts.sort(key=lambda host: host.incarnation != home)
+            hosts.sort(key=lambda host: not host.is_home_of(home))
         return AddressAnswer(
             addresses=[str(host.caller_address) for host in hosts],
             ttl_ms=ADDRESS_TTL_MS,
--- a/src/carobfork/exceptions.py
+++ b/src/carobfork/exceptions.py
@@ -189,3 +189,21 @@
         """Keep whether the request may have reached the peer."""
         super().__init__(message, **where)
         self.sent = sent
+
+
+def from_code(code: str, message: str, **where) -> CarobforkError:
+    """Return the error that a code stands for.
+
+    :param where: step and peer, as errors take them.
+    """
+    kind = _kinds_by_code(CarobforkError).get(code, CarobforkError)
+    error = kind.__new__(kind)
+    CarobforkError.__init__(error, message, **where)
+    return error
+
+
+def _kinds_by_code(root: type[CarobforkError]) -> dict[str, type]:
+    kinds = {root.code: root}
+    for kind in root.__subclasses__():
+        kinds.update(_kinds_by_code(kind))
+    return kinds
--- a/src/carobfork/protocol/signatures.py
+++ b/src/carobfork/protocol/signatures.py
@@ -36,7 +36,7 @@
     :raises SettingsError: a file exists already.
     """
     private = ed25519.Ed25519PrivateKey.generate()
-    _write_new(
+    write_new(
         private_path,
         private.private_bytes(
             serialization.Encoding.PEM,
@@ -44,7 +44,7 @@
             serialization.NoEncryption(),
         ),
     )
-    _write_new(
+    write_new(
         public_path,
         private.public_key().public_bytes(
             serialization.Encoding.PEM,
@@ -99,7 +99,11 @@
         return documents.parse(signed.text, bundles.Bundle, 'the bundle')
 
 
-def _write_new(path: str, pem: bytes) -> None:
+def write_new(path: str, pem: bytes) -> None:
+    """Write a new file that only its owner can read.
+
+    :raises SettingsError: the file exists already.
+    """
     flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL  # noqa: WPS465
     try:
         descriptor = os.open(path, flags, PRIVATE_MODE)
--- a/src/carobfork/sessions.py
+++ b/src/carobfork/sessions.py
@@ -270,13 +270,8 @@
 
 def error_from_fields(fields: dict) -> exceptions.CarobforkError:
     """Return the error that public fields describe."""
-    by_code = {
-        kind.code: kind for kind in _error_kinds(exceptions.CarobforkError)
-    }
-    kind = by_code.get(fields['code'], exceptions.CarobforkError)
-    error = exceptions.CarobforkError.__new__(kind)
-    exceptions.CarobforkError.__init__(
-        error,
+    error = exceptions.from_code(
+        fields['code'],
         fields['message'],
         step=fields['step'],
         peer=fields['peer'],
@@ -309,12 +304,6 @@
     return bundles.Address(ip, int(port))
 
 
-def _error_kinds(root: type) -> Iterator[type]:
-    yield root
-    for kind in root.__subclasses__():
-        yield from _error_kinds(kind)
-
-
 def _texts(exchange: connections.Exchange) -> Iterator[str]:
     splitter = sse.EventSplitter()
     for piece in exchange.pieces():
--- a/src/carobfork_standins/labs.py
+++ b/src/carobfork_standins/labs.py
@@ -19,7 +19,7 @@
 from carobfork import exceptions, sessions
 from carobfork.protocol import documents, signatures
 from carobfork.state import bundles
-from carobfork.transport import connections
+from carobfork.transport import connections, peer_keys
 from carobfork_standins import layouts
 
 READY_SECONDS = 30
@@ -97,6 +97,7 @@
         signatures.make_keys(
             self.path('operators.key'), self.path('operators.pub')
         )
+        peer_keys.make_keys(self.path('peers.key'))
         try:
             self._start_all()
         except BaseException:
@@ -194,7 +195,7 @@
         return done
 
     def _start_all(self) -> None:
-        for name, settings in self.layout.settings(self.path('operators.pub')):
+        for name, settings in self.layout.settings(str(self.directory)):
             path = self.directory / f'{name}.jsonc'
             path.write_text(json.dumps(documents.to_fields(settings), indent=2))
             self.processes[name] = LabProcess(
--- a/src/carobfork_standins/layouts.py
+++ b/src/carobfork_standins/layouts.py
@@ -11,6 +11,7 @@
 
 CALLER_PORT = 7101
 OPERATOR_PORT = 7102
+PEER_PORT = 7103
 PLATFORM_PORT = 7001
 ENGINE_PORT = 7201
 SERVICE_PORT = 7301
@@ -51,7 +52,7 @@
         """Return the operators' address of an entry host."""
         return bundles.Address(self._entry_ip(entry), OPERATOR_PORT)
 
-    def settings(self, public_key: str) -> Iterator[tuple[str, object]]:
+    def settings(self, directory: str) -> Iterator[tuple[str, object]]:
         """Yield each process's name and settings, in starting order."""
         yield 'platform', platform.PlatformSettings(self.platform_address)
         for worker in self.workers():
@@ -65,7 +66,7 @@
                 service.ServiceSettings(server.name, server.address),
             )
         for name in self.entry_names:
-            yield name, self._entry_settings(name, public_key)
+            yield name, self._entry_settings(name, directory)
 
     def bundle(self, version: int = 1) -> bundles.Bundle:
         """Return the lab's bundle: a program kind of each user."""
@@ -106,7 +107,7 @@
         ]
 
     def _entry_settings(
-        self, name: str, public_key: str
+        self, name: str, directory: str
     ) -> composition.EntrySettings:
         number = self.entry_names.index(name)
         return composition.EntrySettings(
@@ -114,8 +115,10 @@
             failure_domain=f'domain-{number % _DOMAINS + 1}',
             caller_address=bundles.Address(self._entry_ip(name), CALLER_PORT),
             operator_address=self.operator_address(name),
+            peer_address=bundles.Address(self._entry_ip(name), PEER_PORT),
             platform_address=self.platform_address,
-            bundle_public_key_file=public_key,
+            bundle_public_key_file=f'{directory}/operators.pub',
+            peer_key_file=f'{directory}/peers.key',
         )
 
     def _entry_ip(self, name: str) -> str:
