--- a/src/carobfork/commands/daemons.py
+++ b/src/carobfork/commands/daemons.py
@@ -7,9 +7,9 @@
     """Run entry hosts."""
 
     def run(self, settings: str) -> None:
-        """Run an entry host.
+        """Run an entry host until SIGTERM or SIGINT.
 
-        Example: ``carobfork entry run settings/demo/entry-1.jsonc``
+        Example: ``carobfork entry run settings/entry.jsonc``
 
         :param settings: path of the settings file.
         """
--- /dev/null
+++ b/src/carobfork/commands/groups.py
@@ -0,0 +1,31 @@
+"""Groups: the command line's tree."""
+
+from carobfork.commands import (
+    bundles,
+    daemons,
+    hosts,
+    keys,
+    programs,
+    settings,
+    states,
+)
+
+
+class Commands:
+    """Run and operate carobfork.
+
+    Each command takes ``--json`` for scripts and ``--help``.
+
+    Example: ``carobfork bundle roll signed.json --platform 127.0.0.1:7001``
+    """
+
+    def __init__(self) -> None:
+        """List the command groups."""
+        self.entry = daemons.EntryCommands()
+        self.settings = settings.SettingsCommands()
+        self.keys = keys.KeyCommands()
+        self.bundle = bundles.BundleCommands()
+        self.state = states.StateCommands()
+        self.program = programs.ProgramCommands()
+        self.host = hosts.HostCommands()
+        self.explain = programs.explain
--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -17,8 +17,15 @@
     service_calls,
     slots,
 )
-from carobfork.protocol import callers, codecs, documents, operators, signatures
-from carobfork.state import bundles, identifiers, programs
+from carobfork.protocol import (
+    callers,
+    codecs,
+    documents,
+    key_files,
+    operators,
+    signatures,
+)
+from carobfork.state import bundles, identifiers, limits, programs
 from carobfork.transport import (
     engines,
     forwarders,
@@ -28,20 +35,24 @@
     services,
 )
 
+LOG_FORMATS = frozenset(('json', 'text'))
+
 
 @attrs.frozen
 class EntrySettings:
     """Settings of an entry host."""
 
-    host: str
-    failure_domain: str
+    host: str = attrs.field(validator=limits.name)
+    failure_domain: str = attrs.field(validator=limits.name)
     caller_address: bundles.Address
     operator_address: bundles.Address
     peer_address: bundles.Address
     platform_address: bundles.Address
     bundle_public_key_file: str
     peer_key_file: str
-    log_format: str = 'json'
+    log_format: str = attrs.field(
+        default='json', validator=limits.one_of(LOG_FORMATS)
+    )
 
 
 class EntryHost:
@@ -110,6 +121,7 @@
         }
 
     def _build_link(self) -> peers.PeerLink:
+        key_files.require_private(self.settings.peer_key_file)
         keys = documents.load(self.settings.peer_key_file, peers.PeerKeys)
         return peers.PeerLink(self.settings.peer_address, keys)
 
--- a/src/carobfork/exceptions.py
+++ b/src/carobfork/exceptions.py
@@ -147,6 +147,8 @@
 
     code = 'bad_settings'
     outcome = Outcome.not_run
+    problems: tuple[str, ...] = ()
+    """Each problem of the file, where there are several."""
 
 
 class PlatformError(CarobforkError):
--- a/src/carobfork/protocol/documents.py
+++ b/src/carobfork/protocol/documents.py
@@ -1,6 +1,7 @@
 """Documents: settings and bundles, JSON with comments into attrs classes.
 
-Every problem of a document is reported at once, with its path.
+Every problem of a document is reported at once, with its path, the value
+found and what is allowed.
 """
 
 import pathlib
@@ -11,15 +12,11 @@
 import jsonc
 
 from carobfork import exceptions
+from carobfork.protocol import strictness
 
 Document = TypeVar('Document')
 
 
-def make_converter() -> cattrs.Converter:
-    """Return a converter that refuses unknown fields."""
-    return cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
-
-
 def parse(text: str, kind: type[Document], source: str) -> Document:
     """Parse a document.
 
@@ -28,17 +25,15 @@
     :param source: what to call the document in errors.
     :raises SettingsError: naming every problem found.
     """
+    fields = _decode(text, source)
     try:
-        fields = jsonc.loads(text)
-    except ValueError as error:
+        return strictness.make_converter().structure(fields, kind)
+    except cattrs.BaseValidationError as error:
+        raise _settings_error(error, source) from error
+    except strictness.FieldError as error:
         raise exceptions.SettingsError(
-            f'{source} is not JSON with comments: {error}', step='parse'
+            f'{source}: {error}', step='check', peer=source
         ) from error
-    try:
-        return make_converter().structure(fields, kind)
-    except Exception as error:  # cattrs raises groups of several kinds
-        problems = '; '.join(cattrs.transform_error(error, path=source))
-        raise exceptions.SettingsError(problems, step='check') from error
 
 
 def load(path: str, kind: type[Document]) -> Document:
@@ -46,15 +41,67 @@
 
     :raises SettingsError: it can't be read or has problems.
     """
+    return parse(read_text(path), kind, path)
+
+
+def read_text(path: str) -> str:
+    """Read a text file.
+
+    :raises SettingsError: it can't be read or is not UTF-8.
+    """
     try:
-        text = pathlib.Path(path).read_text()
+        return pathlib.Path(path).read_text(encoding='utf-8')
     except OSError as error:
         raise exceptions.SettingsError(
-            f'{path} can not be read: {error.strerror}', step='read'
+            f'{path} can not be read: {error.strerror}', step='read', peer=path
+        ) from error
+    except UnicodeDecodeError as error:
+        raise exceptions.SettingsError(
+            f'{path} is not UTF-8: {error.reason} at byte {error.start}',
+            step='read',
+            peer=path,
         ) from error
-    return parse(text, kind, path)
 
 
 def to_fields(document: attrs.AttrsInstance) -> dict:
     """Return a document as plain maps and lists."""
-    return make_converter().unstructure(document)
+    return strictness.make_converter().unstructure(document)
+
+
+def _decode(text: str, source: str) -> object:
+    try:
+        return jsonc.loads(text, object_pairs_hook=_unique)
+    except (ValueError, RecursionError) as error:
+        raise exceptions.SettingsError(
+            f'{source} is not JSON with comments: {error}',
+            step='parse',
+            peer=source,
+        ) from error
+
+
+def _unique(pairs: list[tuple[str, object]]) -> dict:
+    fields = dict(pairs)
+    if len(fields) != len(pairs):
+        names = [name for name, _ in pairs]
+        doubled = {name for name in names if names.count(name) > 1}
+        raise ValueError(f'fields given twice: {", ".join(sorted(doubled))}')
+    return fields
+
+
+def _settings_error(
+    error: cattrs.BaseValidationError, source: str
+) -> exceptions.SettingsError:
+    found = cattrs.transform_error(
+        error, path=source, format_exception=strictness.describe_problem
+    )
+    problems = tuple(_path_first(problem) for problem in found)
+    settings_error = exceptions.SettingsError(
+        '; '.join(problems), step='check', peer=source
+    )
+    settings_error.problems = problems
+    return settings_error
+
+
+def _path_first(problem: str) -> str:
+    words, _, path = problem.rpartition(' @ ')
+    return f'{path}: {words}'
--- a/src/carobfork/protocol/signatures.py
+++ b/src/carobfork/protocol/signatures.py
@@ -2,8 +2,6 @@
 
 import base64
 import json
-import os
-import pathlib
 
 import attrs
 from cryptography import exceptions as crypto_exceptions
@@ -11,11 +9,10 @@
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
 from carobfork import exceptions
-from carobfork.protocol import documents
+from carobfork.protocol import documents, key_files
 from carobfork.state import bundles
 
-PRIVATE_MODE = 0o600
-_OTHERS_MASK = 0o77
+_ENVELOPE_FIELDS = frozenset(('text', 'signature'))
 
 
 @attrs.frozen
@@ -36,7 +33,7 @@
     :raises SettingsError: a file exists already.
     """
     private = ed25519.Ed25519PrivateKey.generate()
-    write_new(
+    key_files.write_new(
         private_path,
         private.private_bytes(
             serialization.Encoding.PEM,
@@ -44,7 +41,7 @@
             serialization.NoEncryption(),
         ),
     )
-    write_new(
+    key_files.write_new(
         public_path,
         private.public_key().public_bytes(
             serialization.Encoding.PEM,
@@ -58,16 +55,30 @@
 
     :raises SettingsError: others can read the key file.
     """
-    path = pathlib.Path(private_path)
-    if path.stat().st_mode & _OTHERS_MASK:  # noqa: WPS465
-        raise exceptions.SettingsError(
-            f'{private_path} must be readable by its owner only', step='sign'
-        )
-    key = serialization.load_pem_private_key(path.read_bytes(), password=None)
+    key = key_files.load_private(private_path)
     signature = base64.b64encode(key.sign(text.encode())).decode()
     return SignedBundle(text, signature)
 
 
+def is_signed(text: str) -> bool:
+    """Tell whether a text is a signed bundle's envelope."""
+    try:
+        fields = json.loads(text)
+    except (ValueError, RecursionError):
+        return False
+    return isinstance(fields, dict) and set(fields) == _ENVELOPE_FIELDS
+
+
+def open_envelope(envelope: bytes) -> SignedBundle:
+    """Return an envelope's content, its signature unchecked.
+
+    :raises SettingsError: the bytes are no envelope.
+    """
+    return documents.parse(
+        envelope.decode(errors='replace'), SignedBundle, 'the signed bundle'
+    )
+
+
 class SignedBundleReader:
     """Check and parse signed bundles.
 
@@ -76,18 +87,14 @@
 
     def __init__(self, public_path: str) -> None:
         """Load the key."""
-        self._key = serialization.load_pem_public_key(
-            pathlib.Path(public_path).read_bytes()
-        )
+        self._key = key_files.load_public(public_path)
 
     def read(self, envelope: bytes) -> bundles.Bundle:
         """Return the bundle of an envelope.
 
         :raises SettingsError: the signature or the content is wrong.
         """
-        signed = documents.parse(
-            envelope.decode(), SignedBundle, 'the signed bundle'
-        )
+        signed = open_envelope(envelope)
         try:
             self._key.verify(
                 base64.b64decode(signed.signature), signed.text.encode()
@@ -97,19 +104,3 @@
                 'the bundle is not signed by the operators', step='verify'
             ) from error
         return documents.parse(signed.text, bundles.Bundle, 'the bundle')
-
-
-def write_new(path: str, pem: bytes) -> None:
-    """Write a new file that only its owner can read.
-
-    :raises SettingsError: the file exists already.
-    """
-    flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL  # noqa: WPS465
-    try:
-        descriptor = os.open(path, flags, PRIVATE_MODE)
-    except FileExistsError as error:
-        raise exceptions.SettingsError(
-            f'{path} exists already', step='make keys'
-        ) from error
-    with open(descriptor, 'wb') as key_file:
-        key_file.write(pem)
--- a/src/carobfork/state/bundles.py
+++ b/src/carobfork/state/bundles.py
@@ -9,14 +9,18 @@
 import attrs
 
 from carobfork import exceptions
+from carobfork.state import limits
+
+DEFAULT_QUEUE_LIMIT_MS = 4000
+DEFAULT_TIMEOUT_MS = 10_000
 
 
 @attrs.frozen
 class Address:
     """An IP number and a TCP port."""
 
-    ip: str
-    port: int
+    ip: str = attrs.field(validator=limits.ip_number)
+    port: int = attrs.field(validator=limits.port)
 
     def __str__(self) -> str:
         """Return ``ip:port``."""
@@ -27,10 +31,12 @@
 class Rank:
     """A class of service; ranks are listed most urgent first."""
 
-    name: str
-    share: float
+    name: str = attrs.field(validator=limits.name)
+    share: float = attrs.field(validator=limits.between(0, 1))
     """Part of the capacity kept for this rank under any flood, 0 to 1."""
-    queue_limit_ms: int = 4000
+    queue_limit_ms: int = attrs.field(
+        default=DEFAULT_QUEUE_LIMIT_MS, validator=limits.at_least(0)
+    )
     """Longest expected wait for a slot before calls are refused."""
 
 
@@ -38,16 +44,16 @@
 class Budget:
     """Upper bounds for one program and all of its sub-agents."""
 
-    tokens: int
-    calls: int
-    time_ms: int
+    tokens: int = attrs.field(validator=limits.at_least(1))
+    calls: int = attrs.field(validator=limits.at_least(1))
+    time_ms: int = attrs.field(validator=limits.at_least(1))
 
 
 @attrs.frozen
 class ProgramKind:
     """A kind of program that callers may open."""
 
-    name: str
+    name: str = attrs.field(validator=limits.name)
     rank: str
     budget: Budget
 
@@ -56,7 +62,7 @@
 class Worker:
     """One model engine."""
 
-    name: str
+    name: str = attrs.field(validator=limits.name)
     address: Address
     fencing: bool = True
     """Whether the engine refuses orders with an old fencing number."""
@@ -66,7 +72,7 @@
 class Model:
     """A model and the engines that serve it."""
 
-    name: str
+    name: str = attrs.field(validator=limits.name)
     workers: tuple[Worker, ...]
 
 
@@ -74,18 +80,20 @@
 class Operation:
     """One kind of call to a plain service."""
 
-    name: str
+    name: str = attrs.field(validator=limits.name)
     method: str
     path: str
     repeatable: bool = False
-    timeout_ms: int = 10_000
+    timeout_ms: int = attrs.field(
+        default=DEFAULT_TIMEOUT_MS, validator=limits.at_least(1)
+    )
 
 
 @attrs.frozen
 class Server:
     """One host of a plain service."""
 
-    name: str
+    name: str = attrs.field(validator=limits.name)
     address: Address
 
 
@@ -93,7 +101,7 @@
 class Service:
     """A plain service, its hosts and its operations."""
 
-    name: str
+    name: str = attrs.field(validator=limits.name)
     servers: tuple[Server, ...]
     operations: tuple[Operation, ...]
 
@@ -110,8 +118,8 @@
 class Bundle:
     """Everything that operators sign off and roll as one unit."""
 
-    version: int
-    ranks: tuple[Rank, ...]
+    version: int = attrs.field(validator=limits.at_least(1))
+    ranks: tuple[Rank, ...] = attrs.field(validator=limits.filled)
     programs: tuple[ProgramKind, ...]
     models: tuple[Model, ...]
     services: tuple[Service, ...]
--- /dev/null
+++ b/src/carobfork/state/limits.py
@@ -0,0 +1,80 @@
+"""Limits: validators of the fields of settings and bundles.
+
+Each raises ``ValueError`` with the field's name, its value and what is
+allowed.
+"""
+
+import ipaddress
+import re
+import reprlib
+from collections.abc import Callable, Collection
+
+import attrs
+
+MAX_PORT = 65_535
+NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9 _-]{0,62}')
+
+Validator = Callable[[object, attrs.Attribute, object], None]
+
+
+def between(lowest: float, highest: float) -> Validator:
+    """Return a validator that accepts numbers in a closed range."""
+
+    def validate(_owner, field, number) -> None:  # noqa: WPS430
+        if not lowest <= number <= highest:
+            _refuse(field, number, f'a number from {lowest} to {highest}')
+
+    return validate
+
+
+def at_least(lowest: float) -> Validator:
+    """Return a validator that accepts numbers from a lowest one on."""
+
+    def validate(_owner, field, number) -> None:  # noqa: WPS430
+        if not number >= lowest:
+            _refuse(field, number, f'a number from {lowest} on')
+
+    return validate
+
+
+def one_of(choices: Collection[str]) -> Validator:
+    """Return a validator that accepts listed texts only."""
+
+    def validate(_owner, field, text) -> None:  # noqa: WPS430
+        if text not in choices:
+            allowed = ', '.join(f'"{choice}"' for choice in sorted(choices))
+            _refuse(field, text, f'one of {allowed}')
+
+    return validate
+
+
+def port(_owner, field: attrs.Attribute, number) -> None:
+    """Accept TCP ports."""
+    if not 1 <= number <= MAX_PORT:
+        _refuse(field, number, f'a port from 1 to {MAX_PORT}')
+
+
+def ip_number(_owner, field: attrs.Attribute, text) -> None:
+    """Accept IP numbers, no host names."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        _refuse(field, text, 'an IP number such as 10.0.0.7')
+
+
+def name(_owner, field: attrs.Attribute, text) -> None:
+    """Accept names that are safe in identifiers, paths and logs."""
+    if not NAME.fullmatch(text):
+        _refuse(field, text, 'letters, digits, "_", "-" and blanks, at most 63')
+
+
+def filled(_owner, field: attrs.Attribute, members) -> None:
+    """Accept texts and lists that are not empty."""
+    if not members:
+        _refuse(field, members, 'not empty')
+
+
+def _refuse(field: attrs.Attribute, found: object, allowed: str) -> None:
+    raise ValueError(
+        f'{field.name} is {reprlib.repr(found)}, allowed: {allowed}'
+    )
--- a/src/carobfork/transport/peer_keys.py
+++ b/src/carobfork/transport/peer_keys.py
@@ -4,7 +4,7 @@
 
 import zmq
 
-from carobfork.protocol import signatures
+from carobfork.protocol import key_files
 
 
 def make_keys(path: str) -> None:
@@ -14,4 +14,4 @@
     """
     public, secret = zmq.curve_keypair()
     fields = {'public': public.decode(), 'secret': secret.decode()}
-    signatures.write_new(path, json.dumps(fields).encode())
+    key_files.write_new(path, json.dumps(fields).encode())
