Count a failing subtest as a failed test

Cause: nose2 reports a failing subtest with the outcome 'subtest', which the counter took for a pass; the run then exited 0 with 'failed' printed above. Seen with a test of two subtests, one wrong: before, exit code 0 and '3 passed, 0 failed'; after, exit code 1 and '1 passed, 1 failed'.

Change: a subtest counts only when it fails, under its test's name.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -30,8 +30,11 @@
 
     def testOutcome(self, event):  # noqa: N802
         """Count an outcome."""
-        name = event.test.id()
-        broken = event.outcome in {result.FAIL, result.ERROR}
+        is_subtest = event.outcome == result.SUBTEST
+        if is_subtest and not event.exc_info:
+            return
+        name = event.test.id().partition(' ')[0]
+        broken = is_subtest or event.outcome in {result.FAIL, result.ERROR}
         if broken and name in listed():
             self.counts['red'] += 1
         elif broken:
