Check callers' requests field by field and read them in bounded time

Cause: max_tokens as text met the engine, a nested body or a line break in a forwarded path ended in 'internal' with outcome unknown, and a slow sender held a greenlet for ever.

Ruled out: a timeout a receive (a sender of one byte at a time extends it for ever); checks in the endpoints (a body is read there, after the connection was accepted without bound).

Change: transport/readers.py reads head and body whole within limits of time, size, connections and bytes being read, and refuses with coded errors; protocol/requests.py checks each field and header; tokens are compared in constant time; forwarded paths are quoted again.

--- a/src/carobfork/coordination/calls.py
+++ b/src/carobfork/coordination/calls.py
@@ -1,5 +1,7 @@
 """Calls: what callers ask for, and the checks common to all kinds."""
 
+import hmac
+
 import attrs
 
 from carobfork import exceptions
@@ -56,7 +58,8 @@
 
     :raises ForbiddenError: it does not.
     """
-    if identifiers.digest(token.encode()) != program.token_digest:
+    offered = identifiers.digest(token.encode())
+    if not hmac.compare_digest(offered, program.token_digest):
         raise exceptions.ForbiddenError(
             'the token does not open this program', step='authorise'
         )
--- a/src/carobfork/exceptions.py
+++ b/src/carobfork/exceptions.py
@@ -70,6 +70,13 @@
     http_status = 413
 
 
+class RequestTimeoutError(BadRequestError):
+    """The caller took too long to send its request."""
+
+    code = 'request_timeout'
+    http_status = 408
+
+
 class ForbiddenError(BadRequestError):
     """The caller's token does not open this program."""
 
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -1,6 +1,5 @@
 """Callers: the HTTP interface that callers use."""
 
-import json
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
@@ -12,19 +11,16 @@
 
 from carobfork import exceptions
 from carobfork.coordination import (
-    calls,
     homes,
     model_calls,
     routing,
     service_calls,
 )
-from carobfork.protocol import headers, responses, sse
+from carobfork.protocol import headers, requests, responses, sse
 from carobfork.state import bundles
 
-DEFAULT_MAX_TOKENS = 1024
 EVENT_STREAM_TYPE = 'text/event-stream'
 _HTTP_CREATED = 201
-_READ = 'read request'
 
 logger = structlog.get_logger(part='callers')
 
@@ -82,26 +78,23 @@
                 Rule(
                     '/v1/services/<service>/<path:path>', endpoint=self._service
                 ),
-            ]
+            ],
+            merge_slashes=False,
         )
 
     def __call__(self, environ: dict, start_response: Callable):
         """Answer one request."""
-        response = self._respond(Request(environ))
+        request = Request(environ)
+        try:
+            response = self._route(request)
+        except Exception as error:
+            response = self._refuse(request, error)
         return response(environ, start_response)
 
-    def _respond(self, request: Request) -> Response:
-        try:
-            return self._route(request)
-        except exceptions.CarobforkError as error:
-            return responses.error_response(error)
-        except http_exceptions.HTTPException as error:
-            return responses.error_response(responses.bad_http(error))
-        except Exception:
-            logger.exception('A request met an unexpected error.')
-            return responses.error_response(
-                exceptions.CarobforkError('internal error', step='serve')
-            )
+    def _refuse(self, request: Request, error: Exception) -> Response:
+        refusal = _as_refusal(error)
+        refusal.peer = refusal.peer or f'caller {request.remote_addr}'
+        return responses.error_response(refusal)
 
     def _route(self, request: Request) -> Response:
         request.max_content_length = responses.MAX_BODY_BYTES
@@ -111,6 +104,7 @@
             headers.PROGRAM
         )
         if program:
+            requests.check_header(headers.PROGRAM, program)
             address = self._parts.router.resolve(program)
             if address is not None:
                 return self._forward(request, address)
@@ -121,17 +115,17 @@
             raise exceptions.UnknownProgramError(
                 'the program is not homed here', step='forward'
             )
-        names = (headers.PROGRAM, headers.TOKEN, headers.CALL, 'Content-Type')
         fields = {
-            name: request.headers[name]
-            for name in names
-            if name in request.headers
+            name: requests.required_header(request, name)
+            for name in (headers.PROGRAM, headers.TOKEN, headers.CALL)
+            if request.headers.get(name)
         }
+        fields['Content-Type'] = requests.content_type(request)
         fields[headers.FORWARDED] = '1'
         reply = self._parts.forwarder.forward(
             address,
             request.method,
-            request.full_path,
+            responses.quoted_path(request),
             fields,
             request.get_data(),
         )
@@ -144,20 +138,20 @@
         return responses.json_response(attrs.asdict(answer))
 
     def _open(self, request: Request) -> Response:
-        body = _json_object(request)
-        kind = _text_field(body, 'kind')
+        body = requests.json_object(request)
+        kind = requests.text_field(body, 'kind')
         opened = self._parts.home.open_program(kind)
         return responses.json_response(
             attrs.asdict(opened), status=_HTTP_CREATED
         )
 
     def _close(self, request: Request, program: str) -> Response:
-        token = _required_header(request, headers.TOKEN)
+        token = requests.required_header(request, headers.TOKEN)
         self._parts.home.close_program(program, token, 'closed by its caller')
         return responses.json_response({'program': program})
 
     def _chat(self, request: Request) -> Response:
-        run = self._parts.models.start(_model_call(request))
+        run = self._parts.models.start(requests.model_call(request))
         if run.answer is not None:
             text = run.answer.body.decode()
             events = iter([sse.encode_text(text), sse.DONE])
@@ -168,16 +162,7 @@
         return _event_stream(_closing_with_done(first, followed), run.worker)
 
     def _service(self, request: Request, service: str, path: str) -> Response:
-        call = calls.ServiceCall(
-            program=_required_header(request, headers.PROGRAM),
-            token=_required_header(request, headers.TOKEN),
-            key=_required_header(request, headers.CALL),
-            service=service,
-            method=request.method,
-            path=f'/{path}',
-            body=request.get_data(),
-            content_type=request.content_type or responses.JSON_TYPE,
-        )
+        call = requests.service_call(request, service, path)
         answer = self._parts.services.run(call)
         outcome = exceptions.Outcome.done
         if answer.status >= http_exceptions.BadRequest.code:
@@ -193,6 +178,15 @@
         )
 
 
+def _as_refusal(error: Exception) -> exceptions.CarobforkError:
+    if isinstance(error, exceptions.CarobforkError):
+        return error
+    if isinstance(error, http_exceptions.HTTPException):
+        return responses.bad_http(error)
+    logger.error('A request met an unexpected error.', exc_info=error)
+    return exceptions.CarobforkError('internal error', step='serve')
+
+
 def _event_stream(events: Iterator[bytes], worker: str) -> Response:
     return Response(
         events,
@@ -215,56 +209,3 @@
         yield sse.encode_event({'error': responses.error_fields(error)})
     else:
         yield sse.DONE
-
-
-def _model_call(request: Request) -> calls.ModelCall:
-    body = _json_object(request)
-    messages = body.pop('messages', None)
-    if not messages or not isinstance(messages, list):
-        raise exceptions.BadRequestError(
-            '"messages" must be a list that is not empty', step=_READ
-        )
-    model = _text_field(body, 'model')
-    encoded = b','.join(json.dumps(message).encode() for message in messages)
-    max_tokens = body.setdefault('max_tokens', DEFAULT_MAX_TOKENS)
-    return calls.ModelCall(
-        program=_required_header(request, headers.PROGRAM),
-        token=_required_header(request, headers.TOKEN),
-        key=_required_header(request, headers.CALL),
-        model=model,
-        messages=encoded,
-        options=json.dumps(body, sort_keys=True).encode(),
-        max_tokens=max_tokens,
-    )
-
-
-def _json_object(request: Request) -> dict:
-    try:
-        body = json.loads(request.get_data())
-    except ValueError as error:
-        raise exceptions.BadRequestError(
-            f'the body is not JSON: {error}', step=_READ
-        ) from error
-    if not isinstance(body, dict):
-        raise exceptions.BadRequestError(
-            'the body must be a JSON object', step=_READ
-        )
-    return body
-
-
-def _text_field(body: dict, name: str) -> str:
-    text = body.get(name)
-    if not isinstance(text, str) or not text:
-        raise exceptions.BadRequestError(
-            f'"{name}" must be a text that is not empty', step=_READ
-        )
-    return text
-
-
-def _required_header(request: Request, name: str) -> str:
-    text = request.headers.get(name, '')
-    if not text:
-        raise exceptions.BadRequestError(
-            f'header {name} is missing', step=_READ
-        )
-    return text
--- a/src/carobfork/protocol/responses.py
+++ b/src/carobfork/protocol/responses.py
@@ -2,8 +2,9 @@
 
 import json
 import math
+from urllib import parse as urls
 
-from werkzeug import Response
+from werkzeug import Request, Response
 from werkzeug import exceptions as http_exceptions
 
 from carobfork import clock, exceptions
@@ -42,6 +43,13 @@
     }
 
 
+def quoted_path(request: Request) -> str:
+    """Return a request's path and query as they may travel on."""
+    path = urls.quote(request.path)
+    query = request.query_string.decode('latin-1')
+    return f'{path}?{query}' if query else path
+
+
 def bad_http(
     error: http_exceptions.HTTPException,
 ) -> exceptions.BadRequestError:
--- a/src/carobfork/transport/servers.py
+++ b/src/carobfork/transport/servers.py
@@ -3,10 +3,9 @@
 from collections.abc import Callable
 from types import TracebackType
 
-from gevent import pywsgi
-
 from carobfork import clock
 from carobfork.state import bundles
+from carobfork.transport import readers
 
 STOP_TIMEOUT_MS = 30_000
 
@@ -16,12 +15,18 @@
 
     :param address: where to listen.
     :param application: a WSGI application.
+    :param limits: what the listener accepts.
     """
 
-    def __init__(self, address: bundles.Address, application: Callable) -> None:
+    def __init__(
+        self,
+        address: bundles.Address,
+        application: Callable,
+        limits: readers.Limits | None = None,
+    ) -> None:
         """Prepare the server; entering it listens."""
-        self._server = pywsgi.WSGIServer(
-            (address.ip, address.port), application, log=None
+        self._server = readers.BoundedServer(
+            address, application, limits or readers.Limits()
         )
 
     def __enter__(self) -> 'HttpServer':
