--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -31,6 +31,7 @@
     forwarders,
     peers,
     platforms,
+    readers,
     servers,
     services,
 )
@@ -53,6 +54,7 @@
     log_format: str = attrs.field(
         default='json', validator=limits.one_of(LOG_FORMATS)
     )
+    caller_limits: readers.Limits = attrs.Factory(readers.Limits)
 
 
 class EntryHost:
@@ -153,11 +155,13 @@
         operator = operators.OperatorApplication(self.describe_state)
         caller = callers.CallerApplication(self._build_parts())
         settings = self.settings
-        for address, application in (
-            (settings.operator_address, operator),
-            (settings.caller_address, caller),
+        for server in (
+            servers.HttpServer(settings.operator_address, operator),
+            servers.HttpServer(
+                settings.caller_address, caller, settings.caller_limits
+            ),
         ):
-            self._exits.enter_context(servers.HttpServer(address, application))
+            self._exits.enter_context(server)
 
     def _describe(self, number: int) -> routing.EntryHost:
         return routing.EntryHost(
--- a/src/carobfork/transport/readers.py
+++ b/src/carobfork/transport/readers.py
@@ -15,13 +15,23 @@
 
 from carobfork import clock, exceptions
 from carobfork.protocol import responses
-from carobfork.state import bundles
-
+from carobfork.state import bundles, limits
+
+CONNECTIONS = 400
+BODY_BYTES = 2_000_000
+READING_BYTES = 32_000_000
+IDLE_MS = 30_000
+HEAD_MS = 10_000
+BODY_MS = 20_000
 LINGER_MS = 1000
 _PIECE_BYTES = 65_536
 _READ = 'read request'
 
 
+def _limit(default: int):
+    return attrs.field(default=default, validator=limits.at_least(1))
+
+
 @attrs.frozen
 class Limits:
     """What one listener accepts.
@@ -34,12 +44,12 @@
     :param body_ms: longest time to send a request's body.
     """
 
-    connections: int = 400
-    body_bytes: int = 2_000_000
-    reading_bytes: int = 32_000_000
-    idle_ms: int = 30_000
-    head_ms: int = 10_000
-    body_ms: int = 20_000
+    connections: int = _limit(CONNECTIONS)
+    body_bytes: int = _limit(BODY_BYTES)
+    reading_bytes: int = _limit(READING_BYTES)
+    idle_ms: int = _limit(IDLE_MS)
+    head_ms: int = _limit(HEAD_MS)
+    body_ms: int = _limit(BODY_MS)
 
 
 class BoundedServer(pywsgi.WSGIServer):
@@ -47,14 +57,14 @@
 
     :param address: where to listen.
     :param application: a WSGI application.
-    :param limits: what is accepted.
+    :param accepted: the limits.
     """
 
     def __init__(
         self,
         address: bundles.Address,
         application: Callable,
-        limits: Limits,
+        accepted: Limits,
     ) -> None:
         """Prepare the server; starting it listens."""
         super().__init__(
@@ -63,7 +73,7 @@
             log=None,
             handler_class=BoundedHandler,
         )
-        self.limits = limits
+        self.limits = accepted
         self.open_connections = 0
         self.reading_bytes = 0
 
