Name a call's program, key and peer in its log lines

Cause: greenlets start with an empty log context, so a failed call's line named its key only; nothing kept texts or tokens out of a line.

Ruled out: fields passed by hand at each line (forgotten in the next one).

--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -6,7 +6,7 @@
 import attrs
 import gevent
 
-from carobfork import clock
+from carobfork import clock, logs
 from carobfork.coordination import (
     control,
     homes,
@@ -36,8 +36,6 @@
     services,
 )
 
-LOG_FORMATS = frozenset(('json', 'text'))
-
 
 @attrs.frozen
 class EntrySettings:
@@ -52,7 +50,7 @@
     bundle_public_key_file: str
     peer_key_file: str
     log_format: str = attrs.field(
-        default='json', validator=limits.one_of(LOG_FORMATS)
+        default='json', validator=limits.one_of(logs.FORMATS)
     )
     caller_limits: readers.Limits = attrs.Factory(readers.Limits)
 
--- a/src/carobfork/coordination/model_calls.py
+++ b/src/carobfork/coordination/model_calls.py
@@ -2,10 +2,9 @@
 
 import secrets
 
-import gevent
 import structlog
 
-from carobfork import exceptions
+from carobfork import exceptions, logs
 from carobfork.coordination import calls, homes, orders, ports, runs
 from carobfork.state import bundles, programs, records
 
@@ -43,7 +42,7 @@
         self._model(call.model)
         run = runs.ModelRun(call.digest)
         self.runs[call.program, call.key] = run
-        gevent.spawn(self._execute, run, program, call)
+        logs.spawn(self._execute, run, program, call)
         return run
 
     def _find(
@@ -69,7 +68,7 @@
         try:
             run.finish(self._run_in_order(run, program, call))
         except exceptions.CarobforkError as error:
-            logger.info('A call failed.', key=call.key, error=str(error))
+            logger.info('A call failed.', error=str(error))
             run.fail(error)
         finally:
             self.runs.pop((call.program, call.key), None)
--- a/src/carobfork/coordination/service_calls.py
+++ b/src/carobfork/coordination/service_calls.py
@@ -10,7 +10,7 @@
 import structlog
 from gevent import event
 
-from carobfork import clock, exceptions
+from carobfork import clock, exceptions, logs
 from carobfork.coordination import calls, homes, ports
 from carobfork.state import bundles, programs, records
 
@@ -61,7 +61,7 @@
     ) -> '_Running':
         running = _Running(call.digest)
         self._running[call.program, call.key] = running
-        gevent.spawn(self._execute, running, program, call, operation)
+        logs.spawn(self._execute, running, program, call, operation)
         return running
 
     def _execute(
@@ -74,7 +74,7 @@
         try:
             answer = self._run_in_order(program, call, operation)
         except exceptions.CarobforkError as error:
-            logger.info('A call failed.', key=call.key, error=str(error))
+            logger.info('A call failed.', error=str(error))
             running.answered.set_exception(error)
         else:
             running.answered.set(answer)
--- a/src/carobfork/daemons.py
+++ b/src/carobfork/daemons.py
@@ -4,33 +4,16 @@
 import signal
 
 import gevent
-import structlog
 from gevent import event
 
-from carobfork import composition
+from carobfork import composition, logs
 from carobfork.protocol import documents
 
-LOG_RENDERERS = {  # noqa: WPS407
-    'json': structlog.processors.JSONRenderer,
-    'text': structlog.dev.ConsoleRenderer,
-}
-
-
-def configure_logs(log_format: str) -> None:
-    """Write logs as JSON lines or readable text."""
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt='iso', utc=True),
-            LOG_RENDERERS[log_format](),
-        ]
-    )
-
 
 def run_entry(settings_path: str) -> None:
     """Run an entry host until it is told to stop."""
     settings = documents.load(settings_path, composition.EntrySettings)
-    configure_logs(settings.log_format)
+    logs.configure(settings.log_format)
     run_until_stopped(composition.EntryHost(settings))
 
 
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -9,7 +9,7 @@
 from werkzeug import exceptions as http_exceptions
 from werkzeug.routing import Map, Rule
 
-from carobfork import exceptions
+from carobfork import exceptions, logs
 from carobfork.coordination import (
     homes,
     model_calls,
@@ -85,6 +85,11 @@
     def __call__(self, environ: dict, start_response: Callable):
         """Answer one request."""
         request = Request(environ)
+        logs.begin(
+            program=request.headers.get(headers.PROGRAM, ''),
+            call=request.headers.get(headers.CALL, ''),
+            peer=request.remote_addr,
+        )
         try:
             response = self._route(request)
         except Exception as error:
