Let operators see, explain, abort and drain over their endpoint

Cause: the operators' endpoint served a few fields of state; why a program was refused could not be told after the fact, and nothing was counted.

Ruled out: hooks in homes and call modules (every change there would have to keep them); metrics counted in library objects while calls run (a lookup by labels per request; plain integers read on request cost next to nothing).

--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -8,15 +8,18 @@
 
 from carobfork import clock, logs
 from carobfork.coordination import (
+    call_notes,
     control,
     homes,
     journals,
     membership,
     model_calls,
+    noted_calls,
     routing,
     service_calls,
     slots,
 )
+from carobfork.inspections import counted_stores, inspectors
 from carobfork.protocol import (
     callers,
     codecs,
@@ -65,10 +68,13 @@
         """Build what needs no other process; entering starts the host."""
         self.settings = settings
         self.timer = clock.SystemClock()
-        self.store = platforms.HttpObjectStore(settings.platform_address)
+        self.store = counted_stores.CountedStore(
+            platforms.HttpObjectStore(settings.platform_address), self.timer
+        )
         self.holder = control.BundleHolder()
         self.directory = control.HostDirectory()
         self.table = programs.ProgramTable()
+        self.notes = call_notes.CallNotes(self.timer, self.table)
         self._greenlets: list[gevent.Greenlet] = []
         self._exits = contextlib.ExitStack()
 
@@ -134,30 +140,41 @@
         )
 
     def _build_parts(self) -> callers.CallerParts:
-        home = homes.Home(self.journal, self.table, self.holder, self.broker)
-        backend = services.HttpServiceBackend()
+        noted_slots = noted_calls.NotedSlots(self.broker, self.notes.decisions)
+        self.home = homes.Home(
+            self.journal, self.table, self.holder, noted_slots
+        )
+        self.models = model_calls.ModelCaller(
+            self.home, engines.HttpModelBackend()
+        )
+        backend = noted_calls.NotedServices(
+            services.HttpServiceBackend(), self.notes.decisions
+        )
         return callers.CallerParts(
-            home=home,
+            home=self.home,
             router=routing.Router(
                 self.own.incarnation, self.table, self.members
             ),
-            models=model_calls.ModelCaller(home, engines.HttpModelBackend()),
-            services=service_calls.ServiceCaller(home, backend),
+            models=self.models,
+            services=service_calls.ServiceCaller(self.home, backend),
             forwarder=forwarders.HttpForwarder(),
+            notes=self.notes,
         )
 
     def _start(self, *loops) -> None:
         self._greenlets.extend(gevent.spawn(loop) for loop in loops)
 
     def _listen(self) -> None:
-        operator = operators.OperatorApplication(self.describe_state)
         caller = callers.CallerApplication(self._build_parts())
         settings = self.settings
+        self.caller_listener = servers.HttpServer(
+            settings.caller_address, caller, settings.caller_limits
+        )
+        inspector = inspectors.HostInspector(self, self.home.end_program)
+        operator = operators.OperatorApplication(inspector)
         for server in (
             servers.HttpServer(settings.operator_address, operator),
-            servers.HttpServer(
-                settings.caller_address, caller, settings.caller_limits
-            ),
+            self.caller_listener,
         ):
             self._exits.enter_context(server)
 
--- a/src/carobfork/coordination/decisions.py
+++ b/src/carobfork/coordination/decisions.py
@@ -5,7 +5,7 @@
 """
 
 import collections
-from collections.abc import Iterable
+import enum
 
 import attrs
 
@@ -16,41 +16,43 @@
 DETAIL_CHARACTERS = 200
 
 
+class Action(enum.StrEnum):
+    """What was decided."""
+
+    queued = 'queued'
+    granted = 'granted'
+    ended = 'ended'
+    sent = 'sent'
+    answered = 'answered'
+    refused = 'refused'
+    stopped = 'stopped'
+
+
+SENTENCES = {  # noqa: WPS407
+    Action.queued: '{call} waits for {detail}',
+    Action.granted: '{call} got a slot on {detail}',
+    Action.ended: '{call} gave its slot back: {detail}',
+    Action.sent: '{call} was sent to {detail}',
+    Action.answered: '{call} was answered by {detail}',
+    Action.refused: '{call} ended with {detail}',
+    Action.stopped: 'the program was stopped: {detail}',
+}
+
+
 @attrs.frozen
 class Decision:
     """One decision about a program.
 
-    ``action`` is one of the texts that ``SENTENCES`` explains, ``call`` the
-    call key it concerns, ``detail`` the reason or the place.
+    ``call`` names the call or the attempt that it concerns, ``detail`` the
+    reason or the place.
     """
 
     at_ms: float
-    action: str
+    action: Action
     call: str = ''
     detail: str = ''
 
 
-OPENED = 'opened'
-QUEUED = 'queued'
-GRANTED = 'granted'
-SENT = 'sent'
-ANSWERED = 'answered'
-REFUSED = 'refused'
-MOVED = 'moved'
-STOPPED = 'stopped'
-
-SENTENCES = {  # noqa: WPS407
-    OPENED: 'The program was opened: {detail}.',
-    QUEUED: 'Call {call} waits: {detail}.',
-    GRANTED: 'Call {call} got a slot on {detail}.',
-    SENT: 'Call {call} was sent to {detail}.',
-    ANSWERED: 'Call {call} was answered by {detail}.',
-    REFUSED: 'Call {call} ended with an error: {detail}.',
-    MOVED: 'The program moved: {detail}.',
-    STOPPED: 'The program was stopped: {detail}.',
-}
-
-
 class DecisionLog:
     """Keep the last decisions of the last programs.
 
@@ -69,7 +71,7 @@
         return len(self._logs)
 
     def note(
-        self, program: str, action: str, call: str = '', detail: str = ''
+        self, program: str, action: Action, call: str = '', detail: str = ''
     ) -> None:
         """Log a decision; the oldest ones make room."""
         log = self._logs.get(program)
@@ -97,14 +99,9 @@
         ]
 
 
-def describe(decisions: Iterable[Decision]) -> list[dict]:
-    """Return decisions as JSON-ready fields."""
-    return [attrs.asdict(decision) for decision in decisions]
-
-
 def _sentence(decision: Decision, now_ms: float) -> str:
     age = clock.to_seconds(now_ms - decision.at_ms)
     sentence = SENTENCES[decision.action].format(
         call=decision.call, detail=decision.detail
     )
-    return f'{age:.1f} s ago: {sentence}'
+    return f'{age:.1f} s ago, {sentence}.'
--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -73,6 +73,10 @@
     def close_program(self, identifier: str, token: str, reason: str) -> None:
         """End a program; it takes no further calls."""
         self.authorise(identifier, token)
+        self.end_program(identifier, reason)
+
+    def end_program(self, identifier: str, reason: str) -> None:
+        """End a program on the system's own account."""
         self.journal.append(
             records.ProgramClosed(identifier, reason), OPEN_TIMEOUT_MS
         )
--- /dev/null
+++ b/src/carobfork/coordination/noted_calls.py
@@ -0,0 +1,72 @@
+"""Noted calls: slots and services that log each decision about a call."""
+
+import contextlib
+from collections.abc import Iterator
+
+from carobfork import exceptions, logs
+from carobfork.coordination import decisions, orders, ports, slots
+from carobfork.state import bundles
+
+_Action = decisions.Action
+
+
+class NotedSlots:
+    """Log who waits for which slot and who got one.
+
+    :param broker: where the slots come from.
+    :param log: where the decisions go.
+    """
+
+    def __init__(
+        self, broker: slots.SlotBroker, log: decisions.DecisionLog
+    ) -> None:
+        """Remember both."""
+        self._broker = broker
+        self._log = log
+
+    @contextlib.contextmanager
+    def acquire(self, request: orders.SlotRequest) -> Iterator[str]:
+        """Wait for a slot and hold it."""
+        logs.bind(attempt=request.identifier)
+        program = request.program
+        call = f'attempt {request.identifier}'
+        wanted = f'a slot of model {request.model} in rank {request.rank}'
+        self._log.note(program, _Action.queued, call, wanted)
+        with self._broker.acquire(request) as slot:
+            self._log.note(program, _Action.granted, call, slot)
+            yield slot
+        self._log.note(program, _Action.ended, call, 'its stream ended')
+
+
+class NotedServices:
+    """Log which server a service call was sent to and how it ended.
+
+    :param backend: the plain services.
+    :param log: where the decisions go.
+    """
+
+    def __init__(
+        self, backend: ports.ServiceBackend, log: decisions.DecisionLog
+    ) -> None:
+        """Remember both."""
+        self._backend = backend
+        self._log = log
+
+    def send(
+        self,
+        server: bundles.Server,
+        request: ports.ServiceRequest,
+        timeout_ms: int,
+    ) -> ports.ServiceReply:
+        """Send a request once and wait for its answer."""
+        program, _, key = request.call.partition('/')
+        call = f'call {key}'
+        self._log.note(program, _Action.sent, call, server.name)
+        try:
+            reply = self._backend.send(server, request, timeout_ms)
+        except exceptions.CarobforkError as error:
+            self._log.note(program, _Action.refused, call, str(error))
+            raise
+        answered = f'{server.name} with status {reply.status}'
+        self._log.note(program, _Action.answered, call, answered)
+        return reply
--- a/src/carobfork/exceptions.py
+++ b/src/carobfork/exceptions.py
@@ -50,9 +50,10 @@
 
     def __str__(self) -> str:
         """Return code, message, step and peer in one line."""
-        return (
-            f'{self.code}: {self.message} (step {self.step}, peer {self.peer})'
-        )
+        where = f'step {self.step or "unknown"}'
+        if self.peer:
+            where = f'{where}, peer {self.peer}'
+        return f'{self.code}: {self.message} ({where})'
 
 
 class BadRequestError(CarobforkError):
--- /dev/null
+++ b/src/carobfork/inspections/__init__.py
@@ -0,0 +1,1 @@
+"""Inspections: what operators see of a running entry host."""
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -1,16 +1,17 @@
 """Callers: the HTTP interface that callers use."""
 
+import functools
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
 import attrs
-import structlog
 from werkzeug import Request, Response
 from werkzeug import exceptions as http_exceptions
 from werkzeug.routing import Map, Rule
 
 from carobfork import exceptions, logs
 from carobfork.coordination import (
+    call_notes,
     homes,
     model_calls,
     routing,
@@ -22,8 +23,6 @@
 EVENT_STREAM_TYPE = 'text/event-stream'
 _HTTP_CREATED = 201
 
-logger = structlog.get_logger(part='callers')
-
 
 class Forwarder(Protocol):
     """Pass a request on to another host."""
@@ -48,6 +47,7 @@
     models: model_calls.ModelCaller
     services: service_calls.ServiceCaller
     forwarder: Forwarder
+    notes: call_notes.CallNotes
 
 
 class CallerApplication:
@@ -93,13 +93,21 @@
         try:
             response = self._route(request)
         except Exception as error:
-            response = self._refuse(request, error)
+            self._note_error(request, error)
+            response = responses.refusal(request, error)
+        else:
+            done = exceptions.Outcome.done
+            self._parts.notes.note_answer(
+                response.headers.get(headers.OUTCOME, done)
+            )
         return response(environ, start_response)
 
-    def _refuse(self, request: Request, error: Exception) -> Response:
-        refusal = _as_refusal(error)
-        refusal.peer = refusal.peer or f'caller {request.remote_addr}'
-        return responses.error_response(refusal)
+    def _note_error(self, request: Request, error: Exception) -> None:
+        self._parts.notes.note_error(
+            request.headers.get(headers.PROGRAM, ''),
+            request.headers.get(headers.CALL, ''),
+            error,
+        )
 
     def _route(self, request: Request) -> Response:
         request.max_content_length = responses.MAX_BODY_BYTES
@@ -164,7 +172,9 @@
         followed = run.follow()
         # Waiting for the first event lets a refusal be a plain HTTP error.
         first = next(followed, b'')
-        return _event_stream(_closing_with_done(first, followed), run.worker)
+        note_error = functools.partial(self._note_error, request)
+        events = _closing_with_done(first, followed, note_error)
+        return _event_stream(events, run.worker)
 
     def _service(self, request: Request, service: str, path: str) -> Response:
         call = requests.service_call(request, service, path)
@@ -183,15 +193,6 @@
         )
 
 
-def _as_refusal(error: Exception) -> exceptions.CarobforkError:
-    if isinstance(error, exceptions.CarobforkError):
-        return error
-    if isinstance(error, http_exceptions.HTTPException):
-        return responses.bad_http(error)
-    logger.error('A request met an unexpected error.', exc_info=error)
-    return exceptions.CarobforkError('internal error', step='serve')
-
-
 def _event_stream(events: Iterator[bytes], worker: str) -> Response:
     return Response(
         events,
@@ -204,13 +205,16 @@
 
 
 def _closing_with_done(
-    first: bytes, followed: Iterator[bytes]
+    first: bytes,
+    followed: Iterator[bytes],
+    note_error: Callable[[Exception], None],
 ) -> Iterator[bytes]:
     """Yield a run's events, then the closing event or the error."""
     try:
         yield first
         yield from followed
     except exceptions.CarobforkError as error:
+        note_error(error)
         yield sse.encode_event({'error': responses.error_fields(error)})
     else:
         yield sse.DONE
--- a/src/carobfork/protocol/responses.py
+++ b/src/carobfork/protocol/responses.py
@@ -4,6 +4,7 @@
 import math
 from urllib import parse as urls
 
+import structlog
 from werkzeug import Request, Response
 from werkzeug import exceptions as http_exceptions
 
@@ -14,6 +15,8 @@
 JSON_TYPE = 'application/json'
 _READ = 'read request'
 
+logger = structlog.get_logger(part='responses')
+
 
 def json_response(fields: dict, status: int = 200) -> Response:
     """Return a JSON response."""
@@ -31,6 +34,13 @@
     return response
 
 
+def refusal(request: Request, error: Exception) -> Response:
+    """Return the response for whatever a request failed with."""
+    known = _as_known(error)
+    known.peer = known.peer or f'caller {request.remote_addr}'
+    return error_response(known)
+
+
 def error_fields(error: exceptions.CarobforkError) -> dict:
     """Return an error's public fields."""
     return {
@@ -50,10 +60,18 @@
     return f'{path}?{query}' if query else path
 
 
-def bad_http(
+def _as_known(error: Exception) -> exceptions.CarobforkError:
+    if isinstance(error, exceptions.CarobforkError):
+        return error
+    if isinstance(error, http_exceptions.HTTPException):
+        return _bad_http(error)
+    logger.error('A request met an unexpected error.', exc_info=error)
+    return exceptions.CarobforkError('internal error', step='serve')
+
+
+def _bad_http(
     error: http_exceptions.HTTPException,
 ) -> exceptions.BadRequestError:
-    """Return the error that an HTTP exception stands for."""
     if isinstance(error, http_exceptions.RequestEntityTooLarge):
         return exceptions.TooLargeError(
             f'the body exceeds {MAX_BODY_BYTES} bytes', step=_READ
--- a/src/carobfork/transport/readers.py
+++ b/src/carobfork/transport/readers.py
@@ -52,6 +52,15 @@
     body_ms: int = _limit(BODY_MS)
 
 
+@attrs.frozen
+class Traffic:
+    """What one listener holds and has sent."""
+
+    open_connections: int
+    reading_bytes: int
+    sent_bytes: int
+
+
 class BoundedServer(pywsgi.WSGIServer):
     """Serve a WSGI application within limits.
 
@@ -76,6 +85,7 @@
         self.limits = accepted
         self.open_connections = 0
         self.reading_bytes = 0
+        self.sent_bytes = 0
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Serve a connection, or refuse it where there are too many."""
@@ -89,6 +99,12 @@
         finally:
             self.open_connections -= 1
 
+    def traffic(self) -> Traffic:
+        """Return what the listener holds and has sent."""
+        return Traffic(
+            self.open_connections, self.reading_bytes, self.sent_bytes
+        )
+
     @contextlib.contextmanager
     def reserve(self, body_bytes: int) -> Iterator[None]:
         """Account for a body while it is read.
@@ -133,6 +149,11 @@
             return self._refuse(_bad_request('the request line is too long'))
         return proceeding
 
+    def handle_one_response(self) -> None:
+        """Answer a request and count what was sent."""
+        super().handle_one_response()
+        self.server.sent_bytes += self.response_length
+
     def read_requestline(self) -> str:
         """Wait for the next request's first line; empty when none comes."""
         idle_seconds = clock.to_seconds(self.server.limits.idle_ms)
--- a/src/carobfork/transport/servers.py
+++ b/src/carobfork/transport/servers.py
@@ -29,6 +29,10 @@
             address, application, limits or readers.Limits()
         )
 
+    def traffic(self) -> readers.Traffic:
+        """Return what the listener holds and has sent."""
+        return self._server.traffic()
+
     def __enter__(self) -> 'HttpServer':
         """Start listening."""
         self._server.start()
--- a/src/carobfork_standins/engine.py
+++ b/src/carobfork_standins/engine.py
@@ -43,6 +43,15 @@
         self._batch = batching.Batch(settings.pace)
         gevent.spawn(self._batch.run)
 
+    def describe_state(self) -> dict:
+        """Return what runs and what the cache holds."""
+        return {
+            'running': len(self._batch.sequences),
+            'prefilled_tokens': self._batch.prefilled_tokens,
+            'produced_tokens': self._batch.produced_tokens,
+            'cached_blocks': len(self._batch.cache.owners),
+        }
+
     def _chat(self, request: Request) -> Response:
         body = json.loads(request.get_data())
         sequence = batching.Sequence(
--- a/src/carobfork_standins/platform.py
+++ b/src/carobfork_standins/platform.py
@@ -113,7 +113,7 @@
 
     def answer(self, request: Request) -> Response:
         """Apply the faults, then answer."""
-        if request.path in {'/faults', '/counts'}:
+        if request.path in {'/faults', '/counts', '/state'}:
             return super().answer(request)
         if self._faults.down:
             raise http_exceptions.ServiceUnavailable
@@ -127,6 +127,15 @@
             raise http_exceptions.GatewayTimeout
         return response
 
+    def describe_state(self) -> dict:
+        """Return how many objects there are, the counts and the faults."""
+        return {
+            'objects': len(self._stored),
+            'revision': self._revision,
+            'counts': dict(self._counts),
+            'faults': attrs.asdict(self._faults),
+        }
+
     def _list(self, request: Request) -> Response:
         self._counts['lists'] += 1
         prefix = request.args['prefix']
--- a/src/carobfork_standins/service.py
+++ b/src/carobfork_standins/service.py
@@ -54,6 +54,15 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._faults = Faults()
 
+    def describe_state(self) -> dict:
+        """Return how many calls ran and the faults."""
+        return {
+            'server': self._name,
+            'calls': len(self._counts),
+            'runs': self._counts.total(),
+            'faults': attrs.asdict(self._faults),
+        }
+
     def _run(self, request: Request, path: str) -> Response:
         faults = self._faults
         gevent.sleep(clock.to_seconds(faults.delay_before_ms))
--- a/src/carobfork_standins/web.py
+++ b/src/carobfork_standins/web.py
@@ -16,7 +16,8 @@
 
     def __init__(self, rules: Sequence[Rule]) -> None:
         """Build the URL map."""
-        self._urls = Map(list(rules))
+        state = Rule('/state', methods=['GET'], endpoint=self._show_state)
+        self._urls = Map([state, *rules])
 
     def __call__(self, environ: dict, start_response: Callable):
         """Answer one request."""
@@ -34,6 +35,13 @@
         ).match()
         return endpoint(request, **arguments)
 
+    def describe_state(self) -> dict:
+        """Return the stand-in's state as JSON-ready fields."""
+        return {}
+
+    def _show_state(self, request: Request) -> Response:
+        return json_response(self.describe_state())
+
 
 def json_response(fields, status: int = 200) -> Response:
     """Return a JSON response."""
