--- a/src/carobfork/sessions.py
+++ b/src/carobfork/sessions.py
@@ -185,10 +185,7 @@
             'stream': True,
         }
         body = json.dumps(request).encode()
-        fields = self._fields(key or secrets.token_hex(8))
-        with self._session.connect(
-            'POST', '/v1/chat/completions', body, fields
-        ) as exchange:
+        with self.connect(key or secrets.token_hex(8), body) as exchange:
             if exchange.status >= _OK_LIMIT:
                 raise decode_error(exchange.read())
             self.worker = exchange.header(headers.WORKER)
@@ -202,6 +199,16 @@
         answer = ''.join(self.chat(model, text, **options))
         return Reply(_OK, answer.encode(), exceptions.Outcome.done, self.worker)
 
+    def connect(self, key: str, body: bytes) -> connections.Exchange:
+        """Return the exchange of a model call, for callers that read it.
+
+        :param key: call key.
+        :param body: the JSON body of a chat completions request.
+        """
+        return self._session.connect(
+            'POST', '/v1/chat/completions', body, self._fields(key)
+        )
+
     def call(
         self,
         service: str,
--- /dev/null
+++ b/src/carobfork_standins/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: seeded workloads against a lab, measured per rank."""
