--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -6,18 +6,18 @@
 import attrs
 import gevent
 
-from carobfork import clock
+from carobfork import clock, recording
 from carobfork.coordination import (
     control,
     homes,
-    journals,
     membership,
     model_calls,
+    registrations,
     routing,
     service_calls,
     slots,
 )
-from carobfork.protocol import callers, codecs, documents, operators, signatures
+from carobfork.protocol import callers, documents, operators, signatures
 from carobfork.state import bundles, identifiers, programs
 from carobfork.transport import (
     engines,
@@ -63,22 +63,30 @@
 
     def __enter__(self) -> 'EntryHost':
         """Register, follow the control objects and listen."""
-        self.own = control.register_host(self.store, self._describe)
-        self.directory.note(self.own)
+        self.registration = registrations.Registration(
+            self.store, self.directory, self._describe
+        )
+        own = self.registration.register()
         self.link = self._exits.enter_context(self._build_link())
         self.watch = self._build_watch()
         self.members = membership.Membership(
-            self.own, self.directory, self.link, self.holder, self.timer
-        )
-        self.journal = journals.Journal(
-            self.store,
-            codecs.MsgpackRecordCodec(),
-            self.own.incarnation,
-            self.table.apply,
+            own, self.directory, self.link, self.holder, self.timer
         )
         self.broker = slots.LocalSlots(self.timer)
         self.holder.subscribe(self.broker.apply_bundle)
-        self._start(self.journal.run, self.watch.run, self.members.run)
+        self.recording = recording.Recording(self.store, self.table, self.timer)
+        self.home = homes.Home(
+            self.recording.open_journal(own.incarnation),
+            self.table,
+            self.holder,
+            self.broker,
+        )
+        self._start(self.watch.run, self.members.run)
+        self._exits.enter_context(
+            self.recording.keep(
+                self.home, self.registration, self.members, self.link
+            )
+        )
         self._listen()
         return self
 
@@ -95,17 +103,14 @@
     def describe_state(self) -> dict:
         """Return the state dump as JSON-ready fields."""
         return {
-            'incarnation': str(self.own.incarnation),
+            'incarnation': str(self.members.own.incarnation),
             'bundle_version': self.holder.version,
             'programs': len(self.table.programs),
             'live_hosts': [
                 str(host.incarnation) for host in self.members.live()
             ],
-            'journal': {
-                'sealed': self.journal.sealed,
-                'records_committed': self.journal.records_committed,
-                'platform_writes': self.journal.platform_writes,
-            },
+            'service_calls_under_way': self.services.under_way,
+            **self.recording.describe(),
             'peers': attrs.asdict(self.link.traffic),
         }
 
@@ -122,15 +127,15 @@
         )
 
     def _build_parts(self) -> callers.CallerParts:
-        home = homes.Home(self.journal, self.table, self.holder, self.broker)
-        backend = services.HttpServiceBackend()
+        home = self.home
+        self.services = service_calls.ServiceCaller(
+            home, services.HttpServiceBackend(), self.timer
+        )
         return callers.CallerParts(
             home=home,
-            router=routing.Router(
-                self.own.incarnation, self.table, self.members
-            ),
+            router=routing.Router(self.table, self.members),
             models=model_calls.ModelCaller(home, engines.HttpModelBackend()),
-            services=service_calls.ServiceCaller(home, backend),
+            services=self.services,
             forwarder=forwarders.HttpForwarder(),
         )
 
--- /dev/null
+++ b/src/carobfork/coordination/chunks.py
@@ -0,0 +1,104 @@
+"""Chunks: compacted records, each object under the platform's size limit."""
+
+from collections.abc import Callable, Container
+
+import attrs
+
+from carobfork.coordination import journals, ports
+from carobfork.state import programs, records
+
+_KEPT_SHARE = 0.5
+"""A chunk is copied once less than this part of it is worth keeping."""
+
+
+@attrs.define
+class ChunkSummary:
+    """How many bytes a chunk holds of each program."""
+
+    program_bytes: dict[str, int] = attrs.Factory(dict)
+
+    def add(self, program: str, size: int) -> None:
+        """Count a record."""
+        self.program_bytes[program] = self.program_bytes.get(program, 0) + size
+
+    def is_worth_keeping(self, live: Container[str]) -> bool:
+        """Tell whether it is well filled with records of live programs."""
+        live_bytes = sum(
+            size
+            for program, size in self.program_bytes.items()
+            if program in live
+        )
+        return live_bytes > _KEPT_SHARE * journals.SEGMENT_BYTES
+
+
+class ChunkWriter:
+    """Write records into chunks, in order.
+
+    :param store: the platform's object API.
+    :param codec: encodes the records.
+    :param new_key: returns an unused key.
+    :param written: gets a summary of each chunk.
+    """
+
+    def __init__(
+        self,
+        store: ports.ObjectStore,
+        codec: ports.RecordCodec,
+        new_key: Callable[[], str],
+        written: dict[str, ChunkSummary],
+    ) -> None:
+        """Start without chunks."""
+        self._store = store
+        self._codec = codec
+        self._new_key = new_key
+        self._written = written
+        self._keys: list[str] = []
+        self._encoded: list[bytes] = []
+        self._size = 0
+        self._summary = ChunkSummary()
+
+    def keep(self, key: str) -> None:
+        """Take an existing chunk over as it is."""
+        self._flush()
+        self._keys.append(key)
+
+    def add(self, record: records.Record) -> None:
+        """Add a record to the chunk being filled."""
+        encoded = self._codec.encode(record)
+        if self._size + len(encoded) > journals.SEGMENT_BYTES:
+            self._flush()
+        self._encoded.append(encoded)
+        self._size += len(encoded)
+        self._summary.add(getattr(record, 'program', ''), len(encoded))
+
+    def close(self) -> list[str]:
+        """Write the last chunk and return all chunks' keys in order."""
+        self._flush()
+        return self._keys
+
+    def _flush(self) -> None:
+        if not self._encoded:
+            return
+        key = self._new_key()
+        self._written[key] = self._summary
+        self._store.update(key, self._codec.pack(self._encoded), 0)
+        self._keys.append(key)
+        self._encoded = []
+        self._size = 0
+        self._summary = ChunkSummary()
+
+
+def is_live(record: records.Record, table: programs.ProgramTable) -> bool:
+    """Tell whether a record still matters for the programs of a table."""
+    if isinstance(record, records.FRAMES):
+        return False
+    if isinstance(record, records.Adopted):
+        return record.incarnation in table.incarnations()
+    name = getattr(record, 'program', '')
+    program = table.programs.get(name)
+    if not name or program is None:
+        return not name
+    if isinstance(record, (records.IntentRecorded, records.IntentWithdrawn)):
+        call = program.calls.get(record.key)
+        return call is not None and call.answer is None
+    return True
--- a/src/carobfork/coordination/control.py
+++ b/src/carobfork/coordination/control.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import attrs
 import cattrs
 import gevent
 import structlog
@@ -114,13 +115,16 @@
 ) -> routing.EntryHost:
     key = HOSTS_PREFIX + describe(0).incarnation.host
     found = store.fetch(key)
-    number = 1
-    version = 0
-    if found is not None:
-        number = decode_host(found.body).incarnation.number + 1
-        version = found.version
-    host = describe(number)
-    store.update(key, encode_host(host), expected_version=version)
+    if found is None:
+        host = describe(1)
+        store.update(key, encode_host(host), expected_version=0)
+        return host
+    last = decode_host(found.body)
+    host = attrs.evolve(
+        describe(last.incarnation.number + 1),
+        predecessors=(*last.predecessors, last.incarnation),
+    )
+    store.update(key, encode_host(host), expected_version=found.version)
     return host
 
 
--- /dev/null
+++ b/src/carobfork/coordination/gatherers.py
@@ -0,0 +1,89 @@
+"""Gatherers: collect the records that peers hold for a dead host."""
+
+from carobfork.coordination import (
+    holdings,
+    membership,
+    ports,
+    routing,
+    segments,
+)
+from carobfork.state import identifiers
+
+COLLECT_TIMEOUT_MS = 2000
+
+
+class HeldRecordGatherer:
+    """Ask every live host that may hold records of an incarnation.
+
+    :param members: tells who may hold them.
+    :param link: how to reach the peers.
+    :param own_holdings: what this host itself holds.
+    """
+
+    def __init__(
+        self,
+        members: membership.Membership,
+        link: ports.PeerLink,
+        own_holdings: holdings.PeerHoldings,
+    ) -> None:
+        """Remember whom to ask."""
+        self._members = members
+        self._link = link
+        self._own_holdings = own_holdings
+
+    def gather(
+        self, incarnation: identifiers.Incarnation, tail: segments.Tail
+    ) -> list[holdings.HeldRecord]:
+        """Return the held records that are not committed, oldest first.
+
+        :raises ConnectionFailedError: a live peer did not answer; its
+            records may be the only ones.
+        """
+        found: dict[int, holdings.HeldRecord] = {}
+        for host in self._holders(incarnation):
+            for entry in self._ask(host, incarnation, tail):
+                found[entry.number] = entry
+        return [found[number] for number in sorted(found)]
+
+    def forget(self, incarnation: identifiers.Incarnation) -> None:
+        """Have the records dropped; all are committed."""
+        message = holdings.OwnerSealed(incarnation)
+        self._own_holdings.forget(message)
+        for host in self._holders(incarnation):
+            if host.incarnation != self._members.own.incarnation:
+                self._link.send(host.peer_address, message)
+
+    def _holders(
+        self, incarnation: identifiers.Incarnation
+    ) -> list[routing.EntryHost]:
+        live = {host.incarnation for host in self._members.live()}
+        return [
+            host
+            for host in self._members.successors(incarnation.host)
+            if host.incarnation in live
+        ]
+
+    def _ask(
+        self,
+        host: routing.EntryHost,
+        incarnation: identifiers.Incarnation,
+        tail: segments.Tail,
+    ) -> list[holdings.HeldRecord]:
+        entries: list[holdings.HeldRecord] = []
+        after = tail.last_record
+        while True:
+            message = holdings.CollectRecords(incarnation, after, tail.number)
+            page = self._collect(host, message).entries
+            if not page:
+                return entries
+            entries.extend(page)
+            after = page[-1].number
+
+    def _collect(
+        self, host: routing.EntryHost, message: holdings.CollectRecords
+    ) -> holdings.RecordsCollected:
+        if host.incarnation == self._members.own.incarnation:
+            return self._own_holdings.collect(message)
+        return self._link.request(
+            host.peer_address, message, COLLECT_TIMEOUT_MS
+        )
--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -6,6 +6,7 @@
 import attrs
 from gevent import lock
 
+from carobfork import exceptions
 from carobfork.coordination import calls, control, journals, slots
 from carobfork.state import bundles, identifiers, programs, records
 
@@ -67,16 +68,48 @@
             token_digest=identifiers.digest(opened.token.encode()),
             parent=parent,
         )
-        self.journal.append(record, OPEN_TIMEOUT_MS)
+        self.journal.keep(record, OPEN_TIMEOUT_MS)
         return opened
 
     def close_program(self, identifier: str, token: str, reason: str) -> None:
         """End a program; it takes no further calls."""
         self.authorise(identifier, token)
-        self.journal.append(
+        self.journal.keep(
             records.ProgramClosed(identifier, reason), OPEN_TIMEOUT_MS
         )
 
+    def record(
+        self,
+        program: programs.Program,
+        record: records.Record,
+        timeout_ms: int,
+    ) -> None:
+        """Record something of a program that is still homed here.
+
+        Returns once the platform or two other hosts hold the record.
+
+        :raises SealedError: another host owns the program now.
+        :raises PlatformError: not kept in time; it still may be.
+        """
+        self.require_owned(program)
+        self.journal.keep(record, timeout_ms)
+
+    def require_owned(self, program: programs.Program) -> None:
+        """Check that a program was not taken over meanwhile.
+
+        :raises SealedError: another host owns it now.
+        """
+        if self.table.programs.get(program.identifier) is not program:
+            raise exceptions.SealedError(
+                'the program was taken over', step='record'
+            )
+
+    def start_anew(self, journal: journals.Journal) -> None:
+        """Drop all programs and go on with the journal of a new incarnation."""
+        self.table.programs.clear()
+        self._turns.clear()
+        self.journal = journal
+
     def authorise(self, identifier: str, token: str) -> programs.Program:
         """Return a program if the token opens it."""
         program = self.table.find(identifier)
--- a/src/carobfork/coordination/journals.py
+++ b/src/carobfork/coordination/journals.py
@@ -5,34 +5,42 @@
 from then on the former owner's appends fail. No clock guards the records.
 """
 
+import itertools
 from collections.abc import Callable
 
 import attrs
 import gevent
+import structlog
 from gevent import event
 
 from carobfork import clock, exceptions
-from carobfork.coordination import ports
+from carobfork.coordination import appenders, ports, segments
 from carobfork.state import identifiers, records
 
 SEGMENT_BYTES = 700_000
 PENDING_BYTES = 16_000_000
 COMMIT_INTERVAL_MS = 50
-RETRY_DELAY_MS = 200
 _STEP = 'append'
 _PEER = 'platform'
 
-
-def segment_key(incarnation: identifiers.Incarnation, number: int) -> str:
-    """Return the key of a journal's segment."""
-    return f'journal/{incarnation}/{number:08d}'
+logger = structlog.get_logger(part='journals')
 
 
 @attrs.define(eq=False)
-class _Entry:
+class Entry:
+    """A record on its way into the journal.
+
+    ``committed`` is set once the platform holds it, ``kept`` once the
+    platform or two peers do. An ``offered`` entry was sent to peers.
+    """
+
+    number: int
     record: records.Record
     encoded: bytes
     committed: event.AsyncResult = attrs.Factory(event.AsyncResult)
+    kept: event.AsyncResult = attrs.Factory(event.AsyncResult)
+    offered: bool = False
+    applied: bool = False
 
 
 class Journal:
@@ -41,7 +49,7 @@
     :param store: the platform's object API.
     :param codec: turns records into bytes.
     :param incarnation: the owner.
-    :param on_commit: called with each record once it is committed, in order.
+    :param apply: called with each record once it is kept, in order.
     """
 
     def __init__(
@@ -49,21 +57,33 @@
         store: ports.ObjectStore,
         codec: ports.RecordCodec,
         incarnation: identifiers.Incarnation,
-        on_commit: Callable[[records.Record], None],
+        apply: Callable[[records.Record], None],
     ) -> None:
         """Start with an empty journal; ``run`` commits to it."""
         self.incarnation = incarnation
-        self.next_number = 1
         self.sealed = False
-        self.platform_writes = 0
         self.records_committed = 0
-        self._store = store
+        self.last_record = 0
+        """The number of the last committed record."""
+        self.segments = appenders.SegmentAppender(store, incarnation)
         self._codec = codec
-        self._on_commit = on_commit
-        self._pending: list[_Entry] = []
+        self._apply = apply
+        self._numbers = itertools.count(1)
+        self._in_flight: list[Entry] = []
+        self._pending: list[Entry] = []
         self._pending_bytes = 0
         self._wakeup = event.Event()
 
+    @property
+    def stalled(self) -> bool:
+        """Whether the platform did not answer the last attempt."""
+        return self.segments.stalled
+
+    @property
+    def pending_bytes(self) -> int:
+        """Encoded size of the records that wait for a commit."""
+        return self._pending_bytes
+
     def append(self, record: records.Record, timeout_ms: int | None) -> None:
         """Append a record and wait until it is committed.
 
@@ -71,29 +91,67 @@
         :raises SealedError: another host owns these programs now.
         :raises PlatformError: not committed in time; it still may be.
         """
-        entry = self.enqueue(record)
-        seconds = None if timeout_ms is None else clock.to_seconds(timeout_ms)
-        try:
-            entry.committed.get(timeout=seconds)
-        except gevent.Timeout:
-            raise exceptions.PlatformError(
-                'the record was not committed in time', step=_STEP, peer=_PEER
-            ) from None
+        wait_for(self.enqueue(record).committed, timeout_ms)
 
-    def enqueue(self, record: records.Record) -> _Entry:
-        """Append a record without waiting for its commit."""
+    def keep(self, record: records.Record, timeout_ms: int | None) -> None:
+        """Append a record and wait until the platform or two peers hold it.
+
+        Parameters and errors are those of ``append``.
+        """
+        wait_for(self.enqueue(record).kept, timeout_ms)
+
+    def enqueue(self, record: records.Record) -> Entry:
+        """Append a record without waiting for its commit.
+
+        :raises SealedError: another host owns these programs now.
+        :raises PlatformError: too many records wait already.
+        """
         if self.sealed:
-            raise self._sealed_error()
+            raise appenders.sealed_error(self.incarnation)
         if self._pending_bytes > PENDING_BYTES:
             raise exceptions.PlatformError(
                 'too many records wait for the platform', step=_STEP, peer=_PEER
             )
-        entry = _Entry(record, self._codec.encode(record))
+        encoded = self._codec.encode(record)
+        entry = Entry(next(self._numbers), record, encoded)
         self._pending.append(entry)
-        self._pending_bytes += len(entry.encoded)
+        self._pending_bytes += len(encoded)
         self._wakeup.set()
         return entry
 
+    def withdraw(self, entry: Entry) -> bool:
+        """Take an entry back and say whether nothing holds it."""
+        if entry.offered or entry not in self._pending:
+            return False
+        self._pending.remove(entry)
+        self._pending_bytes -= len(entry.encoded)
+        return True
+
+    def uncommitted(self) -> list[Entry]:
+        """Return the entries that are not committed, oldest first."""
+        return [*self._in_flight, *self._pending]
+
+    def note_kept(self, entries: list[Entry]) -> None:
+        """Apply entries that peers hold and tell those who wait."""
+        if not self.sealed:
+            self._settle(entries)
+
+    def seal(self) -> None:
+        """Refuse all further records; another host owns the programs."""
+        if self.sealed:
+            return
+        logger.warning('The journal is sealed.', peer=str(self.incarnation))
+        self.sealed = True
+        self.segments.close()
+        self._wakeup.set()
+        error = appenders.sealed_error(self.incarnation)
+        for entry in self.uncommitted():
+            entry.committed.set_exception(error)
+            if not entry.applied:
+                entry.kept.set_exception(error)
+        self._pending.clear()
+        self._pending_bytes = 0
+
     def run(self) -> None:
         """Commit pending records until the journal is sealed."""
         while not self.sealed:
@@ -102,12 +160,20 @@
             gevent.sleep(clock.to_seconds(COMMIT_INTERVAL_MS))
 
     def flush(self) -> None:
-        """Commit everything pending now."""
-        batch = self._take_batch()
-        if batch:
-            self._commit(batch)
-
-    def _take_batch(self) -> list[_Entry]:
+        """Commit everything pending now, a segment's size at most."""
+        self._in_flight = self._take_batch()
+        if not self._in_flight:
+            return
+        try:
+            self.segments.append(self._packed(self._in_flight))
+        except exceptions.SealedError:
+            self.seal()
+        else:
+            self._note_committed()
+        finally:
+            self._in_flight = []
+
+    def _take_batch(self) -> list[Entry]:
         size = 0
         count = 0
         for entry in self._pending:
@@ -122,52 +188,40 @@
             self._wakeup.clear()
         return batch
 
-    def _commit(self, batch: list[_Entry]) -> None:
-        segment = self._codec.pack(entry.encoded for entry in batch)
-        try:
-            self._create_segment(segment)
-        except exceptions.SealedError as error:
-            self.sealed = True
-            self._fail([*batch, *self._pending], error)
+    def _packed(self, batch: list[Entry]) -> bytes:
+        return segments.pack(
+            self._codec,
+            batch[-1].number,
+            [entry.encoded for entry in batch],
+        )
+
+    def _note_committed(self) -> None:
+        if self.sealed:
             return
-        self.next_number += 1
-        self.records_committed += len(batch)
-        for entry in batch:
-            self._on_commit(entry.record)
+        self.records_committed += len(self._in_flight)
+        self.last_record = self._in_flight[-1].number
+        self._settle(self._in_flight)
+        for entry in self._in_flight:
             entry.committed.set()
 
-    def _fail(self, entries: list[_Entry], error: Exception) -> None:
+    def _settle(self, entries: list[Entry]) -> None:
         for entry in entries:
-            entry.committed.set_exception(error)
+            if not entry.applied:
+                entry.applied = True
+                self._apply(entry.record)
+                entry.kept.set()
 
-    def _create_segment(self, segment: bytes) -> None:
-        key = segment_key(self.incarnation, self.next_number)
-        while True:
-            self.platform_writes += 1
-            try:
-                self._store.update(key, segment, expected_version=0)
-            except exceptions.ConflictError:
-                self._settle_conflict(key, segment)
-                return
-            except exceptions.PlatformError:
-                # The answer may be lost after it took effect: the next
-                # attempt then conflicts, and reading back settles it.
-                gevent.sleep(clock.to_seconds(RETRY_DELAY_MS))
-            else:
-                return
-
-    def _settle_conflict(self, key: str, segment: bytes) -> None:
-        while True:
-            try:
-                found = self._store.fetch(key)
-            except exceptions.PlatformError:
-                gevent.sleep(clock.to_seconds(RETRY_DELAY_MS))
-                continue
-            if found and found.body == segment:
-                return
-            raise self._sealed_error()
-
-    def _sealed_error(self) -> exceptions.SealedError:
-        return exceptions.SealedError(
-            f'{self.incarnation} was taken over', step=_STEP, peer=_PEER
-        )
+
+def wait_for(settled: event.AsyncResult, timeout_ms: int | None) -> None:
+    """Wait until an entry is settled.
+
+    :raises SealedError: another host owns these programs now.
+    :raises PlatformError: not settled in time; it still may be.
+    """
+    seconds = None if timeout_ms is None else clock.to_seconds(timeout_ms)
+    try:
+        settled.get(timeout=seconds)
+    except gevent.Timeout:
+        raise exceptions.PlatformError(
+            'the record was not committed in time', step=_STEP, peer=_PEER
+        ) from None
--- a/src/carobfork/coordination/membership.py
+++ b/src/carobfork/coordination/membership.py
@@ -64,6 +64,14 @@
             if host.incarnation not in self._dead
         ]
 
+    def knows(self, name: str) -> bool:
+        """Tell whether a host is registered, live or not."""
+        return self._directory.find(name) is not None
+
+    def registered(self) -> list[routing.EntryHost]:
+        """Return all registered hosts, live or not."""
+        return self._directory.registered()
+
     def is_leaving(self, host: routing.EntryHost) -> bool:
         """Tell whether a host is about to stop."""
         if host.incarnation == self.own.incarnation:
--- a/src/carobfork/coordination/model_calls.py
+++ b/src/carobfork/coordination/model_calls.py
@@ -113,9 +113,18 @@
             tokens=answer.tokens,
             messages=call.messages,
         )
-        self._home.journal.append(record, RECORD_TIMEOUT_MS)
+        self._record(program, record)
         return record
 
+    def _record(
+        self, program: programs.Program, record: records.AnswerRecorded
+    ) -> None:
+        try:
+            self._home.record(program, record, RECORD_TIMEOUT_MS)
+        except exceptions.CarobforkError as error:
+            # The engine ran it, so it must not be reported as not run.
+            raise calls.unknown_outcome(record.target) from error
+
     def _prompt(
         self, program: programs.Program, call: calls.ModelCall
     ) -> ports.Prompt:
--- /dev/null
+++ b/src/carobfork/coordination/registrations.py
@@ -0,0 +1,81 @@
+"""Registrations: this host's own object at the platform."""
+
+from collections.abc import Callable
+
+import attrs
+import gevent
+import structlog
+
+from carobfork import clock, exceptions
+from carobfork.coordination import control, ports, routing
+from carobfork.state import identifiers
+
+logger = structlog.get_logger(part='registrations')
+
+
+class Registration:
+    """Register incarnations of this host and publish what they took over.
+
+    :param store: the platform's object API.
+    :param directory: learns of this host at once.
+    :param describe: returns the host for an incarnation's number.
+    """
+
+    def __init__(
+        self,
+        store: ports.ObjectStore,
+        directory: control.HostDirectory,
+        describe: Callable[[int], routing.EntryHost],
+    ) -> None:
+        """Start unregistered."""
+        self._store = store
+        self._directory = directory
+        self._describe = describe
+
+    def register(self) -> routing.EntryHost:
+        """Register a new incarnation, however long the platform is down."""
+        self.own = control.register_host(self._store, self._describe)
+        self._directory.note(self.own)
+        return self.own
+
+    def publish(
+        self,
+        adopted: frozenset[identifiers.Incarnation],
+        settled: frozenset[identifiers.Incarnation],
+    ) -> None:
+        """Say which incarnations' programs are here.
+
+        :param settled: earlier incarnations that need no takeover any more.
+        :raises PlatformError: the platform did not confirm it.
+        :raises SealedError: a newer incarnation of this host is registered.
+        """
+        while not self._publish_once(adopted, settled):
+            # Another part of this host updated the object, or the answer to
+            # an earlier attempt was lost: start again from what is there.
+            gevent.sleep(clock.to_seconds(control.RETRY_DELAY_MS))
+
+    def _publish_once(
+        self,
+        adopted: frozenset[identifiers.Incarnation],
+        settled: frozenset[identifiers.Incarnation],
+    ) -> bool:
+        key = control.HOSTS_PREFIX + self.own.incarnation.host
+        found = self._store.fetch(key)
+        registered = control.decode_host(found.body)
+        if registered.incarnation != self.own.incarnation:
+            raise exceptions.SealedError(
+                'a newer incarnation is registered', step='publish'
+            )
+        open_ones = set(registered.predecessors) - adopted - settled
+        host = attrs.evolve(
+            registered,
+            adopted=tuple(sorted(adopted)),
+            predecessors=tuple(sorted(open_ones)),
+        )
+        try:
+            self._store.update(key, control.encode_host(host), found.version)
+        except exceptions.ConflictError:
+            return False
+        self.own = host
+        self._directory.note(host)
+        return True
--- a/src/carobfork/coordination/routing.py
+++ b/src/carobfork/coordination/routing.py
@@ -9,6 +9,7 @@
 from carobfork.state import bundles, identifiers, programs
 
 ADDRESS_TTL_MS = 5000
+TAKEOVER_RETRY_MS = 1000
 
 
 @attrs.frozen
@@ -22,6 +23,8 @@
     leaving: bool = False
     adopted: tuple[identifiers.Incarnation, ...] = ()
     """Incarnations whose programs this host has taken over."""
+    predecessors: tuple[identifiers.Incarnation, ...] = ()
+    """Earlier incarnations of this host that no host has taken over yet."""
 
     def is_home_of(self, incarnation: identifiers.Incarnation) -> bool:
         """Tell whether an incarnation's programs are here."""
@@ -31,6 +34,11 @@
 class HostList(Protocol):
     """The entry hosts believed to be live."""
 
+    own: EntryHost
+
+    def knows(self, name: str) -> bool:
+        """Tell whether a host is registered, live or not."""
+
     def live(self) -> list[EntryHost]:
         """Return the live hosts, this one included."""
 
@@ -52,33 +60,41 @@
 class Router:
     """Find the home of a program.
 
-    :param own: this host's incarnation.
     :param table: the programs homed here.
     :param hosts: the live entry hosts.
     """
 
     def __init__(
         self,
-        own: identifiers.Incarnation,
         table: programs.ProgramTable,
         hosts: HostList,
     ) -> None:
         """Remember where to look."""
-        self._own = own
         self._table = table
         self._hosts = hosts
 
     def resolve(self, program: str) -> bundles.Address | None:
         """Return the home's address, or nothing if it is this host.
 
-        :raises UnknownProgramError: no live host is its home.
+        :raises NotRunError: its home is gone and not taken over yet.
+        :raises UnknownProgramError: it never had a home.
         """
         home = identifiers.home_of(program)
-        if home == self._own or program in self._table.programs:
+        if (
+            home == self._hosts.own.incarnation
+            or program in self._table.programs
+        ):
             return None
         for host in self._hosts.live():
             if host.is_home_of(home):
-                return host.caller_address
+                return self._address_of(host)
+        if self._hosts.knows(home.host):
+            raise exceptions.NotRunError(
+                'the program is being taken over',
+                step='route',
+                peer=str(home),
+                retry_after_ms=TAKEOVER_RETRY_MS,
+            )
         raise exceptions.UnknownProgramError(
             f'no live host is the home of "{program}"',
             step='route',
@@ -100,3 +116,8 @@
             addresses=[str(host.caller_address) for host in hosts],
             ttl_ms=ADDRESS_TTL_MS,
         )
+
+    def _address_of(self, host: EntryHost) -> bundles.Address | None:
+        if host.incarnation == self._hosts.own.incarnation:
+            return None
+        return host.caller_address
--- /dev/null
+++ b/src/carobfork/coordination/seals.py
@@ -0,0 +1,177 @@
+"""Seals: end a dead incarnation's journal, and read what belongs to it.
+
+The conditional create of the next segment settles which of several hosts
+takes the programs over, and fences the former owner.
+"""
+
+from collections.abc import Iterator
+from typing import Protocol
+
+import attrs
+import structlog
+
+from carobfork import exceptions
+from carobfork.coordination import holdings, journals, ports, segments
+from carobfork.state import identifiers, records
+
+logger = structlog.get_logger(part='seals')
+
+
+class Holders(Protocol):
+    """The peers that hold records for an incarnation."""
+
+    def gather(
+        self, incarnation: identifiers.Incarnation, tail: segments.Tail
+    ) -> list[holdings.HeldRecord]:
+        """Return the held records that are not committed, oldest first."""
+
+    def forget(self, incarnation: identifiers.Incarnation) -> None:
+        """Have the records dropped; all are committed."""
+
+
+class Sealer:
+    """Seal journals.
+
+    :param store: the platform's object API.
+    :param codec: encodes the seal.
+    :param holders: the peers that may hold an incarnation's records.
+    """
+
+    def __init__(
+        self,
+        store: ports.ObjectStore,
+        codec: ports.RecordCodec,
+        holders: Holders,
+    ) -> None:
+        """Remember where to write."""
+        self.reader = segments.JournalReader(store, codec)
+        self._store = store
+        self._codec = codec
+        self._holders = holders
+
+    def seal(
+        self,
+        incarnation: identifiers.Incarnation,
+        successor: identifiers.Incarnation,
+    ) -> str:
+        """Seal a journal and return the successor that its seal names.
+
+        :raises PlatformError: the platform or a peer did not answer; ask
+            again, an earlier attempt may have taken effect.
+        """
+        while True:
+            tail = self.reader.tail(incarnation)
+            if tail.successor:
+                self._holders.forget(incarnation)
+                return tail.successor
+            held = self._holders.gather(incarnation, tail)
+            self._close(incarnation, tail, held, successor)
+
+    def _close(
+        self,
+        incarnation: identifiers.Incarnation,
+        tail: segments.Tail,
+        held: list[holdings.HeldRecord],
+        successor: identifiers.Incarnation,
+    ) -> None:
+        number = tail.number
+        last_record = tail.last_record
+        seal = self._codec.encode(records.Sealed(str(successor)))
+        fresh = [entry for entry in held if entry.number > last_record]
+        try:
+            for batch in _batches(fresh):
+                number += 1
+                last_record = batch[-1].number
+                encoded = [entry.encoded for entry in batch]
+                self._create(incarnation, number, last_record, encoded)
+            self._create(incarnation, number + 1, last_record, [seal])
+        except exceptions.ConflictError:
+            # The owner or another taker was faster: the caller looks again.
+            logger.info('A seal met a conflict.', peer=str(incarnation))
+
+    def _create(
+        self,
+        incarnation: identifiers.Incarnation,
+        number: int,
+        last_record: int,
+        encoded: list[bytes],
+    ) -> None:
+        key = segments.segment_key(incarnation, number)
+        segment = segments.pack(self._codec, last_record, encoded)
+        self._store.update(key, segment, expected_version=0)
+
+
+@attrs.frozen
+class Estate:
+    """What a journal and those that it adopted hold.
+
+    ``incarnations`` are all whose programs are among the records.
+    """
+
+    records: list[records.Record]
+    incarnations: frozenset[identifiers.Incarnation]
+
+
+class EstateReader:
+    """Read a sealed journal and all journals that it adopted.
+
+    :param sealer: seals adoptions that their taker did not finish.
+    """
+
+    def __init__(self, sealer: Sealer) -> None:
+        """Remember how to seal and read."""
+        self._sealer = sealer
+
+    def read(
+        self,
+        incarnation: identifiers.Incarnation,
+        path: tuple[identifiers.Incarnation, ...],
+    ) -> Estate:
+        """Return an incarnation's estate.
+
+        :param path: who adopted it, the present taker first.
+        """
+        found: list[records.Record] = []
+        incarnations = {incarnation}
+        content = self._sealer.reader.read(incarnation)
+        for record in content.records:
+            if not isinstance(record, records.Adopted):
+                found.append(record)
+            elif record.merged:
+                incarnations.add(record.incarnation)
+            elif record.incarnation not in incarnations:
+                estate = self._adopted(record, (*path, incarnation))
+                found.extend(estate.records)
+                incarnations |= estate.incarnations
+        return Estate(found, frozenset(incarnations))
+
+    def _adopted(
+        self,
+        record: records.Adopted,
+        path: tuple[identifiers.Incarnation, ...],
+    ) -> Estate:
+        """Return an adopted estate, nothing if another host won it.
+
+        The adoption was recorded before the seal, so the seal decides. One
+        that is missing is made here: the dead taker might still make it.
+        """
+        winner = self._sealer.seal(record.incarnation, path[0])
+        if winner in {str(adopter) for adopter in path}:
+            return self.read(record.incarnation, path)
+        return Estate([], frozenset())
+
+
+def _batches(
+    entries: list[holdings.HeldRecord],
+) -> Iterator[list[holdings.HeldRecord]]:
+    batch: list[holdings.HeldRecord] = []
+    size = 0
+    for entry in entries:
+        if batch and size + len(entry.encoded) > journals.SEGMENT_BYTES:
+            yield batch
+            batch = []
+            size = 0
+        batch.append(entry)
+        size += len(entry.encoded)
+    if batch:
+        yield batch
--- /dev/null
+++ b/src/carobfork/coordination/segments.py
@@ -0,0 +1,154 @@
+"""Segments: the objects of a journal, and how a journal is read.
+
+A segment starts with the number of its last record, so that records held by
+peers in an outage are told from those already committed.
+"""
+
+from collections.abc import Sequence
+
+import attrs
+
+from carobfork import exceptions
+from carobfork.coordination import ports
+from carobfork.state import identifiers, records
+
+_ROOT = 'journal'
+_CHUNK_ROOT = 'chunks'
+
+
+def segment_key(incarnation: identifiers.Incarnation, number: int) -> str:
+    """Return the key of a journal's segment."""
+    return f'{_ROOT}/{incarnation}/{number:08d}'
+
+
+def chunk_prefix(incarnation: identifiers.Incarnation) -> str:
+    """Return how the keys of a journal's chunks start."""
+    return f'{_CHUNK_ROOT}/{incarnation}/'
+
+
+def chunk_key(incarnation: identifiers.Incarnation, number: int) -> str:
+    """Return the key of a chunk of compacted segments."""
+    return f'{chunk_prefix(incarnation)}{number:08d}'
+
+
+def pack(
+    codec: ports.RecordCodec, last_record: int, encoded: Sequence[bytes]
+) -> bytes:
+    """Return a segment of encoded records."""
+    header = codec.encode(records.SegmentStarted(last_record))
+    return codec.pack([header, *encoded])
+
+
+@attrs.frozen
+class Tail:
+    """The end of a journal.
+
+    ``successor`` is the incarnation that sealed it, empty if none did.
+    """
+
+    number: int = 0
+    last_record: int = 0
+    successor: str = ''
+
+
+@attrs.frozen
+class Content:
+    """Everything that a journal holds, in order."""
+
+    tail: Tail
+    records: list[records.Record]
+
+
+class JournalReader:
+    """Read journals, one's own or another incarnation's.
+
+    :param store: the platform's object API.
+    :param codec: turns segments into records.
+    """
+
+    def __init__(
+        self, store: ports.ObjectStore, codec: ports.RecordCodec
+    ) -> None:
+        """Remember where to read."""
+        self._store = store
+        self._codec = codec
+
+    def numbers(self, incarnation: identifiers.Incarnation) -> list[int]:
+        """Return the numbers of a journal's segments in order."""
+        keys = self._store.list_keys(f'{_ROOT}/{incarnation}/')
+        return [int(key.rpartition('/')[-1]) for key in keys]
+
+    def tail(self, incarnation: identifiers.Incarnation) -> Tail:
+        """Return the end of a journal."""
+        numbers = self.numbers(incarnation)
+        if not numbers:
+            return Tail()
+        found = self.segment(incarnation, numbers[-1])
+        return _tail_of(numbers[-1], found)
+
+    def segment(
+        self, incarnation: identifiers.Incarnation, number: int
+    ) -> list[records.Record]:
+        """Return a segment's records, none where it was deleted."""
+        return self._object(segment_key(incarnation, number))
+
+    def chunk(self, key: str) -> list[records.Record]:
+        """Return a chunk's records.
+
+        :raises PlatformError: it is missing.
+        """
+        found = self._object(key)
+        if not found:
+            raise exceptions.PlatformError(
+                f'chunk {key} is missing', step='read journal', peer='platform'
+            )
+        return found
+
+    def read(self, incarnation: identifiers.Incarnation) -> Content:
+        """Return what a journal holds, its compacted part first."""
+        numbered = [
+            (number, self.segment(incarnation, number))
+            for number in self.numbers(incarnation)
+        ]
+        if not numbered:
+            return Content(Tail(), [])
+        manifest = last_manifest(found for _, found in numbered)
+        content: list[records.Record] = []
+        for key in manifest.chunks:
+            content.extend(self.chunk(key))
+        for number, found in numbered:
+            if number > manifest.last_segment:
+                content.extend(found)
+        return Content(
+            _tail_of(*numbered[-1]),
+            [record for record in content if not _is_frame(record)],
+        )
+
+    def _object(self, key: str) -> list[records.Record]:
+        found = self._store.fetch(key)
+        return self._codec.unpack(found.body) if found else []
+
+
+def last_manifest(segments) -> records.Compacted:
+    """Return the newest manifest in segments, an empty one if none."""
+    manifest = records.Compacted(last_segment=0, chunks=())
+    for segment in segments:
+        for record in segment:
+            if isinstance(record, records.Compacted):
+                manifest = record
+    return manifest
+
+
+def _tail_of(number: int, segment: list[records.Record]) -> Tail:
+    last_record = 0
+    successor = ''
+    for record in segment:
+        if isinstance(record, records.SegmentStarted):
+            last_record = record.last_record
+        elif isinstance(record, records.Sealed):
+            successor = record.successor
+    return Tail(number, last_record, successor)
+
+
+def _is_frame(record: records.Record) -> bool:
+    return isinstance(record, records.FRAMES)
--- a/src/carobfork/coordination/service_calls.py
+++ b/src/carobfork/coordination/service_calls.py
@@ -1,22 +1,24 @@
 """Service calls: those that may not be repeated run at most once.
 
 Such a call is sent only after its intent is committed. Once sent, it is
-never sent again: without an answer its outcome is unknown.
+never sent again: without an answer its outcome is unknown until the answer
+comes late, which is awaited beside the program's later calls.
 """
 
 import random
 
 import gevent
 import structlog
-from gevent import event
 
 from carobfork import clock, exceptions
-from carobfork.coordination import calls, homes, ports
+from carobfork.coordination import calls, homes, intents, journals, ports, waits
 from carobfork.state import bundles, programs, records
 
-INTENT_TIMEOUT_MS = 5000
-RECORD_TIMEOUT_MS = 30_000
 LATE_ANSWER_MS = 600_000
+RUNNING_LIMIT = 2000
+MAX_ANSWER_BYTES = 600_000
+_RETRY_AFTER_MS = 1000
+_BAD_GATEWAY = 502
 
 logger = structlog.get_logger(part='service calls')
 
@@ -26,13 +28,25 @@
 
     :param home: the programs and their journal.
     :param backend: the plain services.
+    :param timer: measures how long ago the ownership was confirmed.
     """
 
-    def __init__(self, home: homes.Home, backend: ports.ServiceBackend) -> None:
+    def __init__(
+        self,
+        home: homes.Home,
+        backend: ports.ServiceBackend,
+        timer: clock.Clock,
+    ) -> None:
         """Start without calls under way."""
         self._home = home
         self._backend = backend
-        self._running: dict[tuple[str, str], _Running] = {}
+        self._intents = intents.IntentRecorder(home, timer)
+        self._running: dict[tuple[str, str], waits.RunningCall] = {}
+
+    @property
+    def under_way(self) -> int:
+        """How many calls wait for their turn or an answer."""
+        return len(self._running)
 
     def run(self, call: calls.ServiceCall) -> records.AnswerRecorded:
         """Run a call, join it under way, or return its recorded answer.
@@ -45,77 +59,137 @@
         operation = self._operation(call)
         running = self._running.get((call.program, call.key))
         if running is None:
+            self._intents.require_settled(call)
             answer = calls.recorded_answer(program, call.key, call.digest)
             if answer is not None:
                 return answer
             calls.require_open(program)
             running = self._start(program, call, operation)
         calls.match_digest(call.key, running.digest, call.digest)
-        return running.wait(call, operation.timeout_ms)
+        return running.wait(call.service, operation.timeout_ms)
 
     def _start(
         self,
         program: programs.Program,
         call: calls.ServiceCall,
         operation: bundles.Operation,
-    ) -> '_Running':
-        running = _Running(call.digest)
+    ) -> waits.RunningCall:
+        if self.under_way >= RUNNING_LIMIT:
+            raise exceptions.OverloadedError(
+                'too many service calls are under way',
+                step='admit',
+                peer=call.service,
+            )
+        running = waits.RunningCall(call.digest)
         self._running[call.program, call.key] = running
         gevent.spawn(self._execute, running, program, call, operation)
         return running
 
     def _execute(
         self,
-        running: '_Running',
+        running: waits.RunningCall,
         program: programs.Program,
         call: calls.ServiceCall,
         operation: bundles.Operation,
     ) -> None:
+        """Run a call in its turn; a late answer is awaited beyond it."""
         try:
-            answer = self._run_in_order(program, call, operation)
-        except exceptions.CarobforkError as error:
-            logger.info('A call failed.', key=call.key, error=str(error))
-            running.answered.set_exception(error)
-        else:
-            running.answered.set(answer)
-        finally:
-            self._running.pop((call.program, call.key), None)
+            with self._home.turn(program):
+                with self._home.reservation(program, tokens=0):
+                    self._prepare(running, program, call, operation)
+                    sending = gevent.spawn(
+                        self._send, running, program, call, operation
+                    )
+                    sending.join(clock.to_seconds(operation.timeout_ms))
+        except Exception as error:
+            self._give_up(running, call, error)
+
+    def _give_up(
+        self,
+        running: waits.RunningCall,
+        call: calls.ServiceCall,
+        error: Exception,
+    ) -> None:
+        if running.dispatched.is_set():
+            logger.warning('A call met an error late.', error=str(error))
+            return
+        running.fail(_before_dispatch(error))
+        self._running.pop((call.program, call.key), None)
 
-    def _run_in_order(
+    def _prepare(
         self,
+        running: waits.RunningCall,
         program: programs.Program,
         call: calls.ServiceCall,
         operation: bundles.Operation,
-    ) -> records.AnswerRecorded:
-        with self._home.turn(program):
-            with self._home.reservation(program, tokens=0):
-                if not operation.repeatable:
-                    self._record_intent(call)
-                record = self._send(call, operation)
-                self._home.journal.append(record, RECORD_TIMEOUT_MS)
-                return record
-
-    def _record_intent(self, call: calls.ServiceCall) -> None:
-        intent = records.IntentRecorded(
-            program=call.program,
-            key=call.key,
-            digest=call.digest,
-            target=call.service,
-        )
+    ) -> None:
+        """Do all that must be done before anything is sent."""
+        self._home.require_owned(program)
+        running.require_wanted()
+        if operation.repeatable:
+            running.dispatched.set()
+            return
+        self._intents.record(call)
         try:
-            self._home.journal.append(intent, INTENT_TIMEOUT_MS)
-        except exceptions.PlatformError as error:
-            # The intent may still be committed, but is never acted on.
-            self._home.journal.enqueue(
-                records.IntentWithdrawn(program=call.program, key=call.key)
-            )
-            raise exceptions.NotRunError(
-                'the intent could not be recorded',
-                step='record intent',
-                peer='platform',
-            ) from error
+            self._home.require_owned(program)
+            running.require_wanted()
+        except exceptions.NotRunError:
+            self._intents.withdraw(call)
+            raise
+        running.dispatched.set()
 
     def _send(
+        self,
+        running: waits.RunningCall,
+        program: programs.Program,
+        call: calls.ServiceCall,
+        operation: bundles.Operation,
+    ) -> None:
+        """Send a call once, and record its answer whenever it comes."""
+        try:
+            answer = self._exchange(call, operation)
+        except exceptions.NotRunError as error:
+            if not operation.repeatable:
+                self._intents.withdraw(call)
+            running.fail(error)
+        except Exception as error:
+            logger.warning('A call has no answer.', error=str(error))
+            running.fail(calls.unknown_outcome(call.service))
+        else:
+            self._record_answer(running, program, answer)
+        finally:
+            self._running.pop((call.program, call.key), None)
+
+    def _record_answer(
+        self,
+        running: waits.RunningCall,
+        program: programs.Program,
+        answer: records.AnswerRecorded,
+    ) -> None:
+        """Record an answer, however long it takes, and then give it out."""
+        try:
+            self._keep(program, answer)
+        except Exception as error:
+            logger.warning('An answer was not recorded.', error=str(error))
+            running.fail(calls.unknown_outcome(answer.target))
+        else:
+            running.finish(answer)
+
+    def _keep(
+        self, program: programs.Program, answer: records.AnswerRecorded
+    ) -> None:
+        while True:
+            self._home.require_owned(program)
+            try:
+                entry = self._home.journal.enqueue(answer)
+            except exceptions.PlatformError:
+                # Too much waits for the platform already; try again.
+                gevent.sleep(clock.to_seconds(_RETRY_AFTER_MS))
+                continue
+            journals.wait_for(entry.kept, timeout_ms=None)
+            return
+
+    def _exchange(
         self, call: calls.ServiceCall, operation: bundles.Operation
     ) -> records.AnswerRecorded:
         server = random.choice(self._service(call).servers)
@@ -127,6 +201,10 @@
             call=f'{call.program}/{call.key}',
         )
         reply = self._send_once(server, request, operation)
+        if len(reply.body) > MAX_ANSWER_BYTES:
+            reply = ports.ServiceReply(
+                _BAD_GATEWAY, b'the answer is too large', 'text/plain'
+            )
         return records.AnswerRecorded(
             program=call.program,
             key=call.key,
@@ -149,7 +227,7 @@
         try:
             return self._backend.send(server, request, timeout_ms)
         except exceptions.ConnectionFailedError as error:
-            if error.sent and not operation.repeatable:
+            if error.sent:
                 raise calls.unknown_outcome(server.name) from error
             raise exceptions.NotRunError(
                 'the service could not be reached',
@@ -171,17 +249,10 @@
         )
 
 
-class _Running:
-    """A call under way that several callers may wait for."""
-
-    def __init__(self, digest: str) -> None:
-        self.digest = digest
-        self.answered = event.AsyncResult()
-
-    def wait(
-        self, call: calls.ServiceCall, timeout_ms: int
-    ) -> records.AnswerRecorded:
-        try:
-            return self.answered.get(timeout=clock.to_seconds(timeout_ms))
-        except gevent.Timeout:
-            raise calls.unknown_outcome(call.service) from None
+def _before_dispatch(error: Exception) -> exceptions.CarobforkError:
+    """Return what a failure before dispatch tells: nothing ran."""
+    if isinstance(error, exceptions.CarobforkError):
+        if error.outcome is exceptions.Outcome.not_run:
+            return error
+    logger.warning('A call was not sent.', error=str(error))
+    return exceptions.NotRunError('the call was not sent', step='prepare')
--- /dev/null
+++ b/src/carobfork/coordination/takeovers.py
@@ -0,0 +1,273 @@
+"""Takeovers: adopt the programs of incarnations that are gone.
+
+A takeover costs a few writes, however many programs there are: the adoption
+in the taker's own journal, the seal, and the taker's host object. The
+adoption is recorded first, so that a taker that dies halfway leaves a trace
+for the host that takes it over in turn.
+"""
+
+import random
+from collections.abc import Callable
+
+import attrs
+import gevent
+import structlog
+from gevent import event, lock
+
+from carobfork import clock, exceptions
+from carobfork.coordination import (
+    homes,
+    journals,
+    membership,
+    messages,
+    ports,
+    registrations,
+    routing,
+    seals,
+)
+from carobfork.state import identifiers, programs, records
+
+CHECK_INTERVAL_MS = 1000
+JITTER_MS = 1000
+ADOPTION_TIMEOUT_MS = 10_000
+HAND_OVER_TIMEOUT_MS = 30_000
+FIRST_BACKOFF_MS = 5000
+MAX_BACKOFF_MS = 600_000
+REPLAY_BATCH = 1000
+_STEP = 'take over'
+
+logger = structlog.get_logger(part='takeovers')
+
+
+@messages.register
+@attrs.frozen
+class TakeOver:
+    """The sender is stopping and hands its programs over."""
+
+    incarnation: identifiers.Incarnation
+
+
+@messages.register
+@attrs.frozen
+class TakenOver:
+    """The programs are adopted."""
+
+    incarnation: identifiers.Incarnation
+
+
+@attrs.define
+class _Suspect:
+    """A silent host, and when to look at its journal again."""
+
+    host: routing.EntryHost
+    look_at_ms: float = 0
+    backoff_ms: float = FIRST_BACKOFF_MS
+
+
+class Takeovers:
+    """Decide which programs to take over, and take them.
+
+    :param home: gets the adopted programs.
+    :param registration: says at the platform what was adopted.
+    :param members: tells who is gone.
+    :param sealer: ends journals.
+    :param open_journal: starts the journal of a new incarnation.
+    :param timer: spaces repeated looks.
+    """
+
+    def __init__(
+        self,
+        home: homes.Home,
+        registration: registrations.Registration,
+        members: membership.Membership,
+        sealer: seals.Sealer,
+        open_journal: Callable[[identifiers.Incarnation], journals.Journal],
+        timer: clock.Clock,
+    ) -> None:
+        """Start with nothing adopted."""
+        self.adopted: frozenset[identifiers.Incarnation] = frozenset()
+        self.busy = lock.RLock()
+        """Held while records move between journals."""
+        self._home = home
+        self._registration = registration
+        self._members = members
+        self._sealer = sealer
+        self._open_journal = open_journal
+        self._timer = timer
+        self._suspects: dict[str, _Suspect] = {}
+        self._published = self.adopted
+        self.lost: frozenset[identifiers.Incarnation] = frozenset()
+        """Incarnations that other hosts were faster to take over."""
+        self._claimed: set[identifiers.Incarnation] = set()
+        self._taken: frozenset[identifiers.Incarnation] = frozenset()
+        self._woken = event.Event()
+        members.on_death(self.suspect)
+
+    @property
+    def suspects(self) -> list[str]:
+        """The incarnations that wait to be taken over."""
+        return [
+            str(suspect.host.incarnation) for suspect in self._suspects.values()
+        ]
+
+    def suspect(self, host: routing.EntryHost) -> None:
+        """Take a host over once it is this host's turn."""
+        self._suspects[host.incarnation.host] = _Suspect(host)
+        self._woken.set()
+
+    def run(self) -> None:
+        """Take over whatever falls to this host, until killed."""
+        while True:
+            try:
+                self.step()
+            except exceptions.CarobforkError as error:
+                logger.warning('A takeover will be retried.', error=str(error))
+            self._woken.clear()
+            self._woken.wait(clock.to_seconds(CHECK_INTERVAL_MS))
+
+    def step(self) -> None:
+        """Do what is due now."""
+        if _is_adopted_elsewhere(self._members):
+            self._home.journal.seal()
+        if self._home.journal.sealed:
+            self._start_anew()
+        for incarnation in self._registration.own.predecessors:
+            if incarnation not in self.lost:
+                self.take(incarnation)
+        for suspect in list(self._suspects.values()):
+            self._consider(suspect)
+        self._publish()
+
+    def take(self, incarnation: identifiers.Incarnation) -> bool:
+        """Take an incarnation's programs over, and say whether they are here.
+
+        :raises PlatformError: not finished; ask again.
+        """
+        with self.busy:
+            if incarnation not in self._taken:
+                self._adopt(incarnation)
+            return incarnation in self._taken
+
+    def hand_over(self, host: routing.EntryHost, link: ports.PeerLink) -> None:
+        """Have another host take this host's programs over now.
+
+        :raises CarobforkError: it did not confirm; the programs may be
+            either here or there.
+        """
+        link.request(
+            host.peer_address,
+            TakeOver(self._registration.own.incarnation),
+            HAND_OVER_TIMEOUT_MS,
+        )
+        self._home.journal.seal()
+
+    def answer(self, message: TakeOver) -> TakenOver:
+        """Take over a host that is stopping.
+
+        :raises NotRunError: another host has its programs.
+        """
+        if not self.take(message.incarnation):
+            raise exceptions.NotRunError(
+                'another host took the programs over', step=_STEP
+            )
+        self._publish()
+        return TakenOver(message.incarnation)
+
+    def prune(self) -> None:
+        """Forget adopted incarnations that have no programs left."""
+        self.adopted &= self._home.table.incarnations()
+
+    def _adopt(self, incarnation: identifiers.Incarnation) -> None:
+        own = self._registration.own.incarnation
+        winner = self._sealer.reader.tail(incarnation).successor
+        if not winner:
+            self._claim(incarnation)
+            winner = self._sealer.seal(incarnation, own)
+        if winner != str(own):
+            self.lost |= {incarnation}
+            logger.info('Another host took over.', peer=winner)
+            return
+        estate = seals.EstateReader(self._sealer).read(incarnation, (own,))
+        self._admit(own, estate)
+
+    def _claim(self, incarnation: identifiers.Incarnation) -> None:
+        """Record the adoption, which counts once the seal names this host."""
+        if incarnation in self._claimed:
+            return
+        self._home.journal.append(
+            records.Adopted(incarnation), ADOPTION_TIMEOUT_MS
+        )
+        self._claimed.add(incarnation)
+
+    def _admit(
+        self, own: identifiers.Incarnation, estate: seals.Estate
+    ) -> None:
+        """Put all programs into the table at once, so none is seen in part."""
+        table = programs.ProgramTable()
+        for position, record in enumerate(estate.records):
+            table.replay(record)
+            if position % REPLAY_BATCH == 0:
+                gevent.sleep(0)
+        if self._home.journal.sealed or own != self._home.journal.incarnation:
+            raise exceptions.SealedError('taken over meanwhile', step=_STEP)
+        self._home.table.programs.update(table.programs)
+        self.adopted |= estate.incarnations
+        self._taken |= estate.incarnations
+        logger.info('Programs were adopted.', programs=len(table.programs))
+
+    def _consider(self, suspect: _Suspect) -> None:
+        incarnation = suspect.host.incarnation
+        if self._is_settled(suspect.host):
+            self._suspects.pop(incarnation.host, None)
+            return
+        now_ms = self._timer.now_ms()
+        is_due = now_ms >= suspect.look_at_ms
+        if not is_due or not self._members.is_first_successor(incarnation.host):
+            return
+        gevent.sleep(clock.to_seconds(random.uniform(0, JITTER_MS)))
+        for earlier in (*suspect.host.predecessors, incarnation):
+            self.take(earlier)
+        # Where another host sealed it and died in turn, that host's own
+        # takeover brings these programs along; look again, ever less often.
+        suspect.look_at_ms = now_ms + suspect.backoff_ms
+        suspect.backoff_ms = min(2 * suspect.backoff_ms, MAX_BACKOFF_MS)
+
+    def _is_settled(self, host: routing.EntryHost) -> bool:
+        """Tell whether a silent host came back or was taken over."""
+        if host.incarnation in self._taken:
+            return True
+        for other in self._members.live():
+            if other.is_home_of(host.incarnation):
+                return True
+            if other.incarnation.host == host.incarnation.host:
+                return True
+        return False
+
+    def _start_anew(self) -> None:
+        """Go on empty; another host has this incarnation's programs."""
+        if self._members.leaving:
+            return
+        logger.warning('This host goes on as a new incarnation.')
+        with self.busy:
+            own = self._registration.register()
+            self._members.own = own
+            self.adopted = frozenset()
+            self._published = frozenset()
+            self._taken = frozenset()
+            self._claimed.clear()
+            self._home.start_anew(self._open_journal(own.incarnation))
+
+    def _publish(self) -> None:
+        open_ones = set(self._registration.own.predecessors)
+        done = open_ones & (self.adopted | self.lost)
+        if self.adopted == self._published and not done:
+            return
+        adopted = self.adopted
+        self._registration.publish(adopted, self.lost)
+        self._published = adopted
+
+
+def _is_adopted_elsewhere(members: membership.Membership) -> bool:
+    """Tell whether another host says that it took this one over."""
+    own = members.own.incarnation
+    return any(own in other.adopted for other in members.registered())
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -128,13 +128,16 @@
             if name in request.headers
         }
         fields[headers.FORWARDED] = '1'
-        reply = self._parts.forwarder.forward(
-            address,
-            request.method,
-            request.full_path,
-            fields,
-            request.get_data(),
-        )
+        try:
+            reply = self._parts.forwarder.forward(
+                address,
+                request.method,
+                request.full_path,
+                fields,
+                request.get_data(),
+            )
+        except exceptions.ConnectionFailedError as error:
+            raise _lost_home(error) from error
         return Response(
             reply.pieces, status=reply.status, headers=reply.headers
         )
@@ -193,6 +196,20 @@
         )
 
 
+def _lost_home(
+    error: exceptions.ConnectionFailedError,
+) -> exceptions.CarobforkError:
+    """Return what a failed connection to a program's home means."""
+    if error.sent:
+        return calls.unknown_outcome(error.peer)
+    return exceptions.NotRunError(
+        "the program's home cannot be reached",
+        step='forward',
+        peer=error.peer,
+        retry_after_ms=routing.TAKEOVER_RETRY_MS,
+    )
+
+
 def _event_stream(events: Iterator[bytes], worker: str) -> Response:
     return Response(
         events,
--- a/src/carobfork/state/programs.py
+++ b/src/carobfork/state/programs.py
@@ -6,7 +6,7 @@
 import attrs
 
 from carobfork import exceptions
-from carobfork.state import budgets, records
+from carobfork.state import budgets, identifiers, records
 
 
 class CallPhase(enum.StrEnum):
@@ -64,6 +64,17 @@
             )
         return self.programs[identifier]
 
+    def replay(self, record: records.Record) -> None:
+        """Apply a record unless its program was forgotten meanwhile."""
+        name = getattr(record, 'program', '')
+        opens = isinstance(record, records.ProgramOpened)
+        if opens or not name or name in self.programs:
+            self.apply(record)
+
+    def incarnations(self) -> set[identifiers.Incarnation]:
+        """Return the incarnations at which the programs were opened."""
+        return {identifiers.home_of(name) for name in self.programs}
+
     @functools.singledispatchmethod
     def apply(self, record: records.Record) -> None:
         """Bring the table up to date with one record."""
--- a/src/carobfork/state/records.py
+++ b/src/carobfork/state/records.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from carobfork.state import bundles
+from carobfork.state import bundles, identifiers
 
 
 @attrs.frozen
@@ -77,6 +77,40 @@
     successor: str
 
 
+@attrs.frozen
+class Adopted:
+    """An incarnation's programs belong here if its journal's seal says so.
+
+    ``merged`` tells that its records were copied into this journal.
+    """
+
+    incarnation: identifiers.Incarnation
+    merged: bool = False
+
+
+@attrs.frozen
+class SegmentStarted:
+    """A segment holds the records up to a number."""
+
+    last_record: int
+
+
+@attrs.frozen
+class Compacted:
+    """Chunks replace the segments up to a number."""
+
+    last_segment: int
+    chunks: tuple[str, ...]
+
+
+@attrs.frozen
+class OwnershipChecked:
+    """The owner found its journal still open."""
+
+
+FRAMES = (SegmentStarted, Compacted, OwnershipChecked, Sealed)
+"""Records that concern the journal alone and no program."""
+
 Record = (
     ProgramOpened
     | IntentRecorded
@@ -84,4 +118,8 @@
     | IntentWithdrawn
     | ProgramClosed
     | Sealed
+    | Adopted
+    | SegmentStarted
+    | Compacted
+    | OwnershipChecked
 )
