--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -6,15 +6,15 @@
 import attrs
 import gevent
 
-from carobfork import clock, logs
+from carobfork import clock, logs, recording
 from carobfork.coordination import (
     call_notes,
     control,
     homes,
-    journals,
     membership,
     model_calls,
     noted_calls,
+    registrations,
     routing,
     service_calls,
     slots,
@@ -22,7 +22,6 @@
 from carobfork.inspections import counted_stores, inspectors
 from carobfork.protocol import (
     callers,
-    codecs,
     documents,
     key_files,
     operators,
@@ -80,22 +79,30 @@
 
     def __enter__(self) -> 'EntryHost':
         """Register, follow the control objects and listen."""
-        self.own = control.register_host(self.store, self._describe)
-        self.directory.note(self.own)
+        self._registration = registrations.Registration(
+            self.store, self.directory, self._describe
+        )
+        own = self._registration.register()
         self.link = self._exits.enter_context(self._build_link())
         self.watch = self._build_watch()
         self.members = membership.Membership(
-            self.own, self.directory, self.link, self.holder, self.timer
-        )
-        self.journal = journals.Journal(
-            self.store,
-            codecs.MsgpackRecordCodec(),
-            self.own.incarnation,
-            self.table.apply,
+            own, self.directory, self.link, self.holder, self.timer
         )
         self.broker = slots.LocalSlots(self.timer)
         self.holder.subscribe(self.broker.apply_bundle)
-        self._start(self.journal.run, self.watch.run, self.members.run)
+        self.recording = recording.Recording(self.store, self.table, self.timer)
+        self.home = homes.Home(
+            self.recording.open_journal(own.incarnation),
+            self.table,
+            self.holder,
+            noted_calls.NotedSlots(self.broker, self.notes.decisions),
+        )
+        self._start(self.watch.run, self.members.run)
+        self._exits.enter_context(
+            self.recording.keep(
+                self.home, self._registration, self.members, self.link
+            )
+        )
         self._listen()
         return self
 
@@ -112,17 +119,14 @@
     def describe_state(self) -> dict:
         """Return the state dump as JSON-ready fields."""
         return {
-            'incarnation': str(self.own.incarnation),
+            'incarnation': str(self.members.own.incarnation),
             'bundle_version': self.holder.version,
             'programs': len(self.table.programs),
             'live_hosts': [
                 str(host.incarnation) for host in self.members.live()
             ],
-            'journal': {
-                'sealed': self.journal.sealed,
-                'records_committed': self.journal.records_committed,
-                'platform_writes': self.journal.platform_writes,
-            },
+            'service_calls_under_way': self.services.under_way,
+            **self.recording.describe(),
             'peers': attrs.asdict(self.link.traffic),
         }
 
@@ -140,23 +144,20 @@
         )
 
     def _build_parts(self) -> callers.CallerParts:
-        noted_slots = noted_calls.NotedSlots(self.broker, self.notes.decisions)
-        self.home = homes.Home(
-            self.journal, self.table, self.holder, noted_slots
-        )
         self.models = model_calls.ModelCaller(
             self.home, engines.HttpModelBackend()
         )
         backend = noted_calls.NotedServices(
             services.HttpServiceBackend(), self.notes.decisions
         )
+        self.services = service_calls.ServiceCaller(
+            self.home, backend, self.timer
+        )
         return callers.CallerParts(
             home=self.home,
-            router=routing.Router(
-                self.own.incarnation, self.table, self.members
-            ),
+            router=routing.Router(self.table, self.members),
             models=self.models,
-            services=service_calls.ServiceCaller(self.home, backend),
+            services=self.services,
             forwarder=forwarders.HttpForwarder(),
             notes=self.notes,
         )
--- a/src/carobfork/inspections/explanations.py
+++ b/src/carobfork/inspections/explanations.py
@@ -46,10 +46,10 @@
 ) -> Iterator[str]:
     yield (
         f'The program is of kind {program.kind} and rank {program.rank}, '
-        f'homed at {host.own.incarnation}.'
+        f'homed at {host.members.own.incarnation}.'
     )
     opened_at = identifiers.home_of(program.identifier)
-    if opened_at != host.own.incarnation:
+    if opened_at != host.members.own.incarnation:
         yield f'It was opened at {opened_at}, which this host took over.'
     if program.closed_reason:
         yield f'It takes no further calls: {program.closed_reason}.'
--- a/src/carobfork/inspections/hosts.py
+++ b/src/carobfork/inspections/hosts.py
@@ -2,14 +2,13 @@
 
 from typing import Protocol
 
+from carobfork import recording
 from carobfork.coordination import (
     call_notes,
     control,
     homes,
-    journals,
     membership,
     model_calls,
-    routing,
     slots,
 )
 from carobfork.inspections import counted_stores
@@ -20,12 +19,11 @@
 class InspectedHost(Protocol):
     """The parts of an entry host, as the composition root names them."""
 
-    own: routing.EntryHost
     store: counted_stores.CountedStore
     holder: control.BundleHolder
     table: programs.ProgramTable
     members: membership.Membership
-    journal: journals.Journal
+    recording: recording.Recording
     broker: slots.LocalSlots
     home: homes.Home
     models: model_calls.ModelCaller
--- a/src/carobfork/inspections/inspectors.py
+++ b/src/carobfork/inspections/inspectors.py
@@ -58,6 +58,6 @@
         )
 
     def drain(self) -> str:
-        """Begin the stop that SIGTERM begins; return the host's name."""
+        """Begin the stop that SIGTERM begins; return the incarnation."""
         os.kill(os.getpid(), signal.SIGTERM)
-        return self._host.own.incarnation.host
+        return str(self._host.members.own.incarnation)
--- a/src/carobfork/inspections/sections.py
+++ b/src/carobfork/inspections/sections.py
@@ -11,11 +11,11 @@
 def ownership(host: hosts.InspectedHost) -> dict:
     """Show who this host is and whose programs it owns."""
     return {
-        'incarnation': str(host.own.incarnation),
-        'failure_domain': host.own.failure_domain,
+        'incarnation': str(host.members.own.incarnation),
+        'failure_domain': host.members.own.failure_domain,
         'leaving': host.members.leaving,
         'taken_over': state_dumps.bounded(
-            str(taken) for taken in host.own.adopted
+            sorted(map(str, host.recording.takeovers.adopted))
         ),
     }
 
--- a/src/carobfork/inspections/traffic_metrics.py
+++ b/src/carobfork/inspections/traffic_metrics.py
@@ -18,13 +18,13 @@
 @metrics.counter('journal_commits_total')
 def count_commits(host: hosts.InspectedHost) -> Iterator[metrics.Sample]:
     """Group commits of the journal that were tried at the platform."""
-    yield metrics.Sample(host.journal.platform_writes)
+    yield metrics.Sample(host.home.journal.segments.writes)
 
 
 @metrics.counter('journal_records_total')
 def count_records(host: hosts.InspectedHost) -> Iterator[metrics.Sample]:
     """Records that the journal has committed."""
-    yield metrics.Sample(host.journal.records_committed)
+    yield metrics.Sample(host.home.journal.records_committed)
 
 
 @metrics.counter('platform_calls_total')
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 import attrs
+import structlog
 from werkzeug import Request, Response
 from werkzeug import exceptions as http_exceptions
 from werkzeug.routing import Map, Rule
@@ -12,6 +13,7 @@
 from carobfork import exceptions, logs
 from carobfork.coordination import (
     call_notes,
+    calls,
     homes,
     model_calls,
     routing,
@@ -23,6 +25,8 @@
 EVENT_STREAM_TYPE = 'text/event-stream'
 _HTTP_CREATED = 201
 
+logger = structlog.get_logger(part='callers')
+
 
 class Forwarder(Protocol):
     """Pass a request on to another host."""
@@ -103,6 +107,9 @@
         return response(environ, start_response)
 
     def _note_error(self, request: Request, error: Exception) -> None:
+        if not isinstance(error, exceptions.OverloadedError):
+            # In a flood the counter of refusals tells enough.
+            logger.info('A request was refused.', error=str(error))
         self._parts.notes.note_error(
             request.headers.get(headers.PROGRAM, ''),
             request.headers.get(headers.CALL, ''),
@@ -135,13 +142,16 @@
         }
         fields['Content-Type'] = requests.content_type(request)
         fields[headers.FORWARDED] = '1'
-        reply = self._parts.forwarder.forward(
-            address,
-            request.method,
-            responses.quoted_path(request),
-            fields,
-            request.get_data(),
-        )
+        try:
+            reply = self._parts.forwarder.forward(
+                address,
+                request.method,
+                responses.quoted_path(request),
+                fields,
+                request.get_data(),
+            )
+        except exceptions.ConnectionFailedError as error:
+            raise _lost_home(error) from error
         return Response(
             reply.pieces, status=reply.status, headers=reply.headers
         )
@@ -193,6 +203,20 @@
         )
 
 
+def _lost_home(
+    error: exceptions.ConnectionFailedError,
+) -> exceptions.CarobforkError:
+    """Return what a failed connection to a program's home means."""
+    if error.sent:
+        return calls.unknown_outcome(error.peer)
+    return exceptions.NotRunError(
+        "the program's home cannot be reached",
+        step='forward',
+        peer=error.peer,
+        retry_after_ms=routing.TAKEOVER_RETRY_MS,
+    )
+
+
 def _event_stream(events: Iterator[bytes], worker: str) -> Response:
     return Response(
         events,
--- a/src/carobfork/protocol/operators.py
+++ b/src/carobfork/protocol/operators.py
@@ -45,7 +45,7 @@
         """
 
     def drain(self) -> str:
-        """Begin a planned stop and return the host's name."""
+        """Begin a planned stop and return the incarnation that stops."""
 
 
 class OperatorApplication:
