Check the ownership after a standstill before anything is sent

Cause: a thawed host sent a model call for a program that had been taken over (records_frozen: the prompt lacked the second turn); the answer could not be recorded, so the caller was told unknown. Ruled out: waiting for the watch, which may lag. Change: a process that sees a gap of two seconds in its monotonic time keeps one further record before it sends anything. It replaces the check of the intent's own duration, which missed a freeze after the commit.

--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -12,6 +12,7 @@
     homes,
     membership,
     model_calls,
+    ownerships,
     registrations,
     routing,
     service_calls,
@@ -80,6 +81,7 @@
             self.table,
             self.holder,
             self.broker,
+            ownerships.Ownership(self.timer),
         )
         self._start(self.watch.run, self.members.run)
         self._exits.enter_context(
@@ -129,7 +131,7 @@
     def _build_parts(self) -> callers.CallerParts:
         home = self.home
         self.services = service_calls.ServiceCaller(
-            home, services.HttpServiceBackend(), self.timer
+            home, services.HttpServiceBackend()
         )
         return callers.CallerParts(
             home=home,
--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -7,7 +7,7 @@
 from gevent import lock
 
 from carobfork import exceptions
-from carobfork.coordination import calls, control, journals, slots
+from carobfork.coordination import calls, control, journals, ownerships, slots
 from carobfork.state import bundles, identifiers, programs, records
 
 OPEN_TIMEOUT_MS = 10_000
@@ -28,6 +28,7 @@
     :param table: the programs, kept up to date by the journal's commits.
     :param holder: holds the bundle in force.
     :param broker: where calls get their slots.
+    :param ownership: notices standstills of this process.
     """
 
     def __init__(
@@ -36,12 +37,14 @@
         table: programs.ProgramTable,
         holder: control.BundleHolder,
         broker: slots.SlotBroker,
+        ownership: ownerships.Ownership,
     ) -> None:
         """Start with the programs of the table."""
         self.journal = journal
         self.table = table
         self._holder = holder
         self.slots = broker
+        self.ownership = ownership
         self._turns: dict[str, lock.BoundedSemaphore] = {}
 
     @property
@@ -104,6 +107,14 @@
                 'the program was taken over', step='record'
             )
 
+    def confirm_owned(self, program: programs.Program) -> None:
+        """Check that a program may be acted for, also after a standstill.
+
+        :raises NotRunError: it may not, or this cannot be told.
+        """
+        self.ownership.confirm(self.journal)
+        self.require_owned(program)
+
     def start_anew(self, journal: journals.Journal) -> None:
         """Drop all programs and go on with the journal of a new incarnation."""
         self.table.programs.clear()
--- a/src/carobfork/coordination/intents.py
+++ b/src/carobfork/coordination/intents.py
@@ -1,11 +1,10 @@
 """Intents: recorded before a call that may not be repeated is sent."""
 
-from carobfork import clock, exceptions
+from carobfork import exceptions
 from carobfork.coordination import calls, homes, journals
 from carobfork.state import records
 
 INTENT_TIMEOUT_MS = 5000
-OWNERSHIP_FRESH_MS = 2000
 RETRY_AFTER_MS = 1000
 
 
@@ -13,13 +12,11 @@
     """Record intents, and withdraw those that are never acted on.
 
     :param home: whose journal holds them.
-    :param timer: measures how long ago the ownership was confirmed.
     """
 
-    def __init__(self, home: homes.Home, timer: clock.Clock) -> None:
+    def __init__(self, home: homes.Home) -> None:
         """Start without intents."""
         self._home = home
-        self._timer = timer
         self._withdrawing: set[tuple[str, str]] = set()
 
     def require_settled(self, call: calls.ServiceCall) -> None:
@@ -31,14 +28,13 @@
             raise _unrecorded()
 
     def record(self, call: calls.ServiceCall) -> None:
-        """Commit a call's intent and make sure that it may be acted on.
+        """Commit a call's intent.
 
         :raises NotRunError: it may not; nothing must be sent.
         """
         journal = self._home.journal
         if journal.stalled:
             raise _unrecorded()
-        started_ms = self._timer.now_ms()
         entry = journal.enqueue(
             records.IntentRecorded(
                 program=call.program,
@@ -53,7 +49,6 @@
             if not journal.withdraw(entry):
                 self.withdraw(call)
             raise _unrecorded() from error
-        self._confirm_ownership(journal, call, started_ms)
 
     def withdraw(self, call: calls.ServiceCall) -> None:
         """Record that an intent will never be acted on.
@@ -67,25 +62,6 @@
         self._withdrawing.add(name)
         entry.kept.rawlink(lambda _: self._withdrawing.discard(name))
 
-    def _confirm_ownership(
-        self,
-        journal: journals.Journal,
-        call: calls.ServiceCall,
-        started_ms: float,
-    ) -> None:
-        """Check that the journal is open if the intent took suspiciously long.
-
-        This process may have been frozen and taken over since the commit; a
-        further append tells.
-        """
-        while self._timer.now_ms() - started_ms > OWNERSHIP_FRESH_MS:
-            started_ms = self._timer.now_ms()
-            try:
-                journal.append(records.OwnershipChecked(), INTENT_TIMEOUT_MS)
-            except exceptions.PlatformError as error:
-                self.withdraw(call)
-                raise _unrecorded() from error
-
 
 def _unrecorded() -> exceptions.NotRunError:
     return exceptions.NotRunError(
--- a/src/carobfork/coordination/model_calls.py
+++ b/src/carobfork/coordination/model_calls.py
@@ -96,6 +96,7 @@
     ) -> records.AnswerRecorded:
         request = self._slot_request(program, call, prompt)
         with self._home.slots.acquire(request) as worker_name:
+            self._home.confirm_owned(program)
             run.worker = worker_name
             model = self._model(call.model)
             worker = bundles.find(model.workers, worker_name, 'worker')
--- /dev/null
+++ b/src/carobfork/coordination/ownerships.py
@@ -0,0 +1,62 @@
+"""Ownerships: after a standstill, check that the programs are still here.
+
+A process that was frozen may have been taken over meanwhile. It notices the
+gap in its monotonic time, and sends nothing before a further record was
+kept, which fails where the journal is sealed.
+"""
+
+import gevent
+
+from carobfork import clock, exceptions
+from carobfork.coordination import journals
+from carobfork.state import records
+
+CHECK_INTERVAL_MS = 500
+STANDSTILL_MS = 2000
+CONFIRM_TIMEOUT_MS = 5000
+
+
+class Ownership:
+    """Notice standstills of this process and confirm the ownership.
+
+    :param timer: monotonic time.
+    """
+
+    def __init__(self, timer: clock.Clock) -> None:
+        """Start confirmed; a new journal is empty."""
+        self.standstills = 0
+        self._confirmed = 0
+        self._timer = timer
+        self._seen_ms = timer.now_ms()
+
+    def run(self) -> None:
+        """Look at the clock until the greenlet is killed."""
+        while True:
+            self.note()
+            gevent.sleep(clock.to_seconds(CHECK_INTERVAL_MS))
+
+    def note(self) -> None:
+        """Compare the clock with the last look at it."""
+        now_ms = self._timer.now_ms()
+        if now_ms - self._seen_ms > STANDSTILL_MS:
+            self.standstills += 1
+        self._seen_ms = now_ms
+
+    def confirm(self, journal: journals.Journal) -> None:
+        """Make sure that the journal is open if there was a standstill.
+
+        :raises NotRunError: it is sealed, or this cannot be told.
+        """
+        self.note()
+        while self._confirmed != self.standstills:
+            seen = self.standstills
+            try:
+                journal.keep(records.OwnershipChecked(), CONFIRM_TIMEOUT_MS)
+            except exceptions.PlatformError as error:
+                raise exceptions.NotRunError(
+                    'the ownership could not be confirmed',
+                    step='confirm ownership',
+                    peer='platform',
+                ) from error
+            self._confirmed = max(self._confirmed, seen)
+            self.note()
--- a/src/carobfork/coordination/service_calls.py
+++ b/src/carobfork/coordination/service_calls.py
@@ -28,19 +28,17 @@
 
     :param home: the programs and their journal.
     :param backend: the plain services.
-    :param timer: measures how long ago the ownership was confirmed.
     """
 
     def __init__(
         self,
         home: homes.Home,
         backend: ports.ServiceBackend,
-        timer: clock.Clock,
     ) -> None:
         """Start without calls under way."""
         self._home = home
         self._backend = backend
-        self._intents = intents.IntentRecorder(home, timer)
+        self._intents = intents.IntentRecorder(home)
         self._running: dict[tuple[str, str], waits.RunningCall] = {}
 
     @property
@@ -124,14 +122,14 @@
         operation: bundles.Operation,
     ) -> None:
         """Do all that must be done before anything is sent."""
-        self._home.require_owned(program)
+        self._home.confirm_owned(program)
         running.require_wanted()
         if operation.repeatable:
             running.dispatched.set()
             return
         self._intents.record(call)
         try:
-            self._home.require_owned(program)
+            self._home.confirm_owned(program)
             running.require_wanted()
         except exceptions.NotRunError:
             self._intents.withdraw(call)
--- a/src/carobfork/recording.py
+++ b/src/carobfork/recording.py
@@ -84,6 +84,7 @@
             self._store, self._codec, home, self.takeovers, sealer
         )
         self._start(
+            home.ownership.run,
             self.takeovers.run,
             self._compactor.run,
             keepers.RecordKeeper(members, link, lambda: home.journal).run,
--- a/src/carobfork_standins/engine.py
+++ b/src/carobfork_standins/engine.py
@@ -37,14 +37,19 @@
                 Rule(
                     '/cache/<owner>', methods=['DELETE'], endpoint=self._release
                 ),
+                Rule(
+                    '/prompts/<owner>', methods=['GET'], endpoint=self._prompt
+                ),
                 Rule('/inventory', methods=['GET'], endpoint=self._inventory),
             ]
         )
+        self._prompts: dict[str, list[dict]] = {}
         self._batch = batching.Batch(settings.pace)
         gevent.spawn(self._batch.run)
 
     def _chat(self, request: Request) -> Response:
         body = json.loads(request.get_data())
+        self._prompts[body.get('user', '')] = body['messages']
         sequence = batching.Sequence(
             identifier=request.headers.get('X-Request-Id', ''),
             owner=body.get('user', ''),
@@ -63,6 +68,10 @@
             }
         )
 
+    def _prompt(self, request: Request, owner: str) -> Response:
+        """Tell an owner's last prompt."""
+        return web.json_response({'messages': self._prompts.get(owner, [])})
+
     def _release(self, request: Request, owner: str) -> Response:
         return web.json_response({'released': self._batch.cache.release(owner)})
 
--- a/src/carobfork_standins/scenarios/recording.py
+++ b/src/carobfork_standins/scenarios/recording.py
@@ -7,7 +7,7 @@
 import attrs
 import gevent
 
-from carobfork import exceptions
+from carobfork import exceptions, sessions
 from carobfork_standins.scenarios import language, stages, verbs
 
 
@@ -27,6 +27,28 @@
     return verbs.DONE
 
 
+@stages.verb('kill-taker')
+def kill_taker(stage: stages.Stage, step: language.Step) -> stages.Seen:
+    """Kill the host that took another over: ``kill-taker entry-1``."""
+    prefix = f'{step.words[0]}.'
+    for state in _states(stage):
+        if any(name.startswith(prefix) for name in state['adopted']):
+            stage.lab.kill(state['incarnation'].partition('.')[0])
+            return verbs.DONE
+    raise stages.ExpectationError(f'no host adopted {step.words[0]}')
+
+
+@stages.verb('roam')
+def roam(stage: stages.Stage, step: language.Step) -> stages.Seen:
+    """Reach a program by whichever hosts are alive: ``roam NAME``."""
+    name = step.words[0]
+    program = stage.programs[name]
+    stage.programs[name] = sessions.Program(
+        stage.lab.session(), program.identifier, program.token
+    )
+    return verbs.DONE
+
+
 @stages.verb('pending')
 def pending(stage: stages.Stage, step: language.Step) -> stages.Seen:
     """Wait until a host's records wait for the platform."""
