--- a/src/carobfork/coordination/seals.py
+++ b/src/carobfork/coordination/seals.py
@@ -77,9 +77,8 @@
         number = tail.number
         last_record = tail.last_record
         seal = self._codec.encode(records.Sealed(str(successor)))
-        fresh = [entry for entry in held if entry.number > last_record]
         try:
-            for batch in _batches(fresh):
+            for batch in _batches(held):
                 number += 1
                 last_record = batch[-1].number
                 encoded = [entry.encoded for entry in batch]
