--- /dev/null
+++ b/tests/test_takeovers.py
@@ -0,0 +1,241 @@
+"""Takeovers: one successor, nothing lost, whoever dies in between."""
+
+import unittest
+from unittest import mock
+
+from carobfork import exceptions
+from carobfork.coordination import (
+    appenders,
+    compactions,
+    journals,
+    takeovers,
+)
+from carobfork.state import records
+from tests import hosts, stores
+
+
+@mock.patch.object(appenders, 'RETRY_DELAY_MS', 0)
+@mock.patch.object(takeovers, 'JITTER_MS', 0)
+@mock.patch.object(journals, 'COMMIT_INTERVAL_MS', 0)
+class TakeoverTest(unittest.TestCase):
+    """Hosts that take each other over on one store."""
+
+    def setUp(self):
+        """Start three hosts, the first with a program of one turn."""
+        self.store = stores.ManualStore()
+        self.first = hosts.Host('entry-1', self.store)
+        self.second = hosts.Host('entry-2', self.store)
+        self.third = hosts.Host('entry-3', self.store)
+        self.program = self.first.open()
+        self.first.answer(self.program, 'turn 1')
+
+    def tearDown(self):
+        """Stop all hosts."""
+        for host in (self.first, self.second, self.third):
+            host.die()
+
+    def test_one_write_a_host(self):
+        """The taker writes the same however many programs there are."""
+        for _ in range(20):
+            self.first.open()
+        before = self.store.writes
+        self.second.takeovers.suspect(self.first.own)
+        self.second.takeovers.step()
+        # The adoption, the seal and the host object.
+        self.assertEqual(self.store.writes - before, 3)
+        self.assertEqual(len(self.second.table.programs), 21)
+        self.assertEqual(self.second.history(self.program), ['turn 1'])
+        self.assertEqual(
+            self.second.stored_host().adopted,
+            (self.first.incarnation,),
+        )
+
+    def test_one_of_two_takers_wins(self):
+        """The loser has no programs and the former owner knows."""
+        dead = self.first.incarnation
+        self.assertTrue(self.third.takeovers.take(dead))
+        self.assertFalse(self.second.takeovers.take(dead))
+        self.assertEqual(self.second.table.programs, {})
+        with self.assertRaises(exceptions.SealedError):
+            self.first.answer(self.program, 'turn 2')
+
+    def test_a_taken_host_goes_on_empty(self):
+        """It registers anew; its former incarnation stays with the taker."""
+        former = self.first.incarnation
+        self.second.takeovers.take(former)
+        with self.assertRaises(exceptions.SealedError):
+            self.first.answer(self.program, 'turn 2')
+        self.first.takeovers.step()
+        self.assertEqual(self.first.incarnation.number, former.number + 1)
+        self.assertEqual(self.first.table.programs, {})
+        self.assertEqual(self.first.stored_host().predecessors, ())
+        other = self.first.open()
+        self.first.answer(other, 'turn 1')
+        self.assertEqual(self.first.history(other), ['turn 1'])
+
+    def test_the_taker_dies_too(self):
+        """Its own taker gets what it had adopted, and what came after."""
+        self.second.takeovers.take(self.first.incarnation)
+        self.second.answer(self.program, 'turn 2')
+        self.third.takeovers.take(self.second.incarnation)
+        self.third.answer(self.program, 'turn 3')
+        self.assertEqual(
+            self.third.history(self.program),
+            ['turn 1', 'turn 2', 'turn 3'],
+        )
+        self.assertEqual(
+            self.third.takeovers.adopted,
+            {self.first.incarnation, self.second.incarnation},
+        )
+
+    def test_the_taker_dies_before_the_seal(self):
+        """Its taker seals in its place, so that it cannot come back."""
+        adoption = records.Adopted(self.first.incarnation)
+        self.second.home.journal.append(adoption, 1000)
+        self.third.takeovers.take(self.second.incarnation)
+        self.assertEqual(self.third.history(self.program), ['turn 1'])
+        self.assertFalse(self.second.takeovers.take(self.first.incarnation))
+
+    def test_the_taker_dies_after_the_seal(self):
+        """A seal without a published adoption loses nothing."""
+        adoption = records.Adopted(self.first.incarnation)
+        self.second.home.journal.append(adoption, 1000)
+        self.second.sealer.seal(
+            self.first.incarnation,
+            self.second.incarnation,
+        )
+        self.assertFalse(self.third.takeovers.take(self.first.incarnation))
+        self.third.takeovers.take(self.second.incarnation)
+        self.assertEqual(self.third.history(self.program), ['turn 1'])
+
+    def test_a_lost_adoption_counts_for_nothing(self):
+        """Who recorded an adoption and lost the seal passes nothing on."""
+        adoption = records.Adopted(self.first.incarnation)
+        self.second.home.journal.append(adoption, 1000)
+        self.third.takeovers.take(self.first.incarnation)
+        self.third.answer(self.program, 'turn 2')
+        fourth = hosts.Host('entry-4', self.store)
+        fourth.takeovers.take(self.second.incarnation)
+        fourth.die()
+        self.assertEqual(fourth.table.programs, {})
+
+    def test_a_restart_adopts_all_earlier_lives(self):
+        """Also where a life ended before it had adopted the one before."""
+        self.first.die()
+        between = hosts.Host('entry-1', self.store)
+        between.die()
+        last = hosts.Host('entry-1', self.store)
+        last.takeovers.step()
+        last.die()
+        self.assertEqual(last.history(self.program), ['turn 1'])
+        self.assertEqual(last.stored_host().predecessors, ())
+        self.assertEqual(len(last.stored_host().adopted), 2)
+
+    def test_waits_for_the_platform(self):
+        """Nothing is taken over while the platform is down."""
+        self.second.takeovers.suspect(self.first.own)
+        self.store.down = True
+        with self.assertRaises(exceptions.PlatformError):
+            self.second.takeovers.step()
+        self.assertEqual(self.second.table.programs, {})
+        self.store.down = False
+        self.second.takeovers.step()
+        self.assertEqual(self.second.history(self.program), ['turn 1'])
+
+    def test_who_comes_back_is_left_alone(self):
+        """A host that is heard again is not taken over."""
+        self.second.members.registered().append(self.first.own)
+        self.second.takeovers.suspect(self.first.own)
+        self.second.takeovers.step()
+        self.assertEqual(self.second.takeovers.suspects, [])
+        self.first.answer(self.program, 'turn 2')
+
+
+@mock.patch.object(journals, 'COMMIT_INTERVAL_MS', 0)
+@mock.patch.object(compactions, 'DELETE_INTERVAL_MS', 0)
+class CompactionTest(unittest.TestCase):
+    """Chunks instead of segments, and nothing else changed."""
+
+    def setUp(self):
+        """Start two hosts, the first with a program of many turns."""
+        self.store = stores.ManualStore()
+        self.first = hosts.Host('entry-1', self.store)
+        self.second = hosts.Host('entry-2', self.store)
+        self.program = self.first.open()
+        self.keys = [f'turn {number}' for number in range(30)]
+        for key in self.keys:
+            self.first.answer(self.program, key)
+
+    def tearDown(self):
+        """Stop all hosts."""
+        self.first.die()
+        self.second.die()
+
+    def test_replaces_segments_by_chunks(self):
+        """A takeover reads a few objects and finds every turn in order."""
+        self.first.compactor.step(least_segments=1)
+        self.first.answer(self.program, 'last')
+        self.assertLess(len(self.store.stored), 10)
+        self.second.takeovers.take(self.first.incarnation)
+        self.assertEqual(
+            self.second.history(self.program),
+            [*self.keys, 'last'],
+        )
+        spent = self.second.table.find(self.program).ledger.spent_tokens
+        self.assertEqual(spent, len(self.keys) + 1)
+
+    def test_keeps_chunks_that_are_full(self):
+        """A long history is not copied again with each compaction."""
+        self.first.answer(self.program, 'long', 'x' * 500_000)
+        self.first.compactor.step(least_segments=1)
+        chunks = self.chunks()
+        self.first.answer(self.program, 'more')
+        self.first.compactor.step(least_segments=1)
+        self.assertLess(chunks, self.chunks())
+        self.second.takeovers.take(self.first.incarnation)
+        self.assertEqual(
+            self.second.history(self.program),
+            [*self.keys, 'long', 'more'],
+        )
+
+    def test_merges_adopted_journals(self):
+        """Their segments go but for the seal, and so does the adoption."""
+        former = self.first.incarnation
+        self.second.takeovers.take(former)
+        self.second.answer(self.program, 'after')
+        self.second.compactor.step(least_segments=1)
+        left = self.second.sealer.reader.numbers(former)
+        self.assertEqual(len(left), 1)
+        third = hosts.Host('entry-3', self.store)
+        third.takeovers.take(self.second.incarnation)
+        third.die()
+        self.assertEqual(third.history(self.program), [*self.keys, 'after'])
+        self.assertIn(former, third.takeovers.adopted)
+
+    def test_drops_forgotten_programs(self):
+        """Chunks of programs that ended go with the next compaction."""
+        self.first.compactor.step(least_segments=1)
+        self.first.table.programs.pop(self.program)
+        self.first.open()
+        self.first.compactor.step(least_segments=1)
+        self.second.takeovers.take(self.first.incarnation)
+        self.assertNotIn(self.program, self.second.table.programs)
+        self.assertEqual(len(self.second.table.programs), 1)
+
+    def test_an_interrupted_compaction_changes_nothing(self):
+        """Chunks without a manifest are not read."""
+        with mock.patch.object(
+            self.first.home.journal,
+            'append',
+            side_effect=exceptions.PlatformError('down'),
+        ):
+            with self.assertRaises(exceptions.PlatformError):
+                self.first.compactor.step(least_segments=1)
+        self.first.compactor.step(least_segments=1)
+        self.assertEqual(len(self.chunks()), 1)
+        self.second.takeovers.take(self.first.incarnation)
+        self.assertEqual(self.second.history(self.program), self.keys)
+
+    def chunks(self):
+        """Return the keys of the chunks at the platform."""
+        return set(self.store.list_keys('chunks/'))
