--- a/src/carobfork/commands/groups.py
+++ b/src/carobfork/commands/groups.py
@@ -1,6 +1,7 @@
 """Groups: the command line's tree."""
 
 from carobfork.commands import (
+    benches,
     bundles,
     daemons,
     hosts,
@@ -28,4 +29,5 @@
         self.state = states.StateCommands()
         self.program = programs.ProgramCommands()
         self.host = hosts.HostCommands()
+        self.bench = benches.BenchCommands()
         self.explain = programs.explain
--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -14,6 +14,7 @@
     membership,
     model_calls,
     noted_calls,
+    ownerships,
     registrations,
     routing,
     service_calls,
@@ -96,6 +97,7 @@
             self.table,
             self.holder,
             noted_calls.NotedSlots(self.broker, self.notes.decisions),
+            ownerships.Ownership(self.timer),
         )
         self._start(self.watch.run, self.members.run)
         self._exits.enter_context(
@@ -150,9 +152,7 @@
         backend = noted_calls.NotedServices(
             services.HttpServiceBackend(), self.notes.decisions
         )
-        self.services = service_calls.ServiceCaller(
-            self.home, backend, self.timer
-        )
+        self.services = service_calls.ServiceCaller(self.home, backend)
         return callers.CallerParts(
             home=self.home,
             router=routing.Router(self.table, self.members),
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -100,6 +100,8 @@
             ('program', 'show'),
             ('program', 'abort'),
             ('host', 'drain'),
+            ('bench', 'policies'),
+            ('bench', 'capacity'),
             ('explain',),
         ):
             with self.subTest(words=words):
