Leave held intents out of the seal

Ruled out: not offering intents to peers. Tried; once_platform then failed each time, since a withdrawal was applied before its intent was committed.

Change: the taker decodes held records and leaves intents out of the seal. An intent that only peers hold was never acted on, and its owner's append fails from the seal on.

--- a/src/carobfork/coordination/ports.py
+++ b/src/carobfork/coordination/ports.py
@@ -79,6 +79,9 @@
     def encode(self, record: records.Record) -> bytes:
         """Return one record's bytes."""
 
+    def decode(self, encoded: bytes) -> records.Record:
+        """Return the record of its bytes."""
+
     def pack(self, encoded: Iterable[bytes]) -> bytes:
         """Return the compressed bytes of a segment."""
 
--- a/src/carobfork/coordination/seals.py
+++ b/src/carobfork/coordination/seals.py
@@ -81,13 +81,27 @@
             for batch in _batches(held):
                 number += 1
                 last_record = batch[-1].number
-                encoded = [entry.encoded for entry in batch]
+                encoded = self._sealable(batch)
                 self._create(incarnation, number, last_record, encoded)
             self._create(incarnation, number + 1, last_record, [seal])
         except exceptions.ConflictError:
             # The owner or another taker was faster: the caller looks again.
             logger.info('A seal met a conflict.', peer=str(incarnation))
 
+    def _sealable(self, batch: list[holdings.HeldRecord]) -> list[bytes]:
+        """Leave intents out: a call is sent once the platform has its intent.
+
+        With the held intent its outcome would be unknown, though the call
+        never ran and, once the journal is sealed, never will.
+        """
+        return [
+            entry.encoded
+            for entry in batch
+            if not isinstance(
+                self._codec.decode(entry.encoded), records.IntentRecorded
+            )
+        ]
+
     def _create(
         self,
         incarnation: identifiers.Incarnation,
--- a/src/carobfork/protocol/codecs.py
+++ b/src/carobfork/protocol/codecs.py
@@ -28,6 +28,12 @@
             self._converter.unstructure(record, unstructure_as=records.Record)
         )
 
+    def decode(self, encoded: bytes) -> records.Record:
+        """Return the record of its bytes."""
+        return self._converter.structure(
+            msgpack.unpackb(encoded), records.Record
+        )
+
     def pack(self, encoded: Iterable[bytes]) -> bytes:
         """Return the compressed bytes of a segment."""
         compressor = zstandard.ZstdCompressor(level=_COMPRESSION_LEVEL)
@@ -36,7 +42,4 @@
     def unpack(self, segment: bytes) -> list[records.Record]:
         """Return the records of a segment."""
         packed = zstandard.ZstdDecompressor().decompress(segment)
-        return [
-            self._converter.structure(msgpack.unpackb(entry), records.Record)
-            for entry in msgpack.unpackb(packed)
-        ]
+        return [self.decode(entry) for entry in msgpack.unpackb(packed)]
