--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -11,11 +11,14 @@
     control,
     homes,
     journals,
+    mailboxes,
     membership,
     model_calls,
+    peer_slots,
+    pool_hosts,
+    pool_routes,
     routing,
     service_calls,
-    slots,
 )
 from carobfork.protocol import callers, codecs, documents, operators, signatures
 from carobfork.state import bundles, identifiers, programs
@@ -76,9 +79,9 @@
             self.own.incarnation,
             self.table.apply,
         )
-        self.broker = slots.LocalSlots(self.timer)
-        self.holder.subscribe(self.broker.apply_bundle)
+        self._build_slots()
         self._start(self.journal.run, self.watch.run, self.members.run)
+        self._start(self.pool_host.run, self.broker.run)
         self._listen()
         return self
 
@@ -107,6 +110,7 @@
                 'platform_writes': self.journal.platform_writes,
             },
             'peers': attrs.asdict(self.link.traffic),
+            'pools': [attrs.asdict(pool) for pool in self.pool_host.describe()],
         }
 
     def _build_link(self) -> peers.PeerLink:
@@ -121,6 +125,17 @@
             self.store, self.holder, reader, self.directory
         )
 
+    def _build_slots(self) -> None:
+        own = self.own.incarnation
+        mailbox = mailboxes.Mailbox(own, self.members, self.link)
+        routes = pool_routes.PoolRoutes(own, self.members)
+        self.pool_host = pool_hosts.PoolHost(mailbox, self.timer)
+        self.broker = peer_slots.PeerSlots(mailbox, routes, self.timer)
+        self.holder.subscribe(self.pool_host.apply_bundle)
+        self.holder.subscribe(self.broker.apply_bundle)
+        self.members.on_death(self.pool_host.forget_host)
+        self.members.on_death(self.broker.reroute)
+
     def _build_parts(self) -> callers.CallerParts:
         home = homes.Home(self.journal, self.table, self.holder, self.broker)
         backend = services.HttpServiceBackend()
--- /dev/null
+++ b/src/carobfork/coordination/backlogs.py
@@ -0,0 +1,157 @@
+"""Backlogs: the waiting calls of a pool, by rank, and what they must wait."""
+
+from collections.abc import Iterator
+
+from carobfork import exceptions
+from carobfork.coordination import admissions, floors, orders, queues
+from carobfork.state import bundles
+
+QUEUE_LIMIT = 5000
+MIN_RETRY_MS = 100
+MIN_PART = 0.01
+
+
+class Backlog:
+    """Queue calls by rank and hand them out in the policies' order.
+
+    :param bundle: gives ranks and policies.
+    """
+
+    def __init__(self, bundle: bundles.Bundle) -> None:
+        """Start empty."""
+        order = orders.ORDERS[bundle.policy.order]
+        self.floor = floors.Floor([rank.share for rank in bundle.ranks])
+        self._ranks = bundle.ranks
+        self._by_rank = order.by_rank
+        self._admit = admissions.ADMISSIONS[bundle.policy.admission]
+        self._queues = [queues.RankQueue(order) for _ in bundle.ranks]
+        self._kinds: list[dict[str, int]] = [{} for _ in bundle.ranks]
+
+    def __len__(self) -> int:
+        """Return how many calls wait."""
+        return sum(map(len, self._queues))
+
+    def __contains__(self, identifier: str) -> bool:
+        """Tell whether a call waits."""
+        return any(identifier in queue.requests for queue in self._queues)
+
+    def __iter__(self) -> Iterator[orders.SlotRequest]:
+        """Yield the waiting calls."""
+        for queue in self._queues:
+            yield from queue.requests.values()
+
+    @property
+    def lengths(self) -> dict[str, int]:
+        """How many calls wait, by rank."""
+        pairs = zip(self._ranks, self._queues, strict=True)
+        return {rank.name: len(queue) for rank, queue in pairs}
+
+    def waiting(self) -> set[int]:
+        """Return the ranks with waiting calls."""
+        return {
+            rank for rank, queue in enumerate(self._queues) if queue.requests
+        }
+
+    def push(self, request: orders.SlotRequest) -> None:
+        """Add a call."""
+        rank = self.rank_of(request)
+        self._queues[rank].push(request)
+        kinds = self._kinds[rank]
+        kinds[request.kind] = kinds.get(request.kind, 0) + 1
+
+    def remove(self, identifier: str) -> orders.SlotRequest | None:
+        """Take a call out, if it waits."""
+        for queue in self._queues:
+            request = queue.remove(identifier)
+            if request is not None:
+                self._forget_kind(request)
+                return request
+        return None
+
+    def pop(self, rank: int) -> orders.SlotRequest | None:
+        """Take out a rank's next call, if there is one."""
+        request = self._queues[rank].pop()
+        if request is not None:
+            self._forget_kind(request)
+        return request
+
+    def rank_of(self, request: orders.SlotRequest) -> int:
+        """Return the queue that a call waits in.
+
+        A rank unknown here, under another bundle's version, is the last.
+        """
+        if not self._by_rank:
+            return 0
+        return min(request.rank, len(self._queues) - 1)
+
+    def expected_wait_ms(self, rank: int, slot_ms: float) -> float:
+        """Return how long a rank's next arrival will wait.
+
+        :param slot_ms: mean time between two slots that come free.
+        """
+        return len(self._queues[rank]) * slot_ms / self._part(rank)
+
+    def check(self, request: orders.SlotRequest, slot_ms: float) -> None:
+        """Check that a call may wait.
+
+        :raises OverloadedError: it is refused, nothing ran.
+        """
+        rank = self.rank_of(request)
+        wait_ms = self.expected_wait_ms(rank, slot_ms)
+        if len(self) >= QUEUE_LIMIT or not self._admit(
+            self._arrival(request, wait_ms)
+        ):
+            raise overloaded(request.model, wait_ms)
+
+    def excess(self, slot_ms: float) -> list[orders.SlotRequest]:
+        """Return the waiting calls beyond what the ranks' limits allow."""
+        if self._admit is admissions.admit_all or not slot_ms:
+            return []
+        beyond = []
+        for rank, queue in enumerate(self._queues):
+            limit_ms = self._ranks[rank].queue_limit_ms
+            limit_ms *= admissions.CROWDED_KIND_LIMIT
+            kept = int(limit_ms * self._part(rank) / slot_ms) + 1
+            if len(queue) > kept:
+                beyond.extend(queue.last(len(queue) - kept))
+        return beyond
+
+    def _part(self, rank: int) -> float:
+        """Return the part of the free slots that a rank can count on."""
+        part = 1 - sum(
+            self._ranks[lower].share for lower in self.waiting() if lower > rank
+        )
+        if any(higher < rank for higher in self.waiting()):
+            part = min(part, self._ranks[rank].share)
+        return max(part, MIN_PART)
+
+    def _arrival(
+        self, request: orders.SlotRequest, wait_ms: float
+    ) -> admissions.Arrival:
+        rank = self.rank_of(request)
+        kinds = self._kinds[rank]
+        others = sum(1 for kind in kinds if kind != request.kind)
+        same = kinds.get(request.kind, 0)
+        return admissions.Arrival(
+            expected_wait_ms=wait_ms,
+            queue_limit_ms=self._ranks[rank].queue_limit_ms,
+            started=request.started,
+            kind_part=same / max(len(self._queues[rank]), 1),
+            kinds=others + 1,
+        )
+
+    def _forget_kind(self, request: orders.SlotRequest) -> None:
+        kinds = self._kinds[self.rank_of(request)]
+        kinds[request.kind] -= 1
+        if not kinds[request.kind]:
+            kinds.pop(request.kind)
+
+
+def overloaded(peer: str, wait_ms: float) -> exceptions.OverloadedError:
+    """Return the refusal of a call that would wait too long."""
+    return exceptions.OverloadedError(
+        f'a slot would come free in about {wait_ms:.0f} ms',
+        step='queue',
+        peer=peer,
+        retry_after_ms=max(MIN_RETRY_MS, int(wait_ms)),
+    )
--- /dev/null
+++ b/src/carobfork/coordination/claims.py
@@ -0,0 +1,88 @@
+"""Claims: the calls of this host that wait for a slot or hold one."""
+
+from collections.abc import Iterable
+
+import attrs
+from gevent import event
+
+from carobfork.coordination import orders, slot_messages
+from carobfork.state import identifiers
+
+
+@attrs.define(eq=False)
+class Claim:
+    """A call that waits for a slot, or holds one on ``worker``."""
+
+    request: orders.SlotRequest
+    pool: str
+    asked_ms: float
+    granted: event.AsyncResult = attrs.Factory(event.AsyncResult)
+    worker: str = ''
+
+
+class ClaimTable:
+    """All claims of this host.
+
+    :param own: this host.
+    """
+
+    def __init__(self, own: identifiers.Incarnation) -> None:
+        """Start empty."""
+        self._own = own
+        self._claims: dict[str, Claim] = {}
+
+    def __len__(self) -> int:
+        """Return how many there are."""
+        return len(self._claims)
+
+    def add(self, claim: Claim) -> None:
+        """Keep a claim until it is removed."""
+        self._claims[claim.request.identifier] = claim
+
+    def remove(self, claim: Claim) -> None:
+        """Drop a claim."""
+        self._claims.pop(claim.request.identifier, None)
+
+    def find(self, identifier: str) -> Claim | None:
+        """Return a claim, if it is still open."""
+        return self._claims.get(identifier)
+
+    def pools(self) -> set[str]:
+        """Return the pools at which calls are open."""
+        return {claim.pool for claim in self._claims.values()}
+
+    def at(self, pool: str) -> list[Claim]:
+        """Return the claims at a pool."""
+        return [claim for claim in self._claims.values() if claim.pool == pool]
+
+    def summary(self, pool: str) -> slot_messages.SlotsOpen:
+        """Return the sums of the claims at a pool."""
+        claims = self.at(pool)
+        return slot_messages.SlotsOpen(
+            sender=self._own,
+            pool=pool,
+            open_digest=_digest(claims),
+            held_digest=_digest(claim for claim in claims if claim.worker),
+        )
+
+    def listing(self, pool: str, now_ms: float) -> slot_messages.SlotsListed:
+        """Return all claims at a pool."""
+        claims = self.at(pool)
+        return slot_messages.SlotsListed(
+            sender=self._own,
+            pool=pool,
+            waiting=tuple(
+                attrs.evolve(claim.request, waited_ms=now_ms - claim.asked_ms)
+                for claim in claims
+                if not claim.worker
+            ),
+            held=tuple(
+                slot_messages.Holding(claim.request, claim.worker)
+                for claim in claims
+                if claim.worker
+            ),
+        )
+
+
+def _digest(claims: Iterable[Claim]) -> int:
+    return slot_messages.digest(claim.request.identifier for claim in claims)
--- a/src/carobfork/coordination/dispatchers.py
+++ b/src/carobfork/coordination/dispatchers.py
@@ -1,86 +1,181 @@
-"""Dispatchers: one queue and the slots of all workers of a model.
+"""Dispatchers: one queue and the slots of all workers of a pool.
 
 A worker is chosen only when a slot is granted, so no call waits behind
 another at a worker while a second worker idles.
 """
 
+import collections
+from collections.abc import Sequence
+
 import attrs
 
-from carobfork import clock, exceptions
-from carobfork.coordination import orders, placements
+from carobfork import clock
+from carobfork.coordination import (
+    accounts,
+    backlogs,
+    limits,
+    orders,
+    placements,
+    placers,
+    pools,
+    worker_tables,
+)
 from carobfork.state import bundles
 
-INITIAL_SLOTS = 4
-QUEUE_LIMIT = 2000
+LOOK_AHEAD = 8
 
 
 @attrs.frozen
 class Grant:
-    """A slot on a worker, given to one request."""
+    """A slot on a worker, given to one call.
+
+    ``charged_tokens`` is what the call's rank was charged in advance.
+    """
 
     request: orders.SlotRequest
     worker: str
+    charged_tokens: float = 0
 
 
 class Dispatcher:
-    """Grant the slots of one model's workers.
+    """Grant the slots of one pool's workers.
 
-    :param model: the model as the bundle lists it.
-    :param policy: names of the order and placement policies in force.
+    :param pool: the workers.
+    :param bundle: ranks and policies.
     :param timer: the clock that arrival times refer to.
     """
 
     def __init__(
-        self,
-        model: bundles.Model,
-        policy: bundles.Policy,
-        timer: clock.Clock,
+        self, pool: pools.Pool, bundle: bundles.Bundle, timer: clock.Clock
     ) -> None:
         """Start with every worker idle."""
-        self.waiting: dict[str, orders.SlotRequest] = {}
+        self.backlog = backlogs.Backlog(bundle)
         self.granted: dict[str, Grant] = {}
-        self.workers = {
-            worker.name: placements.WorkerLoad(worker.name, INITIAL_SLOTS)
-            for worker in model.workers
-        }
-        self._order = orders.ORDERS[policy.order]
-        self._placement = placements.PLACEMENTS[policy.placement]
+        self.workers = worker_tables.WorkerTable()
         self._timer = timer
+        self._account = accounts.Account(lambda: self.backlog.waiting())
+        self.apply(pool, bundle)
+
+    def apply(self, pool: pools.Pool, bundle: bundles.Bundle) -> None:
+        """Take over the workers, ranks and policies of a bundle.
+
+        Calls that wait stay; slots on workers that were removed run out.
+        """
+        waiting = list(self.backlog)
+        self.backlog = backlogs.Backlog(bundle)
+        for request in waiting:
+            self.backlog.push(request)
+        busy = collections.Counter(
+            grant.worker for grant in self.granted.values()
+        )
+        self.workers.apply(pool, bundle.policy, busy)
+        self._placer = placers.Placer(
+            placements.PLACEMENTS[bundle.policy.placement], self._timer
+        )
 
     def submit(self, request: orders.SlotRequest) -> None:
-        """Queue a request.
+        """Queue a call; one that is known already stays as it is.
+
+        :raises OverloadedError: it is refused.
+        """
+        if not self.knows(request.identifier):
+            self.backlog.check(request, self.workers.slot_ms)
+            self._queue(request)
+
+    def restore(self, request: orders.SlotRequest) -> None:
+        """Queue a call that another dispatcher had admitted."""
+        if not self.knows(request.identifier):
+            self._queue(request)
+
+    def adopt(self, request: orders.SlotRequest, worker: str) -> None:
+        """Note a slot that another dispatcher had granted."""
+        if request.identifier not in self.granted:
+            self._forget(request.identifier)
+            self.granted[request.identifier] = Grant(request, worker)
+            self.workers.adopt(worker)
 
-        :raises OverloadedError: the queue is full.
+    def knows(self, identifier: str) -> bool:
+        """Tell whether a call waits or holds a slot."""
+        return identifier in self.granted or identifier in self.backlog
+
+    def release(
+        self, identifier: str, served: limits.Served | None = None
+    ) -> None:
+        """Forget a call, whether it waits or holds a slot.
+
+        :param served: what its holder saw, if it was served.
         """
-        if len(self.waiting) >= QUEUE_LIMIT:
-            raise exceptions.OverloadedError(
-                f'{len(self.waiting)} calls wait already',
-                step='queue',
-                peer=request.model,
-            )
-        self.waiting[request.identifier] = request
-
-    def withdraw(self, identifier: str) -> None:
-        """Forget a request, whether it waits or holds a slot."""
-        self.waiting.pop(identifier, None)
+        self._forget(identifier)
         grant = self.granted.pop(identifier, None)
-        if grant is not None:
-            self.workers[grant.worker].busy -= 1
+        if grant is None:
+            return
+        self.workers.release(grant.worker, served)
+        self._account.settle(
+            self.backlog.floor,
+            self.backlog.rank_of(grant.request),
+            grant.charged_tokens,
+            served or limits.Served(),
+        )
 
     def grant_next(self) -> Grant | None:
-        """Grant a slot to the next request, if both exist."""
-        free = [load for load in self.workers.values() if load.free > 0]
-        if not free or not self.waiting:
+        """Grant a slot to the next call, if both exist."""
+        free = self.workers.free()
+        if not free:
             return None
-        now_ms = self._timer.now_ms()
-        request = min(
-            self.waiting.values(),
-            key=lambda waiting: self._order(waiting, now_ms),
-        )
-        load = self._placement(request, free)
+        for rank in self.backlog.floor.ranks(self.backlog.waiting()):
+            grant = self._grant_in(rank, free)
+            if grant is not None:
+                return grant
+        return None
+
+    def shorten(self) -> list[orders.SlotRequest]:
+        """Take out and return calls that would wait too long."""
+        beyond = self.backlog.excess(self.workers.slot_ms)
+        for request in beyond:
+            self._forget(request.identifier)
+        return beyond
+
+    def expected_wait_ms(self, rank: int) -> float:
+        """Return how long a rank's next arrival will wait."""
+        return self.backlog.expected_wait_ms(rank, self.workers.slot_ms)
+
+    def _queue(self, request: orders.SlotRequest) -> None:
+        arrived_ms = self._timer.now_ms() - request.waited_ms
+        self.backlog.push(attrs.evolve(request, arrived_ms=arrived_ms))
+
+    def _grant_in(
+        self, rank: int, free: Sequence[placements.WorkerLoad]
+    ) -> Grant | None:
+        """Grant to one of the first calls of a rank that takes a slot."""
+        passed = []
+        grant = None
+        while grant is None and len(passed) < LOOK_AHEAD:
+            request = self.backlog.pop(rank)
+            if request is None:
+                break
+            load = self._placer.place(request, free, self.workers.loads)
+            if load is None:
+                passed.append(request)
+            else:
+                grant = self._grant(request, load, rank)
+        for request in passed:
+            self.backlog.push(request)
+        return grant
+
+    def _grant(
+        self,
+        request: orders.SlotRequest,
+        load: placements.WorkerLoad,
+        rank: int,
+    ) -> Grant:
+        self._placer.forget(request.identifier)
         load.busy += 1
         load.granted += 1
-        grant = Grant(request, load.name)
+        tokens = self._account.charge(self.backlog.floor, rank)
+        grant = Grant(request, load.name, tokens)
         self.granted[request.identifier] = grant
-        del self.waiting[request.identifier]  # noqa: WPS420
         return grant
+
+    def _forget(self, identifier: str) -> None:
+        self.backlog.remove(identifier)
+        self._placer.forget(identifier)
--- /dev/null
+++ b/src/carobfork/coordination/limits.py
@@ -0,0 +1,176 @@
+"""Limits: how many slots an engine gets, learnt from what it shows.
+
+Holders measure first-token and between-token times and report them when
+they release a slot; an engine's own load reports, late or missing, are not
+needed. Policies fill a registry by decorator.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+INITIAL_SLOTS = 4
+MIN_SLOTS = 1
+MAX_SLOTS = 256
+
+
+@attrs.frozen
+class Served:
+    """What a holder saw of one call, reported when it releases the slot.
+
+    Times are 0 where the call ended before they were known.
+    """
+
+    held_ms: float = 0
+    first_token_ms: float = 0
+    between_tokens_ms: float = 0
+    output_tokens: int = 0
+    prefilled_tokens: int = 0
+    """Prompt tokens that were not in the engine's cache."""
+
+    @property
+    def tokens(self) -> int:
+        """Tokens that the engine computed for the call."""
+        return self.output_tokens + self.prefilled_tokens
+
+
+class SlotLimiter(Protocol):
+    """Decide how many slots one engine gets."""
+
+    limit: int
+
+    def observe(self, served: Served, busy: int) -> None:
+        """Learn from a call that ended while ``busy`` slots were held."""
+
+
+LimitPolicy = Callable[[float], SlotLimiter]
+LIMITS: dict[str, LimitPolicy] = {}  # noqa: WPS407
+
+
+def register(name: str) -> Callable[[LimitPolicy], LimitPolicy]:
+    """Register a limiter under a name; it takes the target in ms."""
+
+    def decorator(policy: LimitPolicy) -> LimitPolicy:  # noqa: WPS430
+        LIMITS[name] = policy
+        return policy
+
+    return decorator
+
+
+@register('fixed')
+class FixedLimiter:
+    """Keep the initial number of slots.
+
+    :param target_ms: not used.
+    """
+
+    def __init__(self, target_ms: float) -> None:
+        """Start with the limit that stays."""
+        self.limit = INITIAL_SLOTS
+
+    def observe(self, served: Served, busy: int) -> None:
+        """Learn nothing."""
+
+
+@register('aimd')
+class AimdLimiter:
+    """Add a slot while between-token times meet the target, else cut.
+
+    One round of samples, as many as there are slots, changes the limit once,
+    so that a change shows before the next one.
+
+    :param target_ms: longest mean time between tokens.
+    """
+
+    decrease = 0.8
+
+    def __init__(self, target_ms: float) -> None:
+        """Start with the initial limit."""
+        self.limit = INITIAL_SLOTS
+        self._target_ms = target_ms
+        self._round = _Round()
+
+    def observe(self, served: Served, busy: int) -> None:
+        """Learn from a call that ended while ``busy`` slots were held."""
+        if not served.between_tokens_ms:
+            return
+        self._round.add(served, busy)
+        if self._round.samples >= self.limit:
+            self._adjust(self._round)
+            self._round = _Round()
+
+    def _adjust(self, seen: '_Round') -> None:
+        if seen.between_tokens_ms > self._target_ms:
+            self.limit = max(MIN_SLOTS, int(self.limit * self.decrease))
+        elif seen.most_busy >= self.limit:
+            self.limit = min(MAX_SLOTS, self.limit + 1)
+
+
+@register('gradient')
+class GradientLimiter:
+    """Climb while one more slot still raises the engine's throughput.
+
+    The throughput of a round is the slots in use over the time between
+    tokens. The limit goes on in its direction while throughput grows by a
+    part of what the slots grew by, and turns round otherwise.
+
+    :param target_ms: not used.
+    """
+
+    step = 0.1
+    least_gain = 0.25
+
+    def __init__(self, target_ms: float) -> None:
+        """Start with the initial limit."""
+        self.limit = INITIAL_SLOTS
+        self._round = _Round()
+        self._last_limit = 0
+        self._last_throughput = 0
+
+    def observe(self, served: Served, busy: int) -> None:
+        """Learn from a call that ended while ``busy`` slots were held."""
+        if not served.between_tokens_ms:
+            return
+        self._round.add(served, busy)
+        if self._round.samples >= self.limit:
+            if self._round.most_busy >= self.limit:
+                self._adjust(self._round.throughput)
+            self._round = _Round()
+
+    def _adjust(self, throughput: float) -> None:
+        grown = (self.limit - self._last_limit) / self.limit
+        gained = (throughput - self._last_throughput) / throughput
+        step = max(1, int(self.limit * self.step))
+        if gained < grown * self.least_gain or not grown:
+            step = -step
+        # Going down, few tokens lost for many slots cut confirm the way.
+        if grown < 0:
+            step = -step
+        self._last_limit = self.limit
+        self._last_throughput = throughput
+        self.limit = max(MIN_SLOTS, min(MAX_SLOTS, self.limit + step))
+
+
+@attrs.define
+class _Round:
+    """Samples since the limit last changed."""
+
+    samples: int = 0
+    total_ms: float = 0
+    total_busy: int = 0
+    most_busy: int = 0
+
+    def add(self, served: Served, busy: int) -> None:
+        self.samples += 1
+        self.total_ms += served.between_tokens_ms
+        self.total_busy += busy
+        self.most_busy = max(self.most_busy, busy)
+
+    @property
+    def between_tokens_ms(self) -> float:
+        return self.total_ms / self.samples
+
+    @property
+    def throughput(self) -> float:
+        return self.total_busy / self.total_ms
--- /dev/null
+++ b/src/carobfork/coordination/mailboxes.py
@@ -0,0 +1,55 @@
+"""Mailboxes: messages to any live entry host, this one included."""
+
+from collections.abc import Callable
+
+from carobfork.coordination import ports, routing
+from carobfork.state import identifiers
+
+
+class Mailbox:
+    """Send one-way messages; those to this host are handled at once.
+
+    :param own: this host's incarnation.
+    :param hosts: the live hosts.
+    :param link: carries messages to other hosts.
+    """
+
+    def __init__(
+        self,
+        own: identifiers.Incarnation,
+        hosts: routing.HostList,
+        link: ports.PeerLink,
+    ) -> None:
+        """Start without handlers."""
+        self.own = own
+        self._hosts = hosts
+        self._link = link
+        self._handlers: dict[type, Callable] = {}
+        self._known: dict[identifiers.Incarnation, routing.EntryHost] = {}
+
+    def on(self, kind: type, handler: Callable) -> None:
+        """Call ``handler`` with each message of a kind."""
+        self._handlers[kind] = handler
+        self._link.on(kind, handler)
+
+    def send(self, to: identifiers.Incarnation, message: object) -> None:
+        """Send a message; it gets lost where the host is not known."""
+        if to == self.own:
+            self._handlers[type(message)](message)
+            return
+        if to not in self._known:
+            self.refresh()
+        host = self._known.get(to)
+        if host is not None:
+            self._link.send(host.peer_address, message)
+
+    def refresh(self) -> None:
+        """Look the live hosts up anew."""
+        self._known = {host.incarnation: host for host in self._hosts.live()}
+
+    def is_replaced(self, incarnation: identifiers.Incarnation) -> bool:
+        """Tell whether a host runs under a newer incarnation."""
+        return any(
+            known.host == incarnation.host and known > incarnation
+            for known in self._known
+        )
--- a/src/carobfork/coordination/model_calls.py
+++ b/src/carobfork/coordination/model_calls.py
@@ -95,18 +95,20 @@
         prompt: ports.Prompt,
     ) -> records.AnswerRecorded:
         request = self._slot_request(program, call, prompt)
-        with self._home.slots.acquire(request) as worker_name:
-            run.worker = worker_name
+        with self._home.slots.acquire(request) as slot:
+            run.worker = slot.worker
             model = self._model(call.model)
-            worker = bundles.find(model.workers, worker_name, 'worker')
+            worker = bundles.find(model.workers, slot.worker, 'worker')
             for events in self._backend.stream(worker, prompt):
+                slot.touch()
                 run.push(events)
-        answer = self._backend.decode(run.raw_events())
+            answer = self._backend.decode(run.raw_events())
+            slot.settle(answer.output_tokens, answer.prefilled_tokens)
         record = records.AnswerRecorded(
             program=call.program,
             key=call.key,
             digest=call.digest,
-            target=f'{call.model}/{worker_name}',
+            target=f'{call.model}/{slot.worker}',
             status=_HTTP_OK,
             body=answer.text.encode(),
             content_type='text/event-stream',
@@ -146,9 +148,10 @@
             model=call.model,
             rank=self._home.bundle.rank_position(program.rank),
             attained_tokens=program.ledger.spent_tokens,
-            arrived_ms=0,
             last_worker=last_worker,
             prompt_tokens=len(prompt.messages) // _BYTES_PER_TOKEN,
+            kind=program.kind,
+            started=bool(history or program.parent),
         )
 
     def _model(self, name: str) -> bundles.Model:
--- a/src/carobfork/coordination/orders.py
+++ b/src/carobfork/coordination/orders.py
@@ -1,7 +1,8 @@
 """Orders: who is next among the calls that wait for a slot.
 
 Policies fill a registry by decorator; the bundle names the one in force.
-A policy returns a sort key; the smallest key is served first.
+A policy returns a sort key that does not change while a call waits, so a
+heap can hold the queue; the smallest key is served first.
 """
 
 from collections.abc import Callable
@@ -22,45 +23,66 @@
     """Position of the rank, 0 for the most urgent."""
     attained_tokens: int
     """What the program has been served so far."""
-    arrived_ms: float
+    arrived_ms: float = 0
     """Arrival on the dispatcher's own clock."""
     last_worker: str = ''
     """Where the program's prefix was last cached."""
     prompt_tokens: int = 0
+    kind: str = ''
+    """The program's kind."""
+    started: bool = True
+    """Whether the program, or its parent, has been served before."""
+    waited_ms: float = 0
+    """What the call has waited already, by its holder's clock."""
 
 
-OrderPolicy = Callable[[SlotRequest, float], tuple]
-ORDERS: dict[str, OrderPolicy] = {}  # noqa: WPS407
+KeyFunction = Callable[[SlotRequest], float]
 
 
-def register(name: str) -> Callable[[OrderPolicy], OrderPolicy]:
-    """Register an order policy under a name."""
+@attrs.frozen
+class OrderPolicy:
+    """A sort key, and whether ranks are kept apart."""
 
-    def decorator(policy: OrderPolicy) -> OrderPolicy:  # noqa: WPS430
-        ORDERS[name] = policy
-        return policy
+    key: KeyFunction
+    by_rank: bool = True
+
+
+ORDERS: dict[str, OrderPolicy] = {}  # noqa: WPS407
 
-    return decorator
 
+def register(
+    name: str, *, by_rank: bool = True
+) -> Callable[[KeyFunction], KeyFunction]:
+    """Register a sort key under a name."""
 
-@register('fifo')
-def arrival(request: SlotRequest, now_ms: float) -> tuple:
-    """Serve in order of arrival, whatever the rank."""
-    return (request.arrived_ms,)
+    def decorator(key: KeyFunction) -> KeyFunction:  # noqa: WPS430
+        ORDERS[name] = OrderPolicy(key, by_rank)
+        return key
+
+    return decorator
 
 
 @register('rank_fifo')
-def rank_then_arrival(request: SlotRequest, now_ms: float) -> tuple:
-    """Serve the most urgent rank first, by arrival within it."""
-    return (request.rank, request.arrived_ms)
+@register('fifo', by_rank=False)
+def arrival(request: SlotRequest) -> float:
+    """Serve in order of arrival; ``fifo`` does so whatever the rank."""
+    return request.arrived_ms
 
 
 @register('least_attained')
-def rank_then_attained(request: SlotRequest, now_ms: float) -> tuple:
+def attained(request: SlotRequest) -> float:
     """Serve, within a rank, the program that has been served least.
 
-    A call that waits ages: each ms counts as tokens not yet attained.
+    Each ms of waiting counts as tokens not yet attained. As all waiting
+    calls age alike, arrival times order them as their ages would.
+    """
+    return request.attained_tokens + request.arrived_ms * AGEING_TOKENS_PER_MS
+
+
+@register('most_attained')
+def negated_attained(request: SlotRequest) -> float:
+    """Serve, within a rank, the program that has been served most.
+
+    Ageing is the same as that of ``least_attained``.
     """
-    waited_ms = now_ms - request.arrived_ms
-    attained = request.attained_tokens - waited_ms * AGEING_TOKENS_PER_MS
-    return (request.rank, attained)
+    return request.arrived_ms * AGEING_TOKENS_PER_MS - request.attained_tokens
--- a/src/carobfork/coordination/placements.py
+++ b/src/carobfork/coordination/placements.py
@@ -1,13 +1,17 @@
-"""Placements: which worker of a model gets the next call.
+"""Placements: which worker of a pool gets the next call.
 
 Policies fill a registry by decorator; the bundle names the one in force.
+A policy may return no worker: the call then waits for a busy one.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
-from carobfork.coordination import orders
+from carobfork.coordination import limits, orders
+
+DEFAULT_PREFILL_TOKENS_PER_MS = 10
+_WEIGHT = 0.1
 
 
 @attrs.define
@@ -15,21 +19,64 @@
     """What the dispatcher knows of one worker."""
 
     name: str
-    slot_limit: int
+    limiter: limits.SlotLimiter
     busy: int = 0
     leaving: bool = False
+    awaited: int = 0
+    """Calls that wait for this worker while others are free."""
     granted: int = 0
     """Slots granted since the start."""
+    hold_ms: float = 0
+    """How long a slot is held on average, 0 where unknown."""
+    prefill_tokens_per_ms: float = DEFAULT_PREFILL_TOKENS_PER_MS
+
+    @property
+    def slot_limit(self) -> int:
+        """Most slots to grant at a time."""
+        return self.limiter.limit
 
     @property
     def free(self) -> int:
         """Slots that may be granted now."""
         return 0 if self.leaving else self.slot_limit - self.busy
 
+    @property
+    def next_free_ms(self) -> float:
+        """How long until a slot comes free for one more call."""
+        return self.hold_ms * (self.awaited + 1) / max(self.busy, 1)
+
+    def adopt_slot(self) -> None:
+        """Count a slot that another dispatcher had granted.
+
+        The limit learnt there was no lower than the slots in use.
+        """
+        self.busy += 1
+        self.limiter.limit = max(self.limiter.limit, self.busy)
+
+    def observe(self, served: limits.Served) -> None:
+        """Learn from a slot that was released."""
+        self.limiter.observe(served, self.busy)
+        self.hold_ms = average(self.hold_ms, served.held_ms)
+        if served.first_token_ms and served.prefilled_tokens:
+            self.prefill_tokens_per_ms = average(
+                self.prefill_tokens_per_ms,
+                served.prefilled_tokens / served.first_token_ms,
+            )
 
-PlacementPolicy = Callable[
-    [orders.SlotRequest, Sequence[WorkerLoad]], WorkerLoad
-]
+
+@attrs.frozen
+class Choice:
+    """What a placement chooses from.
+
+    ``passed_ms`` is how long the call has been passed over already.
+    """
+
+    free: Sequence[WorkerLoad]
+    workers: Mapping[str, WorkerLoad]
+    passed_ms: float = 0
+
+
+PlacementPolicy = Callable[[orders.SlotRequest, Choice], WorkerLoad | None]
 PLACEMENTS: dict[str, PlacementPolicy] = {}  # noqa: WPS407
 
 
@@ -43,28 +90,47 @@
     return decorator
 
 
+def average(mean: float, fresh: float) -> float:
+    """Return a moving average; a mean of 0 stands for no samples yet."""
+    return mean + _WEIGHT * (fresh - mean) if mean else fresh
+
+
 @register('round_robin')
 def fewest_granted(
-    request: orders.SlotRequest, free: Sequence[WorkerLoad]
-) -> WorkerLoad:
+    request: orders.SlotRequest, choice: Choice
+) -> WorkerLoad | None:
     """Take turns."""
-    return min(free, key=lambda load: load.granted)
+    return min(choice.free, key=lambda load: load.granted)
 
 
 @register('least_loaded')
-def most_free(
-    request: orders.SlotRequest, free: Sequence[WorkerLoad]
-) -> WorkerLoad:
+def most_free(request: orders.SlotRequest, choice: Choice) -> WorkerLoad | None:
     """Choose the worker with the most free slots."""
-    return max(free, key=lambda load: load.free)
+    return max(choice.free, key=lambda load: (load.free, -load.granted))
 
 
 @register('affinity')
 def cached_prefix(
-    request: orders.SlotRequest, free: Sequence[WorkerLoad]
-) -> WorkerLoad:
+    request: orders.SlotRequest, choice: Choice
+) -> WorkerLoad | None:
     """Return to the worker that holds the prefix, else the least loaded."""
-    for load in free:
+    for load in choice.free:
         if load.name == request.last_worker:
             return load
-    return most_free(request, free)
+    return most_free(request, choice)
+
+
+@register('affinity_by_cost')
+def cheapest(request: orders.SlotRequest, choice: Choice) -> WorkerLoad | None:
+    """Wait for the worker that holds the prefix while that is cheaper.
+
+    Waiting is given up once it has lasted as long as the prefill elsewhere.
+    """
+    best = cached_prefix(request, choice)
+    cached = choice.workers.get(request.last_worker)
+    if cached is None or cached.leaving or best is cached:
+        return best
+    prefill_ms = request.prompt_tokens / best.prefill_tokens_per_ms
+    if choice.passed_ms + cached.next_free_ms < prefill_ms:
+        return None
+    return best
--- /dev/null
+++ b/src/carobfork/coordination/placers.py
@@ -0,0 +1,57 @@
+"""Placers: apply a placement policy, and remember who waits for a worker."""
+
+from collections.abc import Mapping, Sequence
+
+import attrs
+
+from carobfork import clock
+from carobfork.coordination import orders, placements
+
+
+@attrs.frozen
+class _Passed:
+    """A call that was passed over to wait for a worker."""
+
+    load: placements.WorkerLoad
+    since_ms: float
+
+
+class Placer:
+    """Choose workers, or pass calls over for a while.
+
+    :param policy: the placement policy in force.
+    :param timer: measures how long a call has been passed over.
+    """
+
+    def __init__(
+        self, policy: placements.PlacementPolicy, timer: clock.Clock
+    ) -> None:
+        """Start without calls passed over."""
+        self._policy = policy
+        self._timer = timer
+        self._passed: dict[str, _Passed] = {}
+
+    def place(
+        self,
+        request: orders.SlotRequest,
+        free: Sequence[placements.WorkerLoad],
+        workers: Mapping[str, placements.WorkerLoad],
+    ) -> placements.WorkerLoad | None:
+        """Return a free worker, or nothing to pass the call over."""
+        now_ms = self._timer.now_ms()
+        passed = self._passed.get(request.identifier)
+        since_ms = passed.since_ms if passed else now_ms
+        load = self._policy(
+            request, placements.Choice(free, workers, now_ms - since_ms)
+        )
+        if load is None and passed is None:
+            awaited = workers[request.last_worker]
+            awaited.awaited += 1
+            self._passed[request.identifier] = _Passed(awaited, now_ms)
+        return load
+
+    def forget(self, identifier: str) -> None:
+        """Forget a call that was placed or went away."""
+        passed = self._passed.pop(identifier, None)
+        if passed is not None:
+            passed.load.awaited -= 1
--- /dev/null
+++ b/src/carobfork/coordination/pool_hosts.py
@@ -0,0 +1,156 @@
+"""Pool hosts: the pools whose slots this host grants.
+
+A host serves whichever pool it is asked for. Holders decide whom they ask;
+while two of them disagree, a pool is served twice and its engines get a few
+calls too many.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+import gevent
+
+from carobfork import clock
+from carobfork.coordination import (
+    mailboxes,
+    pool_servers,
+    pools,
+    routing,
+    slot_messages,
+)
+from carobfork.state import bundles
+
+TICK_MS = 500
+GRANT_INTERVAL_MS = 50
+DUMPED_POOLS = 50
+
+
+@attrs.frozen
+class WorkerSlots:
+    """A worker's slots, for the state dump."""
+
+    worker: str
+    limit: int
+    busy: int
+    leaving: bool
+    hold_ms: int
+
+
+@attrs.frozen
+class PoolState:
+    """A pool's queue and slots, for the state dump."""
+
+    pool: str
+    waiting: dict[str, int]
+    owed_tokens: list[int]
+    workers: list[WorkerSlots]
+
+
+class PoolHost:
+    """Grant the slots of pools to all entry hosts.
+
+    :param mailbox: carries the messages.
+    :param timer: the dispatchers' clock.
+    """
+
+    def __init__(self, mailbox: mailboxes.Mailbox, timer: clock.Clock) -> None:
+        """Start without pools; a bundle brings them."""
+        self._mailbox = mailbox
+        self._timer = timer
+        self._bundle: bundles.Bundle | None = None
+        self._pools: dict[str, pools.Pool] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._servers: dict[str, pool_servers.PoolServer] = {}
+        server = pool_servers.PoolServer
+        mailbox.on(slot_messages.SlotsAsked, self._passing(server.ask))
+        mailbox.on(slot_messages.SlotReleased, self._passing(server.release))
+        mailbox.on(slot_messages.SlotsOpen, self._passing(server.compare))
+        mailbox.on(slot_messages.SlotsListed, self._passing(server.reconcile))
+
+    def apply_bundle(self, bundle: bundles.Bundle) -> None:
+        """Take over a bundle's pools; those that it lacks are dropped."""
+        self._bundle = bundle
+        self._pools = pools.split_all(bundle)
+        for name in set(self._servers) - set(self._pools):
+            self._servers.pop(name)
+        for name, server in self._servers.items():
+            server.apply(self._pools[name], bundle)
+
+    def mark_leaving(self, workers: Iterable[str]) -> None:
+        """Grant no more slots on these workers, and again on all others."""
+        self._leaving = frozenset(workers)
+        for server in self._servers.values():
+            server.dispatcher.workers.mark_leaving(self._leaving)
+            server.grant()
+
+    def forget_host(self, host: routing.EntryHost) -> None:
+        """Free the slots of a host that died."""
+        for server in self._servers.values():
+            server.forget_holder(host.incarnation)
+
+    def run(self) -> None:
+        """Grant what became due until the greenlet is killed."""
+        while True:
+            for _ in range(TICK_MS // GRANT_INTERVAL_MS):
+                gevent.sleep(clock.to_seconds(GRANT_INTERVAL_MS))
+                self.grant()
+            self.tick()
+
+    def grant(self) -> None:
+        """Grant slots to calls that have waited for their worker enough."""
+        for server in self._servers.values():
+            if len(server.dispatcher.backlog):
+                server.grant()
+
+    def tick(self) -> None:
+        """Shorten queues and forget holders that fell silent."""
+        self._mailbox.refresh()
+        for server in self._servers.values():
+            server.tick()
+
+    def describe(self) -> list[PoolState]:
+        """Return the state of the pools that are served here."""
+        servers = list(self._servers.items())[:DUMPED_POOLS]
+        return [_describe(name, server) for name, server in servers]
+
+    def _passing(self, action):
+        """Return a handler that finds a message's pool and acts on it."""
+
+        def handle(message) -> None:  # noqa: WPS430
+            server = self._find(message.pool)
+            # A pool that is not known yet comes with a bundle; until then
+            # the holder's ticks bring the message again.
+            if server is not None:
+                action(server, message)
+
+        return handle
+
+    def _find(self, name: str) -> pool_servers.PoolServer | None:
+        if name not in self._servers and name in self._pools:
+            server = pool_servers.PoolServer(
+                self._pools[name], self._bundle, self._timer, self._mailbox
+            )
+            server.dispatcher.workers.mark_leaving(self._leaving)
+            self._servers[name] = server
+        return self._servers.get(name)
+
+
+def _describe(name: str, server: pool_servers.PoolServer) -> PoolState:
+    dispatcher = server.dispatcher
+    return PoolState(
+        pool=name,
+        waiting=dispatcher.backlog.lengths,
+        owed_tokens=[
+            int(tokens) for tokens in dispatcher.backlog.floor.deficits_tokens
+        ],
+        workers=[
+            WorkerSlots(
+                worker=load.name,
+                limit=load.slot_limit,
+                busy=load.busy,
+                leaving=load.leaving,
+                hold_ms=int(load.hold_ms),
+            )
+            for load in dispatcher.workers.loads.values()
+        ],
+    )
--- /dev/null
+++ b/src/carobfork/coordination/pool_routes.py
@@ -0,0 +1,97 @@
+"""Pool routes: which host serves which pool, as seen from this host.
+
+A host that answers no summaries is suspected and passed over until it
+answers again. Hosts may disagree for a moment; that costs a few calls too
+many at an engine.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from carobfork.coordination import pools, routing
+from carobfork.state import identifiers
+
+UNANSWERED_TICKS = 3
+
+
+@attrs.frozen
+class Move:
+    """A pool that is served by another host from now on."""
+
+    pool: str
+    former: identifiers.Incarnation | None
+    current: identifiers.Incarnation
+
+
+class PoolRoutes:
+    """Choose a host for each pool.
+
+    :param own: this host, which is never suspected.
+    :param hosts: the live hosts.
+    """
+
+    def __init__(
+        self, own: identifiers.Incarnation, hosts: routing.HostList
+    ) -> None:
+        """Start without pools."""
+        self.suspects: set[identifiers.Incarnation] = set()
+        self._own = own
+        self._hosts = hosts
+        self._current: dict[str, identifiers.Incarnation] = {}
+        self._unanswered: dict[identifiers.Incarnation, int] = {}
+
+    def apply(self, names: Iterable[str]) -> None:
+        """Route these pools and no others."""
+        kept = set(names)
+        self._current = {
+            pool: host for pool, host in self._current.items() if pool in kept
+        }
+        hosts = self._candidates()
+        for name in kept:
+            self._current.setdefault(
+                name, pools.responsible(name, hosts).incarnation
+            )
+
+    def find(self, pool: str) -> identifiers.Incarnation | None:
+        """Return the host that serves a pool, nothing for an unknown pool."""
+        return self._current.get(pool)
+
+    def asked(self, host: identifiers.Incarnation) -> None:
+        """Note a summary that should be answered."""
+        count = self._unanswered.get(host, 0) + 1
+        self._unanswered[host] = count
+        if count > UNANSWERED_TICKS and host != self._own:
+            self.suspects.add(host)
+
+    def heard(self, host: identifiers.Incarnation) -> None:
+        """Note that a host answers."""
+        self._unanswered.pop(host, None)
+        self.suspects.discard(host)
+
+    def refresh(self) -> list[Move]:
+        """Choose anew among the live hosts and return what moved."""
+        live = {host.incarnation for host in self._hosts.live()}
+        self.suspects &= live
+        hosts = self._candidates()
+        moves = []
+        for pool, former in self._current.items():
+            current = pools.responsible(pool, hosts).incarnation
+            if current != former:
+                moves.append(Move(pool, former, current))
+        for move in moves:
+            self._current[move.pool] = move.current
+        return moves
+
+    def _candidates(self) -> list[routing.EntryHost]:
+        """Return the hosts to choose from; this one stays if all others go."""
+        live = self._hosts.live()
+        chosen = [
+            host
+            for host in live
+            if host.incarnation not in self.suspects
+            and not self._hosts.is_leaving(host)
+        ]
+        return chosen or [
+            host for host in live if host.incarnation == self._own
+        ]
--- /dev/null
+++ b/src/carobfork/coordination/pool_servers.py
@@ -0,0 +1,192 @@
+"""Pool servers: a pool's dispatcher and the holders that it serves."""
+
+import attrs
+
+from carobfork import clock, exceptions
+from carobfork.coordination import (
+    dispatchers,
+    mailboxes,
+    pools,
+    slot_messages,
+)
+from carobfork.state import bundles, identifiers
+
+SILENT_TICKS = 20
+SETTLING_TICKS = 2
+
+
+@attrs.define
+class Holder:
+    """A host with calls open at this pool."""
+
+    open: dict[str, None] = attrs.Factory(dict)
+    silent_ticks: int = 0
+
+
+class PoolServer:
+    """Serve the slots of one pool to all hosts.
+
+    :param pool: the pool.
+    :param bundle: ranks and policies.
+    :param timer: the dispatcher's clock.
+    :param mailbox: carries the answers.
+    """
+
+    def __init__(
+        self,
+        pool: pools.Pool,
+        bundle: bundles.Bundle,
+        timer: clock.Clock,
+        mailbox: mailboxes.Mailbox,
+    ) -> None:
+        """Start without calls."""
+        self.dispatcher = dispatchers.Dispatcher(pool, bundle, timer)
+        self._pool = pool.name
+        self._rank_count = len(bundle.ranks)
+        self._mailbox = mailbox
+        self._settling_ticks = 0
+        self._holders: dict[identifiers.Incarnation, Holder] = {}
+        self._holder_of: dict[str, identifiers.Incarnation] = {}
+
+    def apply(self, pool: pools.Pool, bundle: bundles.Bundle) -> None:
+        """Take over a bundle's workers, ranks and policies."""
+        self._rank_count = len(bundle.ranks)
+        self.dispatcher.apply(pool, bundle)
+        self.grant()
+
+    def ask(self, message: slot_messages.SlotsAsked) -> None:
+        """Queue calls; one that has its slot is told again."""
+        holder = self._heard(message.sender)
+        for request in message.requests:
+            try:
+                self.dispatcher.submit(request)
+            except exceptions.OverloadedError as error:
+                wait_ms = error.retry_after_ms or 0
+                self._refuse(message.sender, request.identifier, wait_ms)
+                continue
+            self._open(message.sender, holder, request.identifier)
+            self._tell_again(request.identifier)
+        self.grant()
+
+    def release(self, message: slot_messages.SlotReleased) -> None:
+        """Forget a call and learn from what was served."""
+        self._heard(message.sender)
+        self._close(message.identifier, message.served)
+        self.grant()
+
+    def compare(self, message: slot_messages.SlotsOpen) -> None:
+        """Answer a holder's summary."""
+        holder = self._heard(message.sender)
+        held = [name for name in holder.open if name in self.dispatcher.granted]
+        matches = (
+            slot_messages.digest(holder.open) == message.open_digest
+            and slot_messages.digest(held) == message.held_digest
+        )
+        waits_ms = tuple(
+            int(self.dispatcher.expected_wait_ms(rank))
+            for rank in range(self._rank_count)
+        )
+        self._mailbox.send(
+            message.sender,
+            slot_messages.SlotsSeen(
+                self._mailbox.own, self._pool, matches, waits_ms
+            ),
+        )
+
+    def reconcile(self, message: slot_messages.SlotsListed) -> None:
+        """Take over a holder's whole list.
+
+        A list that comes before anything else means that another host
+        served the pool: the other holders' lists are awaited for a moment,
+        so that slots already held are not granted twice.
+        """
+        if not self._holders and (message.held or message.waiting):
+            self._settling_ticks = SETTLING_TICKS
+        holder = self._heard(message.sender)
+        held = {holding.request.identifier for holding in message.held}
+        waiting = {request.identifier for request in message.waiting}
+        for identifier in set(holder.open) - held - waiting:
+            self._close(identifier)
+        for holding in message.held:
+            self.dispatcher.adopt(holding.request, holding.worker)
+            self._open(message.sender, holder, holding.request.identifier)
+        for request in message.waiting:
+            self.dispatcher.restore(request)
+            self._open(message.sender, holder, request.identifier)
+            self._tell_again(request.identifier)
+        self.grant()
+
+    def forget_holder(self, sender: identifiers.Incarnation) -> None:
+        """Free all slots of a host that is gone."""
+        holder = self._holders.pop(sender, Holder())
+        for identifier in list(holder.open):
+            self._close(identifier)
+        self.grant()
+
+    def grant(self) -> None:
+        """Grant all slots that can be granted."""
+        if self._settling_ticks:
+            return
+        while (grant := self.dispatcher.grant_next()) is not None:
+            self._tell(grant)
+
+    def tick(self) -> None:
+        """Shorten the queue and forget holders that fell silent."""
+        self._settling_ticks = max(0, self._settling_ticks - 1)
+        for request in self.dispatcher.shorten():
+            sender = self._holder_of[request.identifier]
+            rank = min(request.rank, self._rank_count - 1)
+            wait_ms = self.dispatcher.expected_wait_ms(rank)
+            self._close(request.identifier)
+            self._refuse(sender, request.identifier, wait_ms)
+        for sender, holder in list(self._holders.items()):
+            holder.silent_ticks += 1
+            silent = holder.silent_ticks > SILENT_TICKS
+            if silent or self._mailbox.is_replaced(sender):
+                self.forget_holder(sender)
+        self.grant()
+
+    def _heard(self, sender: identifiers.Incarnation) -> Holder:
+        holder = self._holders.setdefault(sender, Holder())
+        holder.silent_ticks = 0
+        return holder
+
+    def _open(
+        self, sender: identifiers.Incarnation, holder: Holder, identifier: str
+    ) -> None:
+        holder.open[identifier] = None
+        self._holder_of[identifier] = sender
+
+    def _close(self, identifier: str, served=None) -> None:
+        self.dispatcher.release(identifier, served)
+        sender = self._holder_of.pop(identifier, None)
+        holder = self._holders.get(sender)
+        if holder is not None:
+            holder.open.pop(identifier, None)
+
+    def _tell_again(self, identifier: str) -> None:
+        grant = self.dispatcher.granted.get(identifier)
+        if grant is not None:
+            self._tell(grant)
+
+    def _tell(self, grant: dispatchers.Grant) -> None:
+        identifier = grant.request.identifier
+        self._mailbox.send(
+            self._holder_of[identifier],
+            slot_messages.SlotGranted(
+                self._mailbox.own, self._pool, identifier, grant.worker
+            ),
+        )
+
+    def _refuse(
+        self,
+        sender: identifiers.Incarnation,
+        identifier: str,
+        wait_ms: float,
+    ) -> None:
+        self._mailbox.send(
+            sender,
+            slot_messages.SlotRefused(
+                self._mailbox.own, self._pool, identifier, wait_ms
+            ),
+        )
--- a/src/carobfork/coordination/ports.py
+++ b/src/carobfork/coordination/ports.py
@@ -112,6 +112,12 @@
     text: str
     tokens: int
     cached_tokens: int = 0
+    output_tokens: int = 0
+
+    @property
+    def prefilled_tokens(self) -> int:
+        """Prompt tokens that were not found in the engine's cache."""
+        return self.tokens - self.output_tokens - self.cached_tokens
 
 
 class ModelBackend(Protocol):
--- /dev/null
+++ b/src/carobfork/coordination/queues.py
@@ -0,0 +1,59 @@
+"""Queues: the waiting calls of one rank, in the order policy's order."""
+
+import heapq
+
+from carobfork.coordination import orders
+
+_SLACK = 64
+
+
+class RankQueue:
+    """Hold calls in a heap; a call that leaves is dropped when it surfaces.
+
+    :param policy: gives the sort keys.
+    """
+
+    def __init__(self, policy: orders.OrderPolicy) -> None:
+        """Start empty."""
+        self.requests: dict[str, orders.SlotRequest] = {}
+        self._policy = policy
+        self._heap: list[tuple[float, int, str]] = []
+        self._number = 0
+
+    def __len__(self) -> int:
+        """Return how many calls wait."""
+        return len(self.requests)
+
+    def push(self, request: orders.SlotRequest) -> None:
+        """Add a call."""
+        self.requests[request.identifier] = request
+        self._number += 1
+        key = self._policy.key(request)
+        heapq.heappush(self._heap, (key, self._number, request.identifier))
+        if len(self._heap) > 2 * len(self.requests) + _SLACK:
+            self._compact()
+
+    def remove(self, identifier: str) -> orders.SlotRequest | None:
+        """Take a call out, if it waits here."""
+        return self.requests.pop(identifier, None)
+
+    def pop(self) -> orders.SlotRequest | None:
+        """Take out the next call, if there is one."""
+        while self._heap:
+            identifier = heapq.heappop(self._heap)[-1]
+            request = self.requests.pop(identifier, None)
+            if request is not None:
+                return request
+        return None
+
+    def last(self, count: int) -> list[orders.SlotRequest]:
+        """Return the calls that would be served last."""
+        return heapq.nlargest(
+            count, self.requests.values(), key=self._policy.key
+        )
+
+    def _compact(self) -> None:
+        self._heap = [
+            entry for entry in self._heap if entry[-1] in self.requests
+        ]
+        heapq.heapify(self._heap)
--- a/src/carobfork/coordination/slots.py
+++ b/src/carobfork/coordination/slots.py
@@ -1,18 +1,56 @@
 """Slots: permission to use a worker, held for as long as a stream runs."""
 
 import contextlib
-from collections.abc import Iterator
 from typing import Protocol
 
-import attrs
-import gevent
-from gevent import event
+from carobfork import clock
+from carobfork.coordination import limits, orders
 
-from carobfork import clock, exceptions
-from carobfork.coordination import dispatchers, orders
-from carobfork.state import bundles
 
-SLOT_TIMEOUT_MS = 30_000
+class Slot:
+    """A slot on a worker, and what its holder sees of the stream.
+
+    :param worker: the worker's name.
+    :param timer: measures the stream.
+    """
+
+    def __init__(self, worker: str, timer: clock.Clock) -> None:
+        """Start at the grant."""
+        self.worker = worker
+        self._timer = timer
+        self._granted_ms = timer.now_ms()
+        self._first_ms = 0
+        self._last_ms = 0
+        self._output_tokens = 0
+        self._prefilled_tokens = 0
+
+    def touch(self) -> None:
+        """Note that events of the stream came."""
+        self._last_ms = self._timer.now_ms()
+        self._first_ms = self._first_ms or self._last_ms
+
+    def settle(self, output_tokens: int, prefilled_tokens: int) -> None:
+        """Note what the engine computed.
+
+        :param prefilled_tokens: prompt tokens that were not cached.
+        """
+        self._output_tokens = output_tokens
+        self._prefilled_tokens = prefilled_tokens
+
+    def served(self) -> limits.Served:
+        """Return what to report on release."""
+        steps = self._output_tokens - 1
+        between_ms = (
+            (self._last_ms - self._first_ms) / steps if steps > 0 else 0
+        )
+        first_ms = self._first_ms - self._granted_ms if self._first_ms else 0
+        return limits.Served(
+            held_ms=self._timer.now_ms() - self._granted_ms,
+            first_token_ms=first_ms,
+            between_tokens_ms=between_ms,
+            output_tokens=self._output_tokens,
+            prefilled_tokens=self._prefilled_tokens,
+        )
 
 
 class SlotBroker(Protocol):
@@ -20,59 +58,14 @@
 
     def acquire(
         self, request: orders.SlotRequest
-    ) -> contextlib.AbstractContextManager[str]:
-        """Wait for a slot and hold it; the context is the worker's name.
+    ) -> contextlib.AbstractContextManager[Slot]:
+        """Wait for a slot and hold it.
 
         :raises OverloadedError: no slot can be had in time.
         """
 
+    def check_door(self, rank: int, queue_limit_ms: int) -> None:
+        """Check that a new program of a rank may be opened.
 
-class LocalSlots:
-    """Grant slots from dispatchers in this process.
-
-    :param timer: the clock of the dispatchers.
-    """
-
-    def __init__(self, timer: clock.Clock) -> None:
-        """Start without dispatchers; a bundle brings them."""
-        self.dispatchers: dict[str, dispatchers.Dispatcher] = {}
-        self._timer = timer
-        self._granted: dict[str, event.AsyncResult] = {}
-
-    def apply_bundle(self, bundle: bundles.Bundle) -> None:
-        """Start a dispatcher for each model that is new."""
-        for model in bundle.models:
-            if model.name not in self.dispatchers:
-                self.dispatchers[model.name] = dispatchers.Dispatcher(
-                    model, bundle.policy, self._timer
-                )
-
-    @contextlib.contextmanager
-    def acquire(self, request: orders.SlotRequest) -> Iterator[str]:
-        """Wait for a slot and hold it; the context is the worker's name."""
-        dispatcher = self.dispatchers[request.model]
-        arrived = attrs.evolve(request, arrived_ms=self._timer.now_ms())
-        dispatcher.submit(arrived)
-        granted = event.AsyncResult()
-        self._granted[request.identifier] = granted
-        try:
-            yield self._wait(dispatcher, granted)
-        finally:
-            self._granted.pop(request.identifier, None)
-            dispatcher.withdraw(request.identifier)
-            self._grant_all(dispatcher)
-
-    def _wait(
-        self, dispatcher: dispatchers.Dispatcher, granted: event.AsyncResult
-    ) -> str:
-        self._grant_all(dispatcher)
-        try:
-            return granted.get(timeout=clock.to_seconds(SLOT_TIMEOUT_MS))
-        except gevent.Timeout:
-            raise exceptions.OverloadedError(
-                'no slot came free in time', step='queue'
-            ) from None
-
-    def _grant_all(self, dispatcher: dispatchers.Dispatcher) -> None:
-        while (grant := dispatcher.grant_next()) is not None:
-            self._granted[grant.request.identifier].set(grant.worker)
+        :raises OverloadedError: its first call would be refused.
+        """
--- /dev/null
+++ b/src/carobfork/coordination/worker_tables.py
@@ -0,0 +1,84 @@
+"""Worker tables: the workers of a pool as its dispatcher sees them."""
+
+from collections.abc import Iterable, Mapping
+
+from carobfork.coordination import limits, placements, pools
+from carobfork.state import bundles
+
+
+class WorkerTable:
+    """Hold the loads of a pool's workers through changes of bundle."""
+
+    def __init__(self) -> None:
+        """Start without workers."""
+        self.loads: dict[str, placements.WorkerLoad] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._policy: bundles.Policy | None = None
+
+    @property
+    def slot_ms(self) -> float:
+        """Mean time between two slots that come free, 0 where unknown."""
+        loads = [load for load in self.loads.values() if not load.leaving]
+        slots = sum(load.slot_limit for load in loads)
+        holds_ms = [load.hold_ms for load in loads if load.hold_ms]
+        if not holds_ms or not slots:
+            return 0
+        return sum(holds_ms) / len(holds_ms) / slots
+
+    def free(self) -> list[placements.WorkerLoad]:
+        """Return the workers with free slots."""
+        return [load for load in self.loads.values() if load.free > 0]
+
+    def apply(
+        self,
+        pool: pools.Pool,
+        policy: bundles.Policy,
+        busy: Mapping[str, int],
+    ) -> None:
+        """Take over a bundle's workers; those known keep what was learnt.
+
+        :param busy: slots held, by worker.
+        """
+        known = self.loads if self._keeps_limits(policy) else {}
+        self._policy = policy
+        self.loads = {}
+        for worker in pool.workers:
+            load = known.get(worker.name) or self._new_load(worker.name)
+            load.busy = busy.get(worker.name, 0)
+            load.awaited = 0
+            self.loads[worker.name] = load
+        self.mark_leaving(self._leaving)
+
+    def mark_leaving(self, names: Iterable[str]) -> None:
+        """Grant no more slots on these workers, and again on others."""
+        self._leaving = frozenset(names)
+        for load in self.loads.values():
+            load.leaving = load.name in self._leaving
+
+    def adopt(self, name: str) -> None:
+        """Count a slot that another dispatcher had granted."""
+        load = self.loads.get(name)
+        if load is not None:
+            load.adopt_slot()
+
+    def release(self, name: str, served: limits.Served | None) -> None:
+        """Free a slot and learn from it."""
+        load = self.loads.get(name)
+        if load is None:
+            return
+        if served is not None:
+            load.observe(served)
+        load.busy -= 1
+
+    def _keeps_limits(self, policy: bundles.Policy) -> bool:
+        former = self._policy
+        return former is not None and (
+            (former.limit, former.between_tokens_target_ms)
+            == (policy.limit, policy.between_tokens_target_ms)
+        )
+
+    def _new_load(self, name: str) -> placements.WorkerLoad:
+        limiter = limits.LIMITS[self._policy.limit]
+        return placements.WorkerLoad(
+            name, limiter(self._policy.between_tokens_target_ms)
+        )
--- a/src/carobfork/protocol/answers.py
+++ b/src/carobfork/protocol/answers.py
@@ -26,6 +26,7 @@
 @attrs.frozen
 class _Usage:
     total_tokens: int = 0
+    completion_tokens: int = 0
     prompt_tokens_details: _PromptDetails | None = None
 
 
@@ -64,10 +65,11 @@
         for choice in chunk.choices
     ]
     usages = [chunk.usage for chunk in chunks if chunk.usage]
-    usage = usages[-1] if usages else _Usage(total_tokens=len(parts))
+    usage = usages[-1] if usages else _Usage(len(parts), len(parts))
     details = usage.prompt_tokens_details or _PromptDetails()
     return ports.ModelAnswer(
         text=''.join(parts),
         tokens=usage.total_tokens,
         cached_tokens=details.cached_tokens,
+        output_tokens=usage.completion_tokens,
     )
--- a/src/carobfork/state/bundles.py
+++ b/src/carobfork/state/bundles.py
@@ -104,6 +104,10 @@
 
     order: str = 'least_attained'
     placement: str = 'affinity'
+    limit: str = 'aimd'
+    admission: str = 'by_program'
+    between_tokens_target_ms: int = 45
+    """Longest mean time between tokens that an engine should show."""
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,236 @@
+"""Slots across hosts: order, lost messages, deaths, freezes and bundles."""
+
+import unittest
+
+import gevent
+
+from carobfork import exceptions
+from carobfork.coordination import limits, slot_messages
+from tests import slot_hosts
+
+SLOTS = 2 * limits.INITIAL_SLOTS
+
+
+class SlotsTest(unittest.TestCase):
+    """Every test drives three hosts on a manual clock."""
+
+    def setUp(self):
+        """Start three hosts with two workers."""
+        self.network = slot_hosts.Network()
+        self.roll()
+        self.held = []
+
+    def tearDown(self):
+        """End all calls."""
+        gevent.killall([call.greenlet for call in self.held])
+
+    def roll(self, **bundle):
+        """Put a bundle in force everywhere."""
+        for host in self.network.hosts:
+            host.apply(slot_hosts.make_bundle(limit='fixed', **bundle))
+
+    def hold(self, host, name, **fields):
+        """Let a host hold a call."""
+        call = host.hold(slot_hosts.make_request(name, **fields))
+        self.held.append(call)
+        return call
+
+    def fill(self, host):
+        """Hold all slots by one host's calls."""
+        return [self.hold(host, f'full-{name}') for name in range(SLOTS)]
+
+    def test_order_across_hosts(self):
+        """An urgent call passes routine ones that wait at other hosts."""
+        first, second = self.network.others()
+        full = self.fill(first)
+        routine = self.hold(first, 'routine', rank=1)
+        urgent = self.hold(second, 'urgent', rank=0)
+        full[0].end()
+        self.assertTrue(urgent.worker)
+        self.assertFalse(routine.worker)
+
+    def test_late_binding(self):
+        """A waiting call gets whichever worker comes free."""
+        full = self.fill(self.network.hosts[0])
+        waiting = self.hold(self.network.hosts[1], 'waiting')
+        full[-1].end()
+        self.assertEqual(waiting.worker, full[-1].worker)
+
+    def test_lost_ask(self):
+        """An ask that got lost is found by the holder's summary."""
+        self.network.lost_kinds = (slot_messages.SlotsAsked,)
+        call = self.hold(self.network.others()[0], 'a')
+        self.assertFalse(call.worker)
+        self.network.tick(count=3)
+        gevent.sleep(0)
+        self.assertTrue(call.worker)
+
+    def test_lost_grant(self):
+        """A grant that got lost is told again."""
+        self.network.lost_kinds = (slot_messages.SlotGranted,)
+        call = self.hold(self.network.others()[0], 'a')
+        self.network.lost_kinds = ()
+        self.network.tick()
+        gevent.sleep(0)
+        self.assertTrue(call.worker)
+        self.assertEqual(self.network.server().slots(), {'a'})
+
+    def test_lost_release(self):
+        """A slot whose release got lost is freed by the summary."""
+        holder = self.network.others()[0]
+        call = self.hold(holder, 'a')
+        staying = self.hold(holder, 'b')
+        self.network.lost_kinds = (slot_messages.SlotReleased,)
+        call.end()
+        self.assertEqual(self.network.server().slots(), {'a', 'b'})
+        self.network.tick()
+        self.assertEqual(self.network.server().slots(), {'b'})
+        self.assertTrue(staying.worker)
+
+    def test_dead_holder(self):
+        """The slots of a host that died go to others."""
+        holder, other = self.network.others()
+        self.fill(holder)
+        waiting = self.hold(other, 'waiting')
+        self.network.cut.add(holder.entry.incarnation)
+        self.network.bury(holder)
+        gevent.sleep(0)
+        self.assertTrue(waiting.worker)
+
+    def test_silent_holder(self):
+        """The slots of a holder that nobody monitors are freed in time."""
+        holder, other = self.network.others()
+        self.fill(holder)
+        waiting = self.hold(other, 'waiting')
+        self.network.cut.add(holder.entry.incarnation)
+        self.network.tick(count=25)
+        gevent.sleep(0)
+        self.assertTrue(waiting.worker)
+
+    def test_thawed_holder(self):
+        """A holder that was given up tells of its slots when it is back."""
+        holder, other = self.network.others()
+        call = self.hold(holder, 'a')
+        self.hold(other, 'b')
+        self.network.cut.add(holder.entry.incarnation)
+        self.network.tick(count=25)
+        self.assertEqual(self.network.server().slots(), {'b'})
+        self.network.cut.clear()
+        self.network.tick()
+        self.assertEqual(self.network.server().slots(), {'a', 'b'})
+        self.assertTrue(call.worker)
+
+    def test_dead_dispatcher(self):
+        """The next host learns of held slots and waiting calls."""
+        first, second = self.network.others()
+        full = self.fill(first)
+        routine = self.hold(first, 'routine', rank=1)
+        urgent = self.hold(second, 'urgent', rank=0)
+        dead = self.network.server()
+        self.network.cut.add(dead.entry.incarnation)
+        self.network.bury(dead)
+        self.assertIsNot(self.network.server(), dead)
+        self.network.tick(count=2)
+        self.assertEqual(len(self.network.server().slots()), SLOTS)
+        full[0].end()
+        self.assertTrue(urgent.worker)
+        self.assertFalse(routine.worker)
+
+    def test_held_slots_are_awaited(self):
+        """A new dispatcher grants nothing before all holders told it."""
+        first, second = self.network.others()
+        for number in range(SLOTS):
+            self.hold((first, second)[number % 2], f'full-{number}')
+        waiting = self.hold(first, 'waiting')
+        dead = self.network.server()
+        self.network.cut.add(dead.entry.incarnation)
+        self.network.bury(dead)
+        self.network.tick(count=3)
+        gevent.sleep(0)
+        self.assertFalse(waiting.worker)
+
+    def test_frozen_dispatcher(self):
+        """A dispatcher that answers no more is passed over until it does."""
+        frozen = self.network.server()
+        holder = self.network.others()[0]
+        self.network.cut.add(frozen.entry.incarnation)
+        call = self.hold(holder, 'a')
+        self.network.tick(count=8)
+        gevent.sleep(0)
+        self.assertTrue(call.worker)
+        self.network.cut.clear()
+        self.network.tick(count=2)
+        self.assertEqual(frozen.slots(), {'a'})
+        self.assertEqual(holder.routes.suspects, set())
+
+    def test_late_grant(self):
+        """A grant for a call that has ended is given back."""
+        holder = self.network.others()[0]
+        self.network.lost_kinds = (slot_messages.SlotReleased,)
+        call = self.hold(holder, 'a')
+        call.end()
+        self.network.lost_kinds = ()
+        server = self.network.server()
+        server.send(
+            holder.entry.peer_address,
+            slot_messages.SlotGranted(
+                server.entry.incarnation, slot_hosts.POOL, 'a', 'engine-0'
+            ),
+        )
+        self.assertEqual(server.slots(), set())
+
+    def test_worker_added(self):
+        """A new worker's slots go to the calls that wait."""
+        host = self.network.hosts[0]
+        self.fill(host)
+        waiting = self.hold(host, 'waiting')
+        self.roll(version=2, workers=3)
+        gevent.sleep(0)
+        self.assertEqual(waiting.worker, 'engine-2')
+
+    def test_worker_removed(self):
+        """A removed worker gets no calls; its slots run out."""
+        full = self.fill(self.network.hosts[0])
+        self.roll(version=2, workers=1)
+        waiting = self.hold(self.network.hosts[1], 'waiting')
+        for call in full:
+            if call.worker == 'engine-1':
+                call.end()
+        self.assertFalse(waiting.worker)
+        next(call for call in full if call.worker == 'engine-0').end()
+        self.assertEqual(waiting.worker, 'engine-0')
+
+    def test_model_removed(self):
+        """Calls that wait for a model that is gone are refused."""
+        host = self.network.hosts[0]
+        self.fill(host)
+        waiting = self.hold(host, 'waiting')
+        self.roll(version=2, workers=0)
+        gevent.sleep(0)
+        self.assertIsInstance(waiting.error, exceptions.NotRunError)
+
+    def test_leaving_worker(self):
+        """A leaving worker gets no calls until it is taken off the list."""
+        for host in self.network.hosts:
+            host.pool_host.mark_leaving(['engine-0'])
+        full = self.fill(self.network.hosts[0])
+        workers = [call.worker for call in full]
+        self.assertEqual(workers.count('engine-1'), limits.INITIAL_SLOTS)
+        self.assertEqual(workers.count(''), limits.INITIAL_SLOTS)
+        for host in self.network.hosts:
+            host.pool_host.mark_leaving([])
+        gevent.sleep(0)
+        self.assertEqual(full[-1].worker, 'engine-0')
+
+    def test_repeated_ask(self):
+        """An ask that arrives twice gets one slot."""
+        holder = self.network.others()[0]
+        call = self.hold(holder, 'a')
+        server = self.network.server()
+        holder.send(
+            server.entry.peer_address,
+            slot_messages.SlotsAsked(
+                holder.entry.incarnation, slot_hosts.POOL, (call.request,)
+            ),
+        )
+        self.assertEqual(server.slots(), {'a'})
