--- a/src/carobfork/coordination/admissions.py
+++ b/src/carobfork/coordination/admissions.py
@@ -8,8 +8,9 @@
 
 import attrs
 
-NEW_PROGRAM_PART = 0.5
-CROWDED_KIND_LIMIT = 2
+NEW_PROGRAM_PART = 0.25
+STARTED_PROGRAM_PART = 2
+RARE_KIND_PART = 2
 
 
 @attrs.frozen
@@ -59,9 +60,7 @@
     A kind with less than its part of the queue is refused later, so that a
     flood of one kind leaves room for the others.
     """
-    limit_ms = arrival.queue_limit_ms
-    if not arrival.started:
-        limit_ms *= NEW_PROGRAM_PART
+    part = STARTED_PROGRAM_PART if arrival.started else NEW_PROGRAM_PART
     if arrival.kind_part * arrival.kinds < 1:
-        limit_ms *= CROWDED_KIND_LIMIT
-    return arrival.expected_wait_ms <= limit_ms
+        part *= RARE_KIND_PART
+    return arrival.expected_wait_ms <= arrival.queue_limit_ms * part
--- a/src/carobfork/coordination/backlogs.py
+++ b/src/carobfork/coordination/backlogs.py
@@ -110,7 +110,7 @@
         beyond = []
         for rank, queue in enumerate(self._queues):
             limit_ms = self._ranks[rank].queue_limit_ms
-            limit_ms *= admissions.CROWDED_KIND_LIMIT
+            limit_ms *= admissions.STARTED_PROGRAM_PART
             kept = int(limit_ms * self._part(rank) / slot_ms) + 1
             if len(queue) > kept:
                 beyond.extend(queue.last(len(queue) - kept))
--- a/src/carobfork/coordination/queues.py
+++ b/src/carobfork/coordination/queues.py
@@ -47,9 +47,14 @@
         return None
 
     def last(self, count: int) -> list[orders.SlotRequest]:
-        """Return the calls that would be served last."""
+        """Return calls to give up: of new programs, then the last ones."""
         return heapq.nlargest(
-            count, self.requests.values(), key=self._policy.key
+            count,
+            self.requests.values(),
+            key=lambda request: (
+                not request.started,
+                self._policy.key(request),
+            ),
         )
 
     def _compact(self) -> None:
--- /dev/null
+++ b/tests/test_dispatchers.py
@@ -0,0 +1,225 @@
+"""Dispatchers: floors, admission, placement and ageing on a manual clock."""
+
+import unittest
+
+from carobfork import clock, exceptions
+from carobfork.coordination import dispatchers, limits, orders, pools
+from tests import slot_hosts
+
+CALLS = 400
+TOKENS = 100
+HOLD_MS = 1000
+SERVED = limits.Served(held_ms=HOLD_MS, output_tokens=TOKENS)
+
+
+class DispatcherTest(unittest.TestCase):
+    """One dispatcher with two workers of four slots."""
+
+    def setUp(self):
+        """Start with the policies that are the default."""
+        self.start(admission='all')
+
+    def start(self, **policy):
+        """Start a dispatcher."""
+        self.timer = clock.ManualClock()
+        self.bundle = slot_hosts.make_bundle(limit='fixed', **policy)
+        pool = pools.split(self.bundle.models[0])[0]
+        self.dispatcher = dispatchers.Dispatcher(pool, self.bundle, self.timer)
+
+    def submit(self, name, rank=0, **fields):
+        """Queue a call."""
+        self.dispatcher.submit(slot_hosts.make_request(name, rank, **fields))
+
+    def flood(self, rank, count=CALLS):
+        """Queue many calls of a rank."""
+        for number in range(count):
+            self.submit(f'{rank}-{number}', rank)
+
+    def serve(self, rounds):
+        """Serve whole rounds of slots and return the calls by rank."""
+        served = [0, 0]
+        for _ in range(rounds):
+            grants = list(iter(self.dispatcher.grant_next, None))
+            self.timer.advance(HOLD_MS)
+            for grant in grants:
+                served[grant.request.rank] += 1
+                self.dispatcher.release(grant.request.identifier, SERVED)
+        return served
+
+    def test_floor_in_urgent_flood(self):
+        """Routine work keeps nine tenths of its share at least."""
+        self.flood(rank=0)
+        self.flood(rank=1)
+        urgent, routine = self.serve(rounds=40)
+        self.assertGreaterEqual(routine, 0.9 * 0.2 * (urgent + routine))
+        self.assertLessEqual(routine, 0.25 * (urgent + routine))
+
+    def test_floor_in_routine_flood(self):
+        """A rare urgent call is served next, whatever waits."""
+        self.flood(rank=1)
+        self.serve(rounds=10)
+        self.submit('urgent')
+        grant = self.dispatcher.grant_next()
+        self.assertEqual(grant.request.identifier, 'urgent')
+
+    def test_unused_share_is_not_saved(self):
+        """A rank without waiting calls is owed nothing afterwards."""
+        self.flood(rank=0)
+        self.serve(rounds=20)
+        self.flood(rank=1)
+        grants = list(iter(self.dispatcher.grant_next, None))
+        routine = [grant for grant in grants if grant.request.rank == 1]
+        self.assertLessEqual(len(routine), 2)
+
+    def test_charges_are_settled(self):
+        """The floor counts what was served, not what was estimated."""
+        self.flood(rank=0)
+        self.flood(rank=1)
+        tokens = [0, 0]
+        for _ in range(40):
+            for grant in list(iter(self.dispatcher.grant_next, None)):
+                rank = grant.request.rank
+                served = 1000 if rank else 100
+                tokens[rank] += served
+                self.dispatcher.release(
+                    grant.request.identifier,
+                    limits.Served(held_ms=1, output_tokens=served),
+                )
+        self.assertAlmostEqual(tokens[1] / sum(tokens), 0.2, delta=0.05)
+
+    def test_short_call_is_settled(self):
+        """A call that served less than estimated costs its rank no more."""
+        self.submit('short', rank=0)
+        self.flood(rank=1, count=20)
+        grant = self.dispatcher.grant_next()
+        self.dispatcher.release(
+            grant.request.identifier, limits.Served(output_tokens=10)
+        )
+        owed = self.dispatcher.backlog.floor.deficits_tokens
+        self.assertEqual(grant.request.identifier, 'short')
+        self.assertAlmostEqual(owed[1], 10 * 0.2)
+
+    def test_least_attained_first(self):
+        """Within a rank the program served least is next."""
+        self.submit('much', attained_tokens=9000)
+        self.submit('little', attained_tokens=10)
+        grant = self.dispatcher.grant_next()
+        self.assertEqual(grant.request.identifier, 'little')
+
+    def test_ageing(self):
+        """A call that has waited long enough passes fresh programs."""
+        self.submit('much', attained_tokens=9000)
+        self.timer.advance(9000 / orders.AGEING_TOKENS_PER_MS + 1)
+        self.submit('fresh')
+        grant = self.dispatcher.grant_next()
+        self.assertEqual(grant.request.identifier, 'much')
+
+    def test_new_programs_are_refused_first(self):
+        """In an overload the programs under way go on."""
+        self.start(admission='by_program')
+        self.flood(rank=1, count=8)
+        self.serve(rounds=1)
+        self.flood(rank=1, count=5 * 8)
+        with self.assertRaises(exceptions.OverloadedError) as caught:
+            self.submit('new', rank=1, started=False)
+        self.assertEqual(caught.exception.outcome, exceptions.Outcome.not_run)
+        self.assertGreater(caught.exception.retry_after_ms, 0)
+        self.submit('under way', rank=1, started=True)
+        self.submit('urgent', rank=0, started=False)
+
+    def test_rare_kind_is_refused_later(self):
+        """A flood of one kind leaves room for another."""
+        self.start(admission='by_program')
+        self.submit('first', rank=1)
+        self.serve(rounds=1)
+        for number in range(12):
+            self.submit(f'draft-{number}', rank=1, kind='draft')
+        with self.assertRaises(exceptions.OverloadedError):
+            self.submit('draft', rank=1, kind='draft', started=False)
+        self.submit('answer', rank=1, kind='answer', started=False)
+
+    def test_queue_is_shortened(self):
+        """Calls beyond the limit are given up, new programs' first."""
+        self.start(admission='by_program')
+        self.flood(rank=1, count=8)
+        self.submit('old', rank=1, attained_tokens=10**6)
+        for number in range(300):
+            self.submit(f'new-{number}', rank=1, started=False)
+        self.assertEqual(self.dispatcher.shorten(), [])
+        self.serve(rounds=1)
+        given_up = self.dispatcher.shorten()
+        self.assertGreater(len(given_up), 200)
+        self.assertNotIn('old', {call.identifier for call in given_up})
+
+    def test_waits_for_cached_prefix(self):
+        """A call waits for its worker while that is cheaper than a prefill."""
+        self.start(admission='all', placement='affinity_by_cost')
+        self.submit('first', rank=1, last_worker='engine-0')
+        self.serve(rounds=1)
+        for number in range(limits.INITIAL_SLOTS):
+            self.submit(f'full-{number}', last_worker='engine-0')
+            self.dispatcher.grant_next()
+        self.submit('long', last_worker='engine-0', prompt_tokens=10_000)
+        self.assertIsNone(self.dispatcher.grant_next())
+        self.submit('short', last_worker='engine-0', prompt_tokens=1000)
+        self.assertEqual(self.dispatcher.grant_next().worker, 'engine-1')
+        self.dispatcher.release('full-0', SERVED)
+        self.assertEqual(self.dispatcher.grant_next().worker, 'engine-0')
+
+    def test_wait_for_prefix_is_bounded(self):
+        """Waiting lasts no longer than the prefill that it saves."""
+        self.start(admission='all', placement='affinity_by_cost')
+        for number in range(limits.INITIAL_SLOTS):
+            self.submit(f'full-{number}', last_worker='engine-0')
+            self.dispatcher.grant_next()
+        self.submit('long', last_worker='engine-0', prompt_tokens=10_000)
+        self.assertIsNone(self.dispatcher.grant_next())
+        self.timer.advance(1001)
+        self.assertEqual(self.dispatcher.grant_next().worker, 'engine-1')
+
+    def test_policies_switch_at_run_time(self):
+        """A new bundle's policies order the calls that wait already."""
+        self.submit('a', rank=1)
+        self.timer.advance(1)
+        self.submit('b', rank=0)
+        bundle = slot_hosts.make_bundle(limit='fixed', order='fifo')
+        self.dispatcher.apply(pools.split(bundle.models[0])[0], bundle)
+        grant = self.dispatcher.grant_next()
+        self.assertEqual(grant.request.identifier, 'a')
+
+
+class LimitTest(unittest.TestCase):
+    """Slot limits follow an engine whose step grows with its batch."""
+
+    def settle(self, name, target_ms, step_ms):
+        """Return the limit reached after many calls."""
+        limiter = limits.LIMITS[name](target_ms)
+        for _ in range(3000):
+            busy = limiter.limit
+            between_ms = step_ms(busy)
+            limiter.observe(limits.Served(between_tokens_ms=between_ms), busy)
+        return limiter.limit
+
+    def test_aimd_meets_target(self):
+        """The limit stays where between-token times meet the target."""
+        limit = self.settle('aimd', 20, lambda busy: 4 + busy)
+        self.assertIn(limit, range(12, 18))
+
+    def test_gradient_stops_at_saturation(self):
+        """The limit stays about where throughput stops to grow."""
+        limit = self.settle('gradient', 0, lambda busy: max(4, busy / 4))
+        self.assertIn(limit, range(12, 24))
+
+    def test_missing_reports(self):
+        """Calls that report nothing change nothing."""
+        for name in limits.LIMITS:
+            limiter = limits.LIMITS[name](20)
+            limiter.observe(limits.Served(), 4)
+            self.assertEqual(limiter.limit, limits.INITIAL_SLOTS)
+
+    def test_idle_engine_keeps_limit(self):
+        """Slots that are not used are no reason for more of them."""
+        limiter = limits.LIMITS['aimd'](20)
+        for _ in range(100):
+            limiter.observe(limits.Served(between_tokens_ms=4), busy=1)
+        self.assertEqual(limiter.limit, limits.INITIAL_SLOTS)
