--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -6,21 +6,21 @@
 import attrs
 import gevent
 
-from carobfork import clock
+from carobfork import clock, recording
 from carobfork.coordination import (
     control,
     homes,
-    journals,
     mailboxes,
     membership,
     model_calls,
     peer_slots,
     pool_hosts,
     pool_routes,
+    registrations,
     routing,
     service_calls,
 )
-from carobfork.protocol import callers, codecs, documents, operators, signatures
+from carobfork.protocol import callers, documents, operators, signatures
 from carobfork.state import bundles, identifiers, programs
 from carobfork.transport import (
     engines,
@@ -66,22 +66,30 @@
 
     def __enter__(self) -> 'EntryHost':
         """Register, follow the control objects and listen."""
-        self.own = control.register_host(self.store, self._describe)
-        self.directory.note(self.own)
+        self.registration = registrations.Registration(
+            self.store, self.directory, self._describe
+        )
+        own = self.registration.register()
         self.link = self._exits.enter_context(self._build_link())
         self.watch = self._build_watch()
         self.members = membership.Membership(
-            self.own, self.directory, self.link, self.holder, self.timer
-        )
-        self.journal = journals.Journal(
-            self.store,
-            codecs.MsgpackRecordCodec(),
-            self.own.incarnation,
-            self.table.apply,
+            own, self.directory, self.link, self.holder, self.timer
         )
         self._build_slots()
-        self._start(self.journal.run, self.watch.run, self.members.run)
+        self.recording = recording.Recording(self.store, self.table, self.timer)
+        self.home = homes.Home(
+            self.recording.open_journal(own.incarnation),
+            self.table,
+            self.holder,
+            self.broker,
+        )
+        self._start(self.watch.run, self.members.run)
         self._start(self.pool_host.run, self.broker.run)
+        self._exits.enter_context(
+            self.recording.keep(
+                self.home, self.registration, self.members, self.link
+            )
+        )
         self._listen()
         return self
 
@@ -98,17 +106,14 @@
     def describe_state(self) -> dict:
         """Return the state dump as JSON-ready fields."""
         return {
-            'incarnation': str(self.own.incarnation),
+            'incarnation': str(self.members.own.incarnation),
             'bundle_version': self.holder.version,
             'programs': len(self.table.programs),
             'live_hosts': [
                 str(host.incarnation) for host in self.members.live()
             ],
-            'journal': {
-                'sealed': self.journal.sealed,
-                'records_committed': self.journal.records_committed,
-                'platform_writes': self.journal.platform_writes,
-            },
+            'service_calls_under_way': self.services.under_way,
+            **self.recording.describe(),
             'peers': attrs.asdict(self.link.traffic),
             'pools': [attrs.asdict(pool) for pool in self.pool_host.describe()],
         }
@@ -137,15 +142,15 @@
         self.members.on_death(self.broker.reroute)
 
     def _build_parts(self) -> callers.CallerParts:
-        home = homes.Home(self.journal, self.table, self.holder, self.broker)
-        backend = services.HttpServiceBackend()
+        home = self.home
+        self.services = service_calls.ServiceCaller(
+            home, services.HttpServiceBackend(), self.timer
+        )
         return callers.CallerParts(
             home=home,
-            router=routing.Router(
-                self.own.incarnation, self.table, self.members
-            ),
+            router=routing.Router(self.table, self.members),
             models=model_calls.ModelCaller(home, engines.HttpModelBackend()),
-            services=service_calls.ServiceCaller(home, backend),
+            services=self.services,
             forwarder=forwarders.HttpForwarder(),
         )
 
--- a/src/carobfork/coordination/limits.py
+++ b/src/carobfork/coordination/limits.py
@@ -78,12 +78,17 @@
     """Add a slot while between-token times meet the target, else cut.
 
     One round of samples, as many as there are slots, changes the limit once,
-    so that a change shows before the next one.
+    so that a change shows before the next one. Far below the target half as
+    many slots again are added, as times grow no faster than the slots.
 
-    :param target_ms: longest mean time between tokens.
+    :param target_ms: longest time between tokens.
     """
 
     decrease = 0.8
+    increase = 1.5
+    target_part = 0.9
+    """What the mean of a round may reach, so that the tail meets the target."""
+    headroom_part = 0.5
 
     def __init__(self, target_ms: float) -> None:
         """Start with the initial limit."""
@@ -101,10 +106,14 @@
             self._round = _Round()
 
     def _adjust(self, seen: '_Round') -> None:
-        if seen.between_tokens_ms > self._target_ms:
+        reached = seen.between_tokens_ms / self._target_ms
+        if reached > self.target_part:
             self.limit = max(MIN_SLOTS, int(self.limit * self.decrease))
         elif seen.most_busy >= self.limit:
-            self.limit = min(MAX_SLOTS, self.limit + 1)
+            more = self.limit + 1
+            if reached < self.headroom_part:
+                more = int(self.limit * self.increase)
+            self.limit = min(MAX_SLOTS, more)
 
 
 @register('gradient')
--- a/src/carobfork/coordination/peer_slots.py
+++ b/src/carobfork/coordination/peer_slots.py
@@ -15,10 +15,10 @@
     mailboxes,
     orders,
     pool_routes,
+    pool_waits,
     pools,
     slot_messages,
     slots,
-    waits,
 )
 from carobfork.state import bundles, identifiers
 
@@ -44,7 +44,7 @@
     ) -> None:
         """Start without claims; a bundle brings the pools."""
         self._claims = claims.ClaimTable(mailbox.own)
-        self._waits = waits.WaitTable(timer)
+        self._waits = pool_waits.WaitTable(timer)
         self._mailbox = mailbox
         self._routes = routes
         self._timer = timer
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -51,7 +51,6 @@
                 ).with_reporter(reporters.PythonNativeReporter()),
             )
 
-    # The runner finds a single test by its function's own name.
     play.__name__ = f'test_{path.stem}'
     setattr(ScenarioTest, play.__name__, play)
 
