Keep calls from workers that fail, and calls from a former holder apart

Cause: an engine that refuses connections frees its slots at once and drew every waiting call; a call taken over by another host lost its slot when its former holder was forgotten.

Change: a failed call pauses its worker for 200 ms, doubled up to 6.4 s, and one call at a time finds out whether it is over. A call may name workers to avoid. Only the host that opened a call last can close it. Pool hosts ask for unusable workers at every grant round.

Seen failing first, mechanism switched off on a scratch copy: one test each (test_failing_worker_is_tried_rarely, test_avoided_worker, test_call_taken_over).

--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -136,8 +136,10 @@
         routes = pool_routes.PoolRoutes(own, self.members)
         self.pool_host = pool_hosts.PoolHost(mailbox, self.timer)
         self.broker = peer_slots.PeerSlots(mailbox, routes, self.timer)
-        self.holder.subscribe(self.pool_host.apply_bundle)
-        self.holder.subscribe(self.broker.apply_bundle)
+        for part in (self.pool_host, self.broker):
+            self.holder.subscribe(part.apply_bundle)
+            if self.holder.version:
+                part.apply_bundle(self.holder.current)
         self.members.on_death(self.pool_host.forget_host)
         self.members.on_death(self.broker.reroute)
 
--- a/src/carobfork/coordination/dispatchers.py
+++ b/src/carobfork/coordination/dispatchers.py
@@ -51,7 +51,7 @@
         """Start with every worker idle."""
         self.backlog = backlogs.Backlog(bundle)
         self.granted: dict[str, Grant] = {}
-        self.workers = worker_tables.WorkerTable()
+        self.workers = worker_tables.WorkerTable(timer)
         self._timer = timer
         self._account = accounts.Account(lambda: self.backlog.waiting())
         self.apply(pool, bundle)
@@ -153,7 +153,10 @@
             request = self.backlog.pop(rank)
             if request is None:
                 break
-            load = self._placer.place(request, free, self.workers.loads)
+            fresh = [load for load in free if load.name not in request.avoided]
+            load = self._placer.place(
+                request, fresh or free, self.workers.loads
+            )
             if load is None:
                 passed.append(request)
             else:
--- a/src/carobfork/coordination/limits.py
+++ b/src/carobfork/coordination/limits.py
@@ -28,6 +28,8 @@
     output_tokens: int = 0
     prefilled_tokens: int = 0
     """Prompt tokens that were not in the engine's cache."""
+    failed: bool = False
+    """Whether the engine could not be reached or broke off."""
 
     @property
     def tokens(self) -> int:
--- a/src/carobfork/coordination/orders.py
+++ b/src/carobfork/coordination/orders.py
@@ -32,6 +32,8 @@
     """The program's kind."""
     started: bool = True
     """Whether the program, or its parent, has been served before."""
+    avoided: tuple[str, ...] = ()
+    """Workers at which the call failed, to be avoided where others are."""
     waited_ms: float = 0
     """What the call has waited already, by its holder's clock."""
 
--- a/src/carobfork/coordination/peer_slots.py
+++ b/src/carobfork/coordination/peer_slots.py
@@ -12,6 +12,7 @@
     admissions,
     backlogs,
     claims,
+    limits,
     mailboxes,
     orders,
     pool_routes,
@@ -77,6 +78,9 @@
             slot = self._wait(claim)
             yield slot
             served = slot.served()
+        except exceptions.ConnectionFailedError:
+            served = limits.Served(failed=True)
+            raise
         finally:
             self._claims.remove(claim)
             self._send(
--- a/src/carobfork/coordination/placements.py
+++ b/src/carobfork/coordination/placements.py
@@ -11,6 +11,8 @@
 from carobfork.coordination import limits, orders
 
 DEFAULT_PREFILL_TOKENS_PER_MS = 10
+FIRST_RETRY_MS = 200
+MAX_DOUBLINGS = 5
 _WEIGHT = 0.1
 
 
@@ -29,6 +31,10 @@
     hold_ms: float = 0
     """How long a slot is held on average, 0 where unknown."""
     prefill_tokens_per_ms: float = DEFAULT_PREFILL_TOKENS_PER_MS
+    failures: int = 0
+    """Calls that failed since one succeeded."""
+    retry_at_ms: float = 0
+    """When a call may try a worker again that failed."""
 
     @property
     def slot_limit(self) -> int:
@@ -37,14 +43,28 @@
 
     @property
     def free(self) -> int:
-        """Slots that may be granted now."""
+        """Slots that may be granted now, but for failures."""
         return 0 if self.leaving else self.slot_limit - self.busy
 
+    def is_free(self, now_ms: float) -> bool:
+        """Tell whether a slot may be granted.
+
+        After a failure, one call at a time finds out whether it is over.
+        """
+        if self.failures and (self.busy or now_ms < self.retry_at_ms):
+            return False
+        return self.free > 0
+
     @property
     def next_free_ms(self) -> float:
         """How long until a slot comes free for one more call."""
         return self.hold_ms * (self.awaited + 1) / max(self.busy, 1)
 
+    def is_awaitable(self, request: orders.SlotRequest) -> bool:
+        """Tell whether a call may wait for this worker."""
+        failing = self.failures or self.name in request.avoided
+        return not failing and not self.leaving
+
     def adopt_slot(self) -> None:
         """Count a slot that another dispatcher had granted.
 
@@ -53,8 +73,14 @@
         self.busy += 1
         self.limiter.limit = max(self.limiter.limit, self.busy)
 
-    def observe(self, served: limits.Served) -> None:
+    def observe(self, served: limits.Served, now_ms: float) -> None:
         """Learn from a slot that was released."""
+        if served.failed:
+            doublings = min(self.failures, MAX_DOUBLINGS)
+            self.failures += 1
+            self.retry_at_ms = now_ms + (FIRST_RETRY_MS << doublings)
+            return
+        self.failures = 0
         self.limiter.observe(served, self.busy)
         self.hold_ms = average(self.hold_ms, served.held_ms)
         if served.first_token_ms and served.prefilled_tokens:
@@ -128,7 +154,7 @@
     """
     best = cached_prefix(request, choice)
     cached = choice.workers.get(request.last_worker)
-    if cached is None or cached.leaving or best is cached:
+    if cached is None or best is cached or not cached.is_awaitable(request):
         return best
     prefill_ms = request.prompt_tokens / best.prefill_tokens_per_ms
     if choice.passed_ms + cached.next_free_ms < prefill_ms:
--- a/src/carobfork/coordination/pool_hosts.py
+++ b/src/carobfork/coordination/pool_hosts.py
@@ -5,7 +5,7 @@
 calls too many.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 import gevent
@@ -51,12 +51,19 @@
 
     :param mailbox: carries the messages.
     :param timer: the dispatchers' clock.
+    :param unusable: returns the workers that are leaving or out of order.
     """
 
-    def __init__(self, mailbox: mailboxes.Mailbox, timer: clock.Clock) -> None:
+    def __init__(
+        self,
+        mailbox: mailboxes.Mailbox,
+        timer: clock.Clock,
+        unusable: Callable[[], Iterable[str]] = tuple,
+    ) -> None:
         """Start without pools; a bundle brings them."""
         self._mailbox = mailbox
         self._timer = timer
+        self._unusable = unusable
         self._bundle: bundles.Bundle | None = None
         self._pools: dict[str, pools.Pool] = {}
         self._leaving: frozenset[str] = frozenset()
@@ -78,7 +85,10 @@
 
     def mark_leaving(self, workers: Iterable[str]) -> None:
         """Grant no more slots on these workers, and again on all others."""
-        self._leaving = frozenset(workers)
+        leaving = frozenset(workers)
+        if leaving == self._leaving:
+            return
+        self._leaving = leaving
         for server in self._servers.values():
             server.dispatcher.workers.mark_leaving(self._leaving)
             server.grant()
@@ -98,6 +108,7 @@
 
     def grant(self) -> None:
         """Grant slots to calls that have waited for their worker enough."""
+        self.mark_leaving(self._unusable())
         for server in self._servers.values():
             if len(server.dispatcher.backlog):
                 server.grant()
@@ -113,7 +124,7 @@
         servers = list(self._servers.items())[:DUMPED_POOLS]
         return [_describe(name, server) for name, server in servers]
 
-    def _passing(self, action):
+    def _passing(self, action: Callable) -> Callable:
         """Return a handler that finds a message's pool and acts on it."""
 
         def handle(message) -> None:  # noqa: WPS430
--- a/src/carobfork/coordination/pool_servers.py
+++ b/src/carobfork/coordination/pool_servers.py
@@ -5,6 +5,7 @@
 from carobfork import clock, exceptions
 from carobfork.coordination import (
     dispatchers,
+    limits,
     mailboxes,
     pools,
     slot_messages,
@@ -71,7 +72,7 @@
     def release(self, message: slot_messages.SlotReleased) -> None:
         """Forget a call and learn from what was served."""
         self._heard(message.sender)
-        self._close(message.identifier, message.served)
+        self._close(message.sender, message.identifier, message.served)
         self.grant()
 
     def compare(self, message: slot_messages.SlotsOpen) -> None:
@@ -106,7 +107,7 @@
         held = {holding.request.identifier for holding in message.held}
         waiting = {request.identifier for request in message.waiting}
         for identifier in set(holder.open) - held - waiting:
-            self._close(identifier)
+            self._close(message.sender, identifier)
         for holding in message.held:
             self.dispatcher.adopt(holding.request, holding.worker)
             self._open(message.sender, holder, holding.request.identifier)
@@ -120,7 +121,7 @@
         """Free all slots of a host that is gone."""
         holder = self._holders.pop(sender, Holder())
         for identifier in list(holder.open):
-            self._close(identifier)
+            self._close(sender, identifier)
         self.grant()
 
     def grant(self) -> None:
@@ -137,7 +138,7 @@
             sender = self._holder_of[request.identifier]
             rank = min(request.rank, self._rank_count - 1)
             wait_ms = self.dispatcher.expected_wait_ms(rank)
-            self._close(request.identifier)
+            self._close(sender, request.identifier)
             self._refuse(sender, request.identifier, wait_ms)
         for sender, holder in list(self._holders.items()):
             holder.silent_ticks += 1
@@ -157,9 +158,16 @@
         holder.open[identifier] = None
         self._holder_of[identifier] = sender
 
-    def _close(self, identifier: str, served=None) -> None:
-        self.dispatcher.release(identifier, served)
-        sender = self._holder_of.pop(identifier, None)
+    def _close(
+        self,
+        sender: identifiers.Incarnation,
+        identifier: str,
+        served: limits.Served | None = None,
+    ) -> None:
+        """Forget a call, unless another holder has taken it over."""
+        if self._holder_of.get(identifier) == sender:
+            self._holder_of.pop(identifier)
+            self.dispatcher.release(identifier, served)
         holder = self._holders.get(sender)
         if holder is not None:
             holder.open.pop(identifier, None)
--- a/src/carobfork/coordination/worker_tables.py
+++ b/src/carobfork/coordination/worker_tables.py
@@ -2,15 +2,20 @@
 
 from collections.abc import Iterable, Mapping
 
+from carobfork import clock
 from carobfork.coordination import limits, placements, pools
 from carobfork.state import bundles
 
 
 class WorkerTable:
-    """Hold the loads of a pool's workers through changes of bundle."""
+    """Hold the loads of a pool's workers through changes of bundle.
 
-    def __init__(self) -> None:
+    :param timer: measures pauses after failures.
+    """
+
+    def __init__(self, timer: clock.Clock) -> None:
         """Start without workers."""
+        self._timer = timer
         self.loads: dict[str, placements.WorkerLoad] = {}
         self._leaving: frozenset[str] = frozenset()
         self._policy: bundles.Policy | None = None
@@ -27,7 +32,8 @@
 
     def free(self) -> list[placements.WorkerLoad]:
         """Return the workers with free slots."""
-        return [load for load in self.loads.values() if load.free > 0]
+        now_ms = self._timer.now_ms()
+        return [load for load in self.loads.values() if load.is_free(now_ms)]
 
     def apply(
         self,
@@ -67,7 +73,7 @@
         if load is None:
             return
         if served is not None:
-            load.observe(served)
+            load.observe(served, self._timer.now_ms())
         load.busy -= 1
 
     def _keeps_limits(self, policy: bundles.Policy) -> bool:
--- a/tests/test_dispatchers.py
+++ b/tests/test_dispatchers.py
@@ -177,6 +177,33 @@
         self.timer.advance(1001)
         self.assertEqual(self.dispatcher.grant_next().worker, 'engine-1')
 
+    def test_failing_worker_is_tried_rarely(self):
+        """A worker that fails at once does not attract all calls."""
+        self.flood(rank=0)
+        failed = limits.Served(failed=True)
+        workers = []
+        for _ in range(40):
+            grant = self.dispatcher.grant_next()
+            workers.append(grant.worker)
+            broken = grant.worker == 'engine-0'
+            self.dispatcher.release(
+                grant.request.identifier, failed if broken else SERVED
+            )
+            self.timer.advance(10)
+        self.assertLessEqual(workers.count('engine-0'), 3)
+        self.timer.advance(2000)
+        self.dispatcher.grant_next()
+        self.dispatcher.grant_next()
+        loads = self.dispatcher.workers.loads
+        self.assertEqual(loads['engine-0'].busy, 1)
+
+    def test_avoided_worker(self):
+        """A call does not go back to where it failed, or wait for it."""
+        self.start(admission='all', placement='affinity_by_cost')
+        fields = {'last_worker': 'engine-0', 'prompt_tokens': 10**6}
+        self.submit('retry', avoided=('engine-0',), **fields)
+        self.assertEqual(self.dispatcher.grant_next().worker, 'engine-1')
+
     def test_policies_switch_at_run_time(self):
         """A new bundle's policies order the calls that wait already."""
         self.submit('a', rank=1)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -179,6 +179,15 @@
         )
         self.assertEqual(server.slots(), set())
 
+    def test_call_taken_over(self):
+        """A call that another host took over outlives its former holder."""
+        former, other = self.network.others()
+        self.hold(former, 'a')
+        self.hold(other, 'a')
+        self.network.cut.add(former.entry.incarnation)
+        self.network.bury(former)
+        self.assertEqual(self.network.server().slots(), {'a'})
+
     def test_worker_added(self):
         """A new worker's slots go to the calls that wait."""
         host = self.network.hosts[0]
