--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -131,7 +131,7 @@
         )
 
     def _build_slots(self) -> None:
-        own = self.own.incarnation
+        own = self.members.own.incarnation
         mailbox = mailboxes.Mailbox(own, self.members, self.link)
         routes = pool_routes.PoolRoutes(own, self.members)
         self.pool_host = pool_hosts.PoolHost(mailbox, self.timer)
