--- /dev/null
+++ b/src/carobfork/retry_budgets.py
@@ -0,0 +1,33 @@
+"""Retry budgets: keep retries a small part of the calls made."""
+
+from carobfork import exceptions
+
+RETRIES_PER_CALL = 0.1
+MAX_SAVED_RETRIES = 10
+
+
+class RetryBudget:
+    """Allow retries of overloaded calls in proportion to first attempts.
+
+    Refusals for other reasons bring no load to a backend server and are
+    not counted.
+    """
+
+    def __init__(self) -> None:
+        """Start with one retry saved up."""
+        self._retries: float = 1
+
+    def earn(self) -> None:
+        """Note a call's first attempt."""
+        self._retries = min(MAX_SAVED_RETRIES, self._retries + RETRIES_PER_CALL)
+
+    def spend(self, error: exceptions.NotRunError) -> None:
+        """Take a retry for a refused call.
+
+        :raises NotRunError: the refusal, where the budget is used up.
+        """
+        if not isinstance(error, exceptions.OverloadedError):
+            return
+        if self._retries < 1:
+            raise error
+        self._retries -= 1
--- a/src/carobfork/sessions.py
+++ b/src/carobfork/sessions.py
@@ -12,7 +12,7 @@
 import attrs
 import gevent
 
-from carobfork import clock, exceptions
+from carobfork import clock, exceptions, retry_budgets
 from carobfork.protocol import headers, sse
 from carobfork.state import bundles
 from carobfork.transport import connections
@@ -58,6 +58,7 @@
     def __init__(self, addresses: Sequence[str], **options) -> None:
         """Start without asking any host yet."""
         self.options = Options(**options)
+        self.retries = retry_budgets.RetryBudget()
         self._seeds = list(addresses)
         self._addresses: list[str] = []
         self._expires_ms = 0
@@ -92,12 +93,15 @@
 
         :raises CarobforkError: as the response or the connection tells.
         """
+        self.retries.earn()
         for delay_ms in self.delays_ms():
             try:
                 return self._exchange_once(method, path, body, fields)
             except exceptions.NotRunError as error:
+                self.retries.spend(error)
                 last_error = error
-            gevent.sleep(clock.to_seconds(delay_ms))
+            pause_ms = max(delay_ms, last_error.retry_after_ms or 0)
+            gevent.sleep(clock.to_seconds(pause_ms))
         raise last_error
 
     def delays_ms(self) -> Iterator[float]:
--- a/src/carobfork/state/bundles.py
+++ b/src/carobfork/state/bundles.py
@@ -103,7 +103,7 @@
     """Names of the registered policies that the bundle chooses."""
 
     order: str = 'least_attained'
-    placement: str = 'affinity'
+    placement: str = 'affinity_by_cost'
     limit: str = 'aimd'
     admission: str = 'by_program'
     between_tokens_target_ms: int = 45
