--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -13,6 +13,7 @@
     mailboxes,
     membership,
     model_calls,
+    ownerships,
     peer_slots,
     pool_hosts,
     pool_routes,
@@ -82,6 +83,7 @@
             self.table,
             self.holder,
             self.broker,
+            ownerships.Ownership(self.timer),
         )
         self._start(self.watch.run, self.members.run)
         self._start(self.pool_host.run, self.broker.run)
@@ -146,7 +148,7 @@
     def _build_parts(self) -> callers.CallerParts:
         home = self.home
         self.services = service_calls.ServiceCaller(
-            home, services.HttpServiceBackend(), self.timer
+            home, services.HttpServiceBackend()
         )
         return callers.CallerParts(
             home=home,
--- a/src/carobfork/coordination/model_calls.py
+++ b/src/carobfork/coordination/model_calls.py
@@ -96,6 +96,7 @@
     ) -> records.AnswerRecorded:
         request = self._slot_request(program, call, prompt)
         with self._home.slots.acquire(request) as slot:
+            self._home.confirm_owned(program)
             run.worker = slot.worker
             model = self._model(call.model)
             worker = bundles.find(model.workers, slot.worker, 'worker')
