--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -11,14 +11,17 @@
     call_notes,
     control,
     homes,
+    mailboxes,
     membership,
     model_calls,
     noted_calls,
     ownerships,
+    peer_slots,
+    pool_hosts,
+    pool_routes,
     registrations,
     routing,
     service_calls,
-    slots,
 )
 from carobfork.inspections import counted_stores, inspectors
 from carobfork.protocol import (
@@ -89,8 +92,7 @@
         self.members = membership.Membership(
             own, self.directory, self.link, self.holder, self.timer
         )
-        self.broker = slots.LocalSlots(self.timer)
-        self.holder.subscribe(self.broker.apply_bundle)
+        self._build_slots()
         self.recording = recording.Recording(self.store, self.table, self.timer)
         self.home = homes.Home(
             self.recording.open_journal(own.incarnation),
@@ -100,6 +102,7 @@
             ownerships.Ownership(self.timer),
         )
         self._start(self.watch.run, self.members.run)
+        self._start(self.pool_host.run, self.broker.run)
         self._exits.enter_context(
             self.recording.keep(
                 self.home, self._registration, self.members, self.link
@@ -130,6 +133,7 @@
             'service_calls_under_way': self.services.under_way,
             **self.recording.describe(),
             'peers': attrs.asdict(self.link.traffic),
+            'pools': [attrs.asdict(pool) for pool in self.pool_host.describe()],
         }
 
     def _build_link(self) -> peers.PeerLink:
@@ -145,6 +149,19 @@
             self.store, self.holder, reader, self.directory
         )
 
+    def _build_slots(self) -> None:
+        own = self.members.own.incarnation
+        mailbox = mailboxes.Mailbox(own, self.members, self.link)
+        routes = pool_routes.PoolRoutes(own, self.members)
+        self.pool_host = pool_hosts.PoolHost(mailbox, self.timer)
+        self.broker = peer_slots.PeerSlots(mailbox, routes, self.timer)
+        for part in (self.pool_host, self.broker):
+            self.holder.subscribe(part.apply_bundle)
+            if self.holder.version:
+                part.apply_bundle(self.holder.current)
+        self.members.on_death(self.pool_host.forget_host)
+        self.members.on_death(self.broker.reroute)
+
     def _build_parts(self) -> callers.CallerParts:
         self.models = model_calls.ModelCaller(
             self.home, engines.HttpModelBackend()
--- a/src/carobfork/coordination/ports.py
+++ b/src/carobfork/coordination/ports.py
@@ -79,6 +79,9 @@
     def encode(self, record: records.Record) -> bytes:
         """Return one record's bytes."""
 
+    def decode(self, encoded: bytes) -> records.Record:
+        """Return the record of its bytes."""
+
     def pack(self, encoded: Iterable[bytes]) -> bytes:
         """Return the compressed bytes of a segment."""
 
@@ -112,6 +115,12 @@
     text: str
     tokens: int
     cached_tokens: int = 0
+    output_tokens: int = 0
+
+    @property
+    def prefilled_tokens(self) -> int:
+        """Prompt tokens that were not found in the engine's cache."""
+        return self.tokens - self.output_tokens - self.cached_tokens
 
 
 class ModelBackend(Protocol):
--- a/src/carobfork_standins/scenarios/player.py
+++ b/src/carobfork_standins/scenarios/player.py
@@ -8,6 +8,7 @@
     inputs,
     language,
     recording,
+    slot_verbs,
     stages,
     verbs,
 )
