--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -6,13 +6,15 @@
 import attrs
 import gevent
 
-from carobfork import clock, recording
+from carobfork import clock, logs, recording
 from carobfork.coordination import (
+    call_notes,
     control,
     homes,
     mailboxes,
     membership,
     model_calls,
+    noted_calls,
     ownerships,
     peer_slots,
     pool_hosts,
@@ -21,13 +23,21 @@
     routing,
     service_calls,
 )
-from carobfork.protocol import callers, documents, operators, signatures
-from carobfork.state import bundles, identifiers, programs
+from carobfork.inspections import counted_stores, inspectors
+from carobfork.protocol import (
+    callers,
+    documents,
+    key_files,
+    operators,
+    signatures,
+)
+from carobfork.state import bundles, identifiers, limits, programs
 from carobfork.transport import (
     engines,
     forwarders,
     peers,
     platforms,
+    readers,
     servers,
     services,
 )
@@ -37,15 +47,18 @@
 class EntrySettings:
     """Settings of an entry host."""
 
-    host: str
-    failure_domain: str
+    host: str = attrs.field(validator=limits.name)
+    failure_domain: str = attrs.field(validator=limits.name)
     caller_address: bundles.Address
     operator_address: bundles.Address
     peer_address: bundles.Address
     platform_address: bundles.Address
     bundle_public_key_file: str
     peer_key_file: str
-    log_format: str = 'json'
+    log_format: str = attrs.field(
+        default='json', validator=limits.one_of(logs.FORMATS)
+    )
+    caller_limits: readers.Limits = attrs.Factory(readers.Limits)
 
 
 class EntryHost:
@@ -58,19 +71,22 @@
         """Build what needs no other process; entering starts the host."""
         self.settings = settings
         self.timer = clock.SystemClock()
-        self.store = platforms.HttpObjectStore(settings.platform_address)
+        self.store = counted_stores.CountedStore(
+            platforms.HttpObjectStore(settings.platform_address), self.timer
+        )
         self.holder = control.BundleHolder()
         self.directory = control.HostDirectory()
         self.table = programs.ProgramTable()
+        self.notes = call_notes.CallNotes(self.timer, self.table)
         self._greenlets: list[gevent.Greenlet] = []
         self._exits = contextlib.ExitStack()
 
     def __enter__(self) -> 'EntryHost':
         """Register, follow the control objects and listen."""
-        self.registration = registrations.Registration(
+        self._registration = registrations.Registration(
             self.store, self.directory, self._describe
         )
-        own = self.registration.register()
+        own = self._registration.register()
         self.link = self._exits.enter_context(self._build_link())
         self.watch = self._build_watch()
         self.members = membership.Membership(
@@ -82,14 +98,14 @@
             self.recording.open_journal(own.incarnation),
             self.table,
             self.holder,
-            self.broker,
+            noted_calls.NotedSlots(self.broker, self.notes.decisions),
             ownerships.Ownership(self.timer),
         )
         self._start(self.watch.run, self.members.run)
         self._start(self.pool_host.run, self.broker.run)
         self._exits.enter_context(
             self.recording.keep(
-                self.home, self.registration, self.members, self.link
+                self.home, self._registration, self.members, self.link
             )
         )
         self._listen()
@@ -121,6 +137,7 @@
         }
 
     def _build_link(self) -> peers.PeerLink:
+        key_files.require_private(self.settings.peer_key_file)
         keys = documents.load(self.settings.peer_key_file, peers.PeerKeys)
         return peers.PeerLink(self.settings.peer_address, keys)
 
@@ -146,30 +163,38 @@
         self.members.on_death(self.broker.reroute)
 
     def _build_parts(self) -> callers.CallerParts:
-        home = self.home
-        self.services = service_calls.ServiceCaller(
-            home, services.HttpServiceBackend()
+        self.models = model_calls.ModelCaller(
+            self.home, engines.HttpModelBackend()
         )
+        backend = noted_calls.NotedServices(
+            services.HttpServiceBackend(), self.notes.decisions
+        )
+        self.services = service_calls.ServiceCaller(self.home, backend)
         return callers.CallerParts(
-            home=home,
+            home=self.home,
             router=routing.Router(self.table, self.members),
-            models=model_calls.ModelCaller(home, engines.HttpModelBackend()),
+            models=self.models,
             services=self.services,
             forwarder=forwarders.HttpForwarder(),
+            notes=self.notes,
         )
 
     def _start(self, *loops) -> None:
         self._greenlets.extend(gevent.spawn(loop) for loop in loops)
 
     def _listen(self) -> None:
-        operator = operators.OperatorApplication(self.describe_state)
         caller = callers.CallerApplication(self._build_parts())
         settings = self.settings
-        for address, application in (
-            (settings.operator_address, operator),
-            (settings.caller_address, caller),
+        self.caller_listener = servers.HttpServer(
+            settings.caller_address, caller, settings.caller_limits
+        )
+        inspector = inspectors.HostInspector(self, self.home.end_program)
+        operator = operators.OperatorApplication(inspector)
+        for server in (
+            servers.HttpServer(settings.operator_address, operator),
+            self.caller_listener,
         ):
-            self._exits.enter_context(servers.HttpServer(address, application))
+            self._exits.enter_context(server)
 
     def _describe(self, number: int) -> routing.EntryHost:
         return routing.EntryHost(
--- a/src/carobfork/coordination/service_calls.py
+++ b/src/carobfork/coordination/service_calls.py
@@ -10,7 +10,7 @@
 import gevent
 import structlog
 
-from carobfork import clock, exceptions
+from carobfork import clock, exceptions, logs
 from carobfork.coordination import calls, homes, intents, journals, ports, waits
 from carobfork.state import bundles, programs, records
 
@@ -80,7 +80,7 @@
             )
         running = waits.RunningCall(call.digest)
         self._running[call.program, call.key] = running
-        gevent.spawn(self._execute, running, program, call, operation)
+        logs.spawn(self._execute, running, program, call, operation)
         return running
 
     def _execute(
@@ -95,7 +95,7 @@
             with self._home.turn(program):
                 with self._home.reservation(program, tokens=0):
                     self._prepare(running, program, call, operation)
-                    sending = gevent.spawn(
+                    sending = logs.spawn(
                         self._send, running, program, call, operation
                     )
                     sending.join(clock.to_seconds(operation.timeout_ms))
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -1,6 +1,6 @@
 """Callers: the HTTP interface that callers use."""
 
-import json
+import functools
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
@@ -10,21 +10,20 @@
 from werkzeug import exceptions as http_exceptions
 from werkzeug.routing import Map, Rule
 
-from carobfork import exceptions
+from carobfork import exceptions, logs
 from carobfork.coordination import (
+    call_notes,
     calls,
     homes,
     model_calls,
     routing,
     service_calls,
 )
-from carobfork.protocol import headers, responses, sse
+from carobfork.protocol import headers, requests, responses, sse
 from carobfork.state import bundles
 
-DEFAULT_MAX_TOKENS = 1024
 EVENT_STREAM_TYPE = 'text/event-stream'
 _HTTP_CREATED = 201
-_READ = 'read request'
 
 logger = structlog.get_logger(part='callers')
 
@@ -52,6 +51,7 @@
     models: model_calls.ModelCaller
     services: service_calls.ServiceCaller
     forwarder: Forwarder
+    notes: call_notes.CallNotes
 
 
 class CallerApplication:
@@ -82,26 +82,39 @@
                 Rule(
                     '/v1/services/<service>/<path:path>', endpoint=self._service
                 ),
-            ]
+            ],
+            merge_slashes=False,
         )
 
     def __call__(self, environ: dict, start_response: Callable):
         """Answer one request."""
-        response = self._respond(Request(environ))
-        return response(environ, start_response)
-
-    def _respond(self, request: Request) -> Response:
+        request = Request(environ)
+        logs.begin(
+            program=request.headers.get(headers.PROGRAM, ''),
+            call=request.headers.get(headers.CALL, ''),
+            peer=request.remote_addr,
+        )
         try:
-            return self._route(request)
-        except exceptions.CarobforkError as error:
-            return responses.error_response(error)
-        except http_exceptions.HTTPException as error:
-            return responses.error_response(responses.bad_http(error))
-        except Exception:
-            logger.exception('A request met an unexpected error.')
-            return responses.error_response(
-                exceptions.CarobforkError('internal error', step='serve')
+            response = self._route(request)
+        except Exception as error:
+            self._note_error(request, error)
+            response = responses.refusal(request, error)
+        else:
+            done = exceptions.Outcome.done
+            self._parts.notes.note_answer(
+                response.headers.get(headers.OUTCOME, done)
             )
+        return response(environ, start_response)
+
+    def _note_error(self, request: Request, error: Exception) -> None:
+        if not isinstance(error, exceptions.OverloadedError):
+            # In a flood the counter of refusals tells enough.
+            logger.info('A request was refused.', error=str(error))
+        self._parts.notes.note_error(
+            request.headers.get(headers.PROGRAM, ''),
+            request.headers.get(headers.CALL, ''),
+            error,
+        )
 
     def _route(self, request: Request) -> Response:
         request.max_content_length = responses.MAX_BODY_BYTES
@@ -111,6 +124,7 @@
             headers.PROGRAM
         )
         if program:
+            requests.check_header(headers.PROGRAM, program)
             address = self._parts.router.resolve(program)
             if address is not None:
                 return self._forward(request, address)
@@ -121,18 +135,18 @@
             raise exceptions.UnknownProgramError(
                 'the program is not homed here', step='forward'
             )
-        names = (headers.PROGRAM, headers.TOKEN, headers.CALL, 'Content-Type')
         fields = {
-            name: request.headers[name]
-            for name in names
-            if name in request.headers
+            name: requests.required_header(request, name)
+            for name in (headers.PROGRAM, headers.TOKEN, headers.CALL)
+            if request.headers.get(name)
         }
+        fields['Content-Type'] = requests.content_type(request)
         fields[headers.FORWARDED] = '1'
         try:
             reply = self._parts.forwarder.forward(
                 address,
                 request.method,
-                request.full_path,
+                responses.quoted_path(request),
                 fields,
                 request.get_data(),
             )
@@ -147,20 +161,20 @@
         return responses.json_response(attrs.asdict(answer))
 
     def _open(self, request: Request) -> Response:
-        body = _json_object(request)
-        kind = _text_field(body, 'kind')
+        body = requests.json_object(request)
+        kind = requests.text_field(body, 'kind')
         opened = self._parts.home.open_program(kind)
         return responses.json_response(
             attrs.asdict(opened), status=_HTTP_CREATED
         )
 
     def _close(self, request: Request, program: str) -> Response:
-        token = _required_header(request, headers.TOKEN)
+        token = requests.required_header(request, headers.TOKEN)
         self._parts.home.close_program(program, token, 'closed by its caller')
         return responses.json_response({'program': program})
 
     def _chat(self, request: Request) -> Response:
-        run = self._parts.models.start(_model_call(request))
+        run = self._parts.models.start(requests.model_call(request))
         if run.answer is not None:
             text = run.answer.body.decode()
             events = iter([sse.encode_text(text), sse.DONE])
@@ -168,19 +182,12 @@
         followed = run.follow()
         # Waiting for the first event lets a refusal be a plain HTTP error.
         first = next(followed, b'')
-        return _event_stream(_closing_with_done(first, followed), run.worker)
+        note_error = functools.partial(self._note_error, request)
+        events = _closing_with_done(first, followed, note_error)
+        return _event_stream(events, run.worker)
 
     def _service(self, request: Request, service: str, path: str) -> Response:
-        call = calls.ServiceCall(
-            program=_required_header(request, headers.PROGRAM),
-            token=_required_header(request, headers.TOKEN),
-            key=_required_header(request, headers.CALL),
-            service=service,
-            method=request.method,
-            path=f'/{path}',
-            body=request.get_data(),
-            content_type=request.content_type or responses.JSON_TYPE,
-        )
+        call = requests.service_call(request, service, path)
         answer = self._parts.services.run(call)
         outcome = exceptions.Outcome.done
         if answer.status >= http_exceptions.BadRequest.code:
@@ -222,66 +229,16 @@
 
 
 def _closing_with_done(
-    first: bytes, followed: Iterator[bytes]
+    first: bytes,
+    followed: Iterator[bytes],
+    note_error: Callable[[Exception], None],
 ) -> Iterator[bytes]:
     """Yield a run's events, then the closing event or the error."""
     try:
         yield first
         yield from followed
     except exceptions.CarobforkError as error:
+        note_error(error)
         yield sse.encode_event({'error': responses.error_fields(error)})
     else:
         yield sse.DONE
-
-
-def _model_call(request: Request) -> calls.ModelCall:
-    body = _json_object(request)
-    messages = body.pop('messages', None)
-    if not messages or not isinstance(messages, list):
-        raise exceptions.BadRequestError(
-            '"messages" must be a list that is not empty', step=_READ
-        )
-    model = _text_field(body, 'model')
-    encoded = b','.join(json.dumps(message).encode() for message in messages)
-    max_tokens = body.setdefault('max_tokens', DEFAULT_MAX_TOKENS)
-    return calls.ModelCall(
-        program=_required_header(request, headers.PROGRAM),
-        token=_required_header(request, headers.TOKEN),
-        key=_required_header(request, headers.CALL),
-        model=model,
-        messages=encoded,
-        options=json.dumps(body, sort_keys=True).encode(),
-        max_tokens=max_tokens,
-    )
-
-
-def _json_object(request: Request) -> dict:
-    try:
-        body = json.loads(request.get_data())
-    except ValueError as error:
-        raise exceptions.BadRequestError(
-            f'the body is not JSON: {error}', step=_READ
-        ) from error
-    if not isinstance(body, dict):
-        raise exceptions.BadRequestError(
-            'the body must be a JSON object', step=_READ
-        )
-    return body
-
-
-def _text_field(body: dict, name: str) -> str:
-    text = body.get(name)
-    if not isinstance(text, str) or not text:
-        raise exceptions.BadRequestError(
-            f'"{name}" must be a text that is not empty', step=_READ
-        )
-    return text
-
-
-def _required_header(request: Request, name: str) -> str:
-    text = request.headers.get(name, '')
-    if not text:
-        raise exceptions.BadRequestError(
-            f'header {name} is missing', step=_READ
-        )
-    return text
