--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -8,13 +8,11 @@
 
 from carobfork import clock, logs, recording
 from carobfork.coordination import (
-    call_notes,
     control,
     homes,
     mailboxes,
     membership,
     model_calls,
-    noted_calls,
     ownerships,
     peer_slots,
     pool_hosts,
@@ -23,7 +21,7 @@
     routing,
     service_calls,
 )
-from carobfork.inspections import counted_stores, inspectors
+from carobfork.inspections import counted_stores, inspectors, noted_calls
 from carobfork.protocol import (
     callers,
     documents,
@@ -77,7 +75,7 @@
         self.holder = control.BundleHolder()
         self.directory = control.HostDirectory()
         self.table = programs.ProgramTable()
-        self.notes = call_notes.CallNotes(self.timer, self.table)
+        self.notes = noted_calls.open_notes(self.timer, self.table)
         self._greenlets: list[gevent.Greenlet] = []
         self._exits = contextlib.ExitStack()
 
@@ -88,7 +86,7 @@
         )
         own = self._registration.register()
         self.link = self._exits.enter_context(self._build_link())
-        self.watch = self._build_watch()
+        self._watch = self._build_watch()
         self.members = membership.Membership(
             own, self.directory, self.link, self.holder, self.timer
         )
@@ -101,7 +99,7 @@
             noted_calls.NotedSlots(self.broker, self.notes.decisions),
             ownerships.Ownership(self.timer),
         )
-        self._start(self.watch.run, self.members.run)
+        self._start(self._watch.run, self.members.run)
         self._start(self.pool_host.run, self.broker.run)
         self._exits.enter_context(
             self.recording.keep(
--- a/src/carobfork/inspections/host_metrics.py
+++ b/src/carobfork/inspections/host_metrics.py
@@ -19,28 +19,23 @@
 
 @metrics.gauge('queue_calls')
 def measure_queues(host: hosts.InspectedHost) -> Iterator[metrics.Sample]:
-    """Model calls that wait for a slot here, by model and rank."""
-    for model, dispatcher in host.broker.dispatchers.items():
-        for position, rank in enumerate(_ranks(host)):
-            waiting = [
-                request
-                for request in dispatcher.waiting.values()
-                if request.rank == position
-            ]
-            labels = {'model': model, 'rank': rank.name}
-            yield metrics.Sample(len(waiting), labels)
+    """Model calls that wait for a slot granted here, by pool and rank."""
+    for pool in host.pool_host.describe():
+        for rank, count in pool.waiting.items():
+            yield metrics.Sample(count, {'pool': pool.pool, 'rank': rank})
 
 
 @metrics.gauge('slots')
 def measure_slots(host: hosts.InspectedHost) -> Iterator[metrics.Sample]:
-    """Slots of the workers that this host dispatches, by worker and state."""
-    for dispatcher in host.broker.dispatchers.values():
-        for load in dispatcher.workers.values():
+    """Slots of the workers that this host grants, by worker and state."""
+    for pool in host.pool_host.describe():
+        for slots in pool.workers:
+            worker = slots.worker
             yield metrics.Sample(
-                load.busy, {'worker': load.name, 'state': 'busy'}
+                slots.busy, {'worker': worker, 'state': 'busy'}
             )
             yield metrics.Sample(
-                load.free, {'worker': load.name, 'state': 'free'}
+                slots.limit, {'worker': worker, 'state': 'limit'}
             )
 
 
--- a/src/carobfork/inspections/hosts.py
+++ b/src/carobfork/inspections/hosts.py
@@ -9,7 +9,7 @@
     homes,
     membership,
     model_calls,
-    slots,
+    pool_hosts,
 )
 from carobfork.inspections import counted_stores
 from carobfork.state import programs
@@ -24,7 +24,7 @@
     table: programs.ProgramTable
     members: membership.Membership
     recording: recording.Recording
-    broker: slots.LocalSlots
+    pool_host: pool_hosts.PoolHost
     home: homes.Home
     models: model_calls.ModelCaller
     link: peers.PeerLink
--- a/src/carobfork/coordination/noted_calls.py
+++ b/src/carobfork/inspections/noted_calls.py
@@ -3,13 +3,26 @@
 import contextlib
 from collections.abc import Iterator
 
-from carobfork import exceptions, logs
-from carobfork.coordination import decisions, orders, ports, slots
-from carobfork.state import bundles
+from carobfork import clock, exceptions, logs
+from carobfork.coordination import (
+    call_notes,
+    decisions,
+    orders,
+    ports,
+    slots,
+)
+from carobfork.state import bundles, programs
 
 _Action = decisions.Action
 
 
+def open_notes(
+    timer: clock.Clock, table: programs.ProgramTable
+) -> call_notes.CallNotes:
+    """Return the empty notes of a host that starts."""
+    return call_notes.CallNotes(timer, table)
+
+
 class NotedSlots:
     """Log who waits for which slot and who got one.
 
@@ -25,7 +38,7 @@
         self._log = log
 
     @contextlib.contextmanager
-    def acquire(self, request: orders.SlotRequest) -> Iterator[str]:
+    def acquire(self, request: orders.SlotRequest) -> Iterator[slots.Slot]:
         """Wait for a slot and hold it."""
         logs.bind(attempt=request.identifier)
         program = request.program
@@ -33,7 +46,7 @@
         wanted = f'a slot of model {request.model} in rank {request.rank}'
         self._log.note(program, _Action.queued, call, wanted)
         with self._broker.acquire(request) as slot:
-            self._log.note(program, _Action.granted, call, slot)
+            self._log.note(program, _Action.granted, call, slot.worker)
             yield slot
         self._log.note(program, _Action.ended, call, 'its stream ended')
 
--- a/src/carobfork/inspections/sections.py
+++ b/src/carobfork/inspections/sections.py
@@ -47,29 +47,6 @@
     }
 
 
-@state_dumps.section('queues')
-def queues(host: hosts.InspectedHost) -> dict:
-    """Show how many calls wait, by model and position of the rank."""
-    return {
-        model: dict(
-            collections.Counter(
-                str(waiting.rank) for waiting in dispatcher.waiting.values()
-            )
-        )
-        for model, dispatcher in host.broker.dispatchers.items()
-    }
-
-
-@state_dumps.section('slots')
-def slots(host: hosts.InspectedHost) -> dict:
-    """Show the slots of each worker."""
-    return state_dumps.bounded(
-        {'model': model, **attrs.asdict(load)}
-        for model, dispatcher in host.broker.dispatchers.items()
-        for load in dispatcher.workers.values()
-    )
-
-
 @state_dumps.section('platform')
 def platform(host: hosts.InspectedHost) -> dict:
     """Show whether the platform answers."""
