--- a/src/carobfork/coordination/takeovers.py
+++ b/src/carobfork/coordination/takeovers.py
@@ -86,6 +86,8 @@
     ) -> None:
         """Start with nothing adopted."""
         self.adopted: frozenset[identifiers.Incarnation] = frozenset()
+        self.last_span_ms = 0
+        """How long the last takeover took, from its first write on."""
         self.busy = lock.RLock()
         """Held while records move between journals."""
         self._home = home
@@ -145,7 +147,9 @@
         """
         with self.busy:
             if incarnation not in self._taken:
+                started_ms = self._timer.now_ms()
                 self._adopt(incarnation)
+                self.last_span_ms = self._timer.now_ms() - started_ms
             return incarnation in self._taken
 
     def hand_over(self, host: routing.EntryHost, link: ports.PeerLink) -> None:
--- a/src/carobfork/recording.py
+++ b/src/carobfork/recording.py
@@ -100,6 +100,7 @@
         journal = self._home.journal
         return {
             'adopted': sorted(map(str, self.takeovers.adopted)),
+            'last_takeover_ms': self.takeovers.last_span_ms,
             'suspects': self.takeovers.suspects,
             'held_for_peers': self._holdings.counts(),
             'held_bytes': self._holdings.held_bytes,
--- a/src/carobfork_standins/platform.py
+++ b/src/carobfork_standins/platform.py
@@ -162,6 +162,7 @@
 
     def _delete(self, request: Request, key: str) -> Response:
         self._counts['writes'] += 1
+        self._counts['deletes'] += 1
         self._stored.pop(key, None)
         return Response(status=204)
 
