--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -17,7 +17,7 @@
     service_calls,
 )
 from carobfork.state import bundles, programs
-from tests import hosts, stores
+from tests import recording_hosts, stores
 
 REPLY = ports.ServiceReply(200, b'ok', 'text/plain')
 TIMEOUT_MS = 1000
@@ -54,8 +54,8 @@
     def setUp(self):
         """Open a program."""
         self.store = stores.ManualStore()
-        self.host = hosts.Host('entry-1', self.store)
-        self.other = hosts.Host('entry-2', self.store)
+        self.host = recording_hosts.Host('entry-1', self.store)
+        self.other = recording_hosts.Host('entry-2', self.store)
         self.service = ManualService()
         self.caller = service_calls.ServiceCaller(self.host.home, self.service)
         self.opened = self.host.home.open_program('quote')
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -11,7 +11,7 @@
     takeovers,
 )
 from carobfork.state import records
-from tests import hosts, stores
+from tests import recording_hosts, stores
 
 
 @mock.patch.object(appenders, 'RETRY_DELAY_MS', 0)
@@ -23,9 +23,9 @@
     def setUp(self):
         """Start three hosts, the first with a program of one turn."""
         self.store = stores.ManualStore()
-        self.first = hosts.Host('entry-1', self.store)
-        self.second = hosts.Host('entry-2', self.store)
-        self.third = hosts.Host('entry-3', self.store)
+        self.first = recording_hosts.Host('entry-1', self.store)
+        self.second = recording_hosts.Host('entry-2', self.store)
+        self.third = recording_hosts.Host('entry-3', self.store)
         self.program = self.first.open()
         self.first.answer(self.program, 'turn 1')
 
@@ -114,7 +114,7 @@
         self.second.home.journal.append(adoption, 1000)
         self.third.takeovers.take(self.first.incarnation)
         self.third.answer(self.program, 'turn 2')
-        fourth = hosts.Host('entry-4', self.store)
+        fourth = recording_hosts.Host('entry-4', self.store)
         fourth.takeovers.take(self.second.incarnation)
         fourth.die()
         self.assertEqual(fourth.table.programs, {})
@@ -122,9 +122,9 @@
     def test_a_restart_adopts_all_earlier_lives(self):
         """Also where a life ended before it had adopted the one before."""
         self.first.die()
-        between = hosts.Host('entry-1', self.store)
+        between = recording_hosts.Host('entry-1', self.store)
         between.die()
-        last = hosts.Host('entry-1', self.store)
+        last = recording_hosts.Host('entry-1', self.store)
         last.takeovers.step()
         last.die()
         self.assertEqual(last.history(self.program), ['turn 1'])
@@ -159,8 +159,8 @@
     def setUp(self):
         """Start two hosts, the first with a program of many turns."""
         self.store = stores.ManualStore()
-        self.first = hosts.Host('entry-1', self.store)
-        self.second = hosts.Host('entry-2', self.store)
+        self.first = recording_hosts.Host('entry-1', self.store)
+        self.second = recording_hosts.Host('entry-2', self.store)
         self.program = self.first.open()
         self.keys = [f'turn {number}' for number in range(30)]
         for key in self.keys:
@@ -206,7 +206,7 @@
         self.second.compactor.step(least_segments=1)
         left = self.second.sealer.reader.numbers(former)
         self.assertEqual(len(left), 1)
-        third = hosts.Host('entry-3', self.store)
+        third = recording_hosts.Host('entry-3', self.store)
         third.takeovers.take(self.second.incarnation)
         third.die()
         self.assertEqual(third.history(self.program), [*self.keys, 'after'])
