Follow this host's incarnation in the slot messages

Cause: a host that thaws after a takeover goes on under a new incarnation. The mailbox, the routes and the claims kept the old one, so answers went to an incarnation that nobody knows, and its calls never got slots.

--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -132,10 +132,12 @@
             self.store, self.holder, reader, self.directory
         )
 
+    def _find_own(self) -> identifiers.Incarnation:
+        return self.members.own.incarnation
+
     def _build_slots(self) -> None:
-        own = self.members.own.incarnation
-        mailbox = mailboxes.Mailbox(own, self.members, self.link)
-        routes = pool_routes.PoolRoutes(own, self.members)
+        mailbox = mailboxes.Mailbox(self._find_own, self.members, self.link)
+        routes = pool_routes.PoolRoutes(self._find_own, self.members)
         self.pool_host = pool_hosts.PoolHost(mailbox, self.timer)
         self.broker = peer_slots.PeerSlots(mailbox, routes, self.timer)
         for part in (self.pool_host, self.broker):
--- a/src/carobfork/coordination/claims.py
+++ b/src/carobfork/coordination/claims.py
@@ -5,6 +5,7 @@
 import attrs
 from gevent import event
 
+from carobfork import clock
 from carobfork.coordination import orders, slot_messages
 from carobfork.state import identifiers
 
@@ -23,12 +24,12 @@
 class ClaimTable:
     """All claims of this host.
 
-    :param own: this host.
+    :param timer: measures how long calls have waited.
     """
 
-    def __init__(self, own: identifiers.Incarnation) -> None:
+    def __init__(self, timer: clock.Clock) -> None:
         """Start empty."""
-        self._own = own
+        self._timer = timer
         self._claims: dict[str, Claim] = {}
 
     def __len__(self) -> int:
@@ -55,21 +56,26 @@
         """Return the claims at a pool."""
         return [claim for claim in self._claims.values() if claim.pool == pool]
 
-    def summary(self, pool: str) -> slot_messages.SlotsOpen:
-        """Return the sums of the claims at a pool."""
+    def summary(
+        self, own: identifiers.Incarnation, pool: str
+    ) -> slot_messages.SlotsOpen:
+        """Return the sums of this host's claims at a pool."""
         claims = self.at(pool)
         return slot_messages.SlotsOpen(
-            sender=self._own,
+            sender=own,
             pool=pool,
             open_digest=_digest(claims),
             held_digest=_digest(claim for claim in claims if claim.worker),
         )
 
-    def listing(self, pool: str, now_ms: float) -> slot_messages.SlotsListed:
-        """Return all claims at a pool."""
+    def listing(
+        self, own: identifiers.Incarnation, pool: str
+    ) -> slot_messages.SlotsListed:
+        """Return all of this host's claims at a pool."""
         claims = self.at(pool)
+        now_ms = self._timer.now_ms()
         return slot_messages.SlotsListed(
-            sender=self._own,
+            sender=own,
             pool=pool,
             waiting=tuple(
                 attrs.evolve(claim.request, waited_ms=now_ms - claim.asked_ms)
--- a/src/carobfork/coordination/mailboxes.py
+++ b/src/carobfork/coordination/mailboxes.py
@@ -9,24 +9,30 @@
 class Mailbox:
     """Send one-way messages; those to this host are handled at once.
 
-    :param own: this host's incarnation.
+    :param find_own: returns this host's incarnation; a host that was taken
+        over goes on under a new one.
     :param hosts: the live hosts.
     :param link: carries messages to other hosts.
     """
 
     def __init__(
         self,
-        own: identifiers.Incarnation,
+        find_own: Callable[[], identifiers.Incarnation],
         hosts: routing.HostList,
         link: ports.PeerLink,
     ) -> None:
         """Start without handlers."""
-        self.own = own
+        self._find_own = find_own
         self._hosts = hosts
         self._link = link
         self._handlers: dict[type, Callable] = {}
         self._known: dict[identifiers.Incarnation, routing.EntryHost] = {}
 
+    @property
+    def own(self) -> identifiers.Incarnation:
+        """This host's incarnation."""
+        return self._find_own()
+
     def on(self, kind: type, handler: Callable) -> None:
         """Call ``handler`` with each message of a kind."""
         self._handlers[kind] = handler
--- a/src/carobfork/coordination/peer_slots.py
+++ b/src/carobfork/coordination/peer_slots.py
@@ -44,7 +44,7 @@
         timer: clock.Clock,
     ) -> None:
         """Start without claims; a bundle brings the pools."""
-        self._claims = claims.ClaimTable(mailbox.own)
+        self._claims = claims.ClaimTable(timer)
         self._waits = pool_waits.WaitTable(timer)
         self._mailbox = mailbox
         self._routes = routes
@@ -115,7 +115,9 @@
             host = self._routes.find(pool)
             if host is not None:
                 self._routes.asked(host)
-                self._mailbox.send(host, self._claims.summary(pool))
+                self._mailbox.send(
+                    host, self._claims.summary(self._mailbox.own, pool)
+                )
 
     def reroute(self, *changes) -> None:
         """Move the open calls of pools that another host serves now."""
@@ -125,7 +127,7 @@
             self._mailbox.send(move.former, nothing)
             self._mailbox.send(
                 move.current,
-                self._claims.listing(move.pool, self._timer.now_ms()),
+                self._claims.listing(self._mailbox.own, move.pool),
             )
 
     def _choose(self, request: orders.SlotRequest) -> pools.Pool:
@@ -188,9 +190,7 @@
         if not message.matches:
             listing = slot_messages.SlotsListed(self._mailbox.own, message.pool)
             if current:
-                listing = self._claims.listing(
-                    message.pool, self._timer.now_ms()
-                )
+                listing = self._claims.listing(self._mailbox.own, message.pool)
             self._mailbox.send(message.sender, listing)
 
     def _claim_at(self, message) -> claims.Claim | None:
--- a/src/carobfork/coordination/pool_routes.py
+++ b/src/carobfork/coordination/pool_routes.py
@@ -5,7 +5,7 @@
 many at an engine.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -27,16 +27,18 @@
 class PoolRoutes:
     """Choose a host for each pool.
 
-    :param own: this host, which is never suspected.
+    :param find_own: returns this host, which is never suspected.
     :param hosts: the live hosts.
     """
 
     def __init__(
-        self, own: identifiers.Incarnation, hosts: routing.HostList
+        self,
+        find_own: Callable[[], identifiers.Incarnation],
+        hosts: routing.HostList,
     ) -> None:
         """Start without pools."""
         self.suspects: set[identifiers.Incarnation] = set()
-        self._own = own
+        self._find_own = find_own
         self._hosts = hosts
         self._current: dict[str, identifiers.Incarnation] = {}
         self._unanswered: dict[identifiers.Incarnation, int] = {}
@@ -61,7 +63,7 @@
         """Note a summary that should be answered."""
         count = self._unanswered.get(host, 0) + 1
         self._unanswered[host] = count
-        if count > UNANSWERED_TICKS and host != self._own:
+        if count > UNANSWERED_TICKS and host != self._find_own():
             self.suspects.add(host)
 
     def heard(self, host: identifiers.Incarnation) -> None:
@@ -93,5 +95,5 @@
             and not self._hosts.is_leaving(host)
         ]
         return chosen or [
-            host for host in live if host.incarnation == self._own
+            host for host in live if host.incarnation == self._find_own()
         ]
--- a/tests/slot_hosts.py
+++ b/tests/slot_hosts.py
@@ -120,11 +120,23 @@
         self.entry = routing.EntryHost(
             own, 'domain', address(number), address(number)
         )
-        mailbox = mailboxes.Mailbox(own, network, self)
-        self.routes = pool_routes.PoolRoutes(own, network)
+        mailbox = mailboxes.Mailbox(self.find_own, network, self)
+        self.routes = pool_routes.PoolRoutes(self.find_own, network)
         self.pool_host = pool_hosts.PoolHost(mailbox, network.timer)
         self.broker = peer_slots.PeerSlots(mailbox, self.routes, network.timer)
 
+    def find_own(self):
+        """Return this host's incarnation."""
+        return self.entry.incarnation
+
+    def reincarnate(self):
+        """Go on under a new incarnation, as after a takeover."""
+        own = self.entry.incarnation
+        self.entry = attrs.evolve(
+            self.entry,
+            incarnation=identifiers.Incarnation(own.host, own.number + 1),
+        )
+
     def apply(self, bundle):
         """Put a bundle in force."""
         self.pool_host.apply_bundle(bundle)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -197,6 +197,23 @@
         )
         self.assertEqual(server.slots(), set())
 
+    def test_new_incarnation(self):
+        """A host that goes on under a new incarnation keeps its slots."""
+        for host in (self.network.others()[0], self.network.server()):
+            before = self.hold(host, f'before-{host.entry.incarnation}')
+            host.reincarnate()
+            self.network.tick(count=3)
+            after = self.hold(host, f'after-{host.entry.incarnation}')
+            gevent.sleep(0)
+            self.network.tick(count=3)
+            gevent.sleep(0)
+            self.assertTrue(after.worker)
+            names = {before.request.identifier, after.request.identifier}
+            self.assertLessEqual(names, self.network.server().slots())
+            before.end()
+            after.end()
+            self.assertEqual(self.network.server().slots(), set())
+
     def test_call_taken_over(self):
         """A call that another host took over outlives its former holder."""
         former, other = self.network.others()
