Refuse a model call before its answer begins

Cause: a run that failed before any event woke its readers with an empty piece, so the response began with status 200 and a refusal came as an event in the stream.

Change: a reader gets nothing until there are events, so that the refusal is a plain 429 with its hint.

Seen failing first: test_refusals fails without the change.

--- a/src/carobfork/coordination/runs.py
+++ b/src/carobfork/coordination/runs.py
@@ -66,7 +66,9 @@
                     self._changed.wait()
                 fresh = self._events[position:]
                 position += len(fresh)
-                yield b''.join(fresh)
+                # A run that fails wakes its readers without events.
+                if fresh:
+                    yield b''.join(fresh)
         finally:
             self.followers -= 1
         if self._error is not None:
