Refuse new programs at the door, and number the tests' ports from 1000

Cause: a program was recorded before its first call was refused, so a flood wrote records for work that never ran.

Change: opening a program is refused while every pool's last known wait is beyond what a new program may wait; a wait that is older than 2 s counts for nothing. Ports of the tests' hosts start at 1000.

Seen failing first: without the check test_door fails.

--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -56,9 +56,14 @@
         """Open a program and record it.
 
         :param kind_name: a program kind of the bundle.
+        :raises OverloadedError: its first call would be refused.
         :param parent: the program whose sub-agent this is, or nothing.
         """
         kind = bundles.find(self.bundle.programs, kind_name, 'program')
+        rank = bundles.find(self.bundle.ranks, kind.rank, 'rank')
+        self.slots.check_door(
+            self.bundle.rank_position(rank.name), rank.queue_limit_ms
+        )
         opened = OpenedProgram(
             program=identifiers.new_program_id(self.journal.incarnation),
             token=identifiers.new_token(),
--- a/src/carobfork/inspections/noted_calls.py
+++ b/src/carobfork/inspections/noted_calls.py
@@ -37,6 +37,10 @@
         self._broker = broker
         self._log = log
 
+    def check_door(self, rank: int, queue_limit_ms: int) -> None:
+        """Check that a new program of a rank may be opened."""
+        self._broker.check_door(rank, queue_limit_ms)
+
     @contextlib.contextmanager
     def acquire(self, request: orders.SlotRequest) -> Iterator[slots.Slot]:
         """Wait for a slot and hold it."""
--- a/tests/slot_hosts.py
+++ b/tests/slot_hosts.py
@@ -19,6 +19,7 @@
 
 MODEL = 'talk'
 POOL = 'talk/0'
+FIRST_PORT = 1000
 
 
 def make_bundle(version=1, workers=2, **policy):
@@ -46,7 +47,7 @@
 
 def address(number):
     """Return an address that nothing listens on."""
-    return bundles.Address('127.0.0.1', number)
+    return bundles.Address('127.0.0.1', FIRST_PORT + number)
 
 
 def make_request(identifier, rank=0, **fields):
@@ -149,7 +150,7 @@
     def send(self, peer_address, message):
         """Pass a message on as another host would decode it."""
         network = self.network
-        peer = network.hosts[peer_address.port]
+        peer = network.hosts[peer_address.port - FIRST_PORT]
         ends = {self.entry.incarnation, peer.entry.incarnation}
         if ends & network.cut or isinstance(message, network.lost_kinds):
             return
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -214,6 +214,25 @@
             after.end()
             self.assertEqual(self.network.server().slots(), set())
 
+    def test_door(self):
+        """New programs are refused at the door once a pool says so."""
+        holder = self.network.others()[0]
+        holder.broker.check_door(1, queue_limit_ms=4000)
+        server = self.network.server()
+        holder.handlers[slot_messages.SlotsSeen](
+            slot_messages.SlotsSeen(
+                server.entry.incarnation,
+                slot_hosts.POOL,
+                matches=True,
+                waits_ms=(0, 3000),
+            )
+        )
+        holder.broker.check_door(0, queue_limit_ms=4000)
+        with self.assertRaises(exceptions.OverloadedError):
+            holder.broker.check_door(1, queue_limit_ms=4000)
+        self.network.timer.advance(5000)
+        holder.broker.check_door(1, queue_limit_ms=4000)
+
     def test_call_taken_over(self):
         """A call that another host took over outlives its former holder."""
         former, other = self.network.others()
