Start sub-agents at the worker that served their parent

Cause: a sub-agent had no last worker and was placed by load alone.

Change: its parent's last worker is the hint until it has been served itself; a parent that is homed at another host is not found.

Seen failing first: without the walk to the parent, test_sub_agent_starts_at_its_parent found no worker.

--- a/src/carobfork/coordination/model_calls.py
+++ b/src/carobfork/coordination/model_calls.py
@@ -5,7 +5,14 @@
 import structlog
 
 from carobfork import exceptions, logs
-from carobfork.coordination import calls, homes, orders, ports, runs
+from carobfork.coordination import (
+    calls,
+    homes,
+    orders,
+    ports,
+    prefixes,
+    runs,
+)
 from carobfork.state import bundles, programs, records
 
 RECORD_TIMEOUT_MS = 30_000
@@ -150,14 +157,13 @@
         prompt: ports.Prompt,
     ) -> orders.SlotRequest:
         history = program.history()
-        last_worker = history[-1].worker if history else ''
         return orders.SlotRequest(
             identifier=prompt.attempt,
             program=call.program,
             model=call.model,
             rank=self._home.bundle.rank_position(program.rank),
             attained_tokens=program.ledger.spent_tokens,
-            last_worker=last_worker,
+            last_worker=prefixes.last_worker(self._home.table, program),
             prompt_tokens=len(prompt.messages) // _BYTES_PER_TOKEN,
             kind=program.kind,
             started=bool(history or program.parent),
