--- a/src/carobfork/coordination/takeovers.py
+++ b/src/carobfork/coordination/takeovers.py
@@ -123,7 +123,7 @@
             try:
                 self.step()
             except exceptions.CarobforkError as error:
-                logger.warning('A takeover will be retried.', error=str(error))
+                logger.warning('A step will be retried.', error=str(error))
             self._woken.clear()
             self._woken.wait(clock.to_seconds(CHECK_INTERVAL_MS))
 
@@ -135,9 +135,9 @@
             self._start_anew()
         for incarnation in self._registration.own.predecessors:
             if incarnation not in self.lost:
-                self.take(incarnation)
+                _attempt(self.take, incarnation)
         for suspect in list(self._suspects.values()):
-            self._consider(suspect)
+            _attempt(self._consider, suspect)
         self._publish()
 
     def take(self, incarnation: identifiers.Incarnation) -> bool:
@@ -275,3 +275,11 @@
     """Tell whether another host says that it took this one over."""
     own = members.own.incarnation
     return any(own in other.adopted for other in members.registered())
+
+
+def _attempt(action: Callable, subject: object) -> None:
+    """Do one of several things; its failure must not keep the others."""
+    try:
+        action(subject)
+    except exceptions.CarobforkError as error:
+        logger.warning('A takeover will be retried.', error=str(error))
