--- a/src/carobfork/exceptions.py
+++ b/src/carobfork/exceptions.py
@@ -50,9 +50,10 @@
 
     def __str__(self) -> str:
         """Return code, message, step and peer in one line."""
-        return (
-            f'{self.code}: {self.message} (step {self.step}, peer {self.peer})'
-        )
+        where = f'step {self.step or "unknown"}'
+        if self.peer:
+            where = f'{where}, peer {self.peer}'
+        return f'{self.code}: {self.message} ({where})'
 
 
 class BadRequestError(CarobforkError):
@@ -70,6 +71,13 @@
     http_status = 413
 
 
+class RequestTimeoutError(BadRequestError):
+    """The caller took too long to send its request."""
+
+    code = 'request_timeout'
+    http_status = 408
+
+
 class ForbiddenError(BadRequestError):
     """The caller's token does not open this program."""
 
@@ -147,6 +155,8 @@
 
     code = 'bad_settings'
     outcome = Outcome.not_run
+    problems: tuple[str, ...] = ()
+    """Each problem of the file, where there are several."""
 
 
 class PlatformError(CarobforkError):
