Explain waits and moves in tests, and check the stand-ins' settings

Cause: that a program waits or has moved was explained but not proved, and a stand-in with wrong settings ended in a traceback.

Change: tests with a frozen engine and a killed host; stand-ins print the problems and exit with the code of the class.

--- a/src/carobfork_standins/__main__.py
+++ b/src/carobfork_standins/__main__.py
@@ -6,7 +6,8 @@
 
 import sys  # noqa: E402
 
-from carobfork import daemons  # noqa: E402
+from carobfork import daemons, exceptions  # noqa: E402
+from carobfork.commands import outputs  # noqa: E402
 from carobfork.protocol import documents  # noqa: E402
 from carobfork.transport import servers  # noqa: E402
 from carobfork_standins import engine, platform, service  # noqa: E402
@@ -18,14 +19,25 @@
 }
 
 
-def main() -> None:
-    """Serve one stand-in until it is told to stop."""
-    kind, path = sys.argv[1:]
+def main() -> int:
+    """Serve one stand-in until it is told to stop.
+
+    ``check KIND SETTINGS`` only checks the settings.
+    """
+    *checking, kind, path = sys.argv[1:]
     settings_class, application_class = KINDS[kind]
-    settings = documents.load(path, settings_class)
-    application = application_class(settings)
-    daemons.run_until_stopped(servers.HttpServer(settings.address, application))
+    try:
+        settings = documents.load(path, settings_class)
+    except exceptions.SettingsError as error:
+        outputs.print_error(error, as_json=False)
+        return outputs.exit_code(error)
+    if not checking:
+        application = application_class(settings)
+        daemons.run_until_stopped(
+            servers.HttpServer(settings.address, application)
+        )
+    return 0
 
 
 if __name__ == '__main__':
-    main()
+    sys.exit(main())
--- a/tests/test_inspections.py
+++ b/tests/test_inspections.py
@@ -6,6 +6,7 @@
 import tempfile
 import unittest
 
+import gevent
 from gevent import socket
 
 from carobfork import exceptions
@@ -15,6 +16,8 @@
 
 METRICS_PAGE = pathlib.Path(__file__).parent.parent / 'docs/METRICS.md'
 DUMP_BYTES = 60_000
+CROWD = 24
+PATIENCE_SECONDS = 60
 
 
 class InspectionTest(unittest.TestCase):
@@ -93,6 +96,38 @@
             self.assertIn(expected, words)
         self.assertNotIn(program.token, words)
 
+    def test_explanation_of_a_wait(self):
+        """A call that has no slot yet is said to wait for one."""
+        session = self.lab.session('entry-1', attempts=1)
+        opened = [session.open('quote') for _ in range(CROWD)]
+        self.lab.freeze('engine-1')
+        asking = [
+            gevent.spawn(program.ask, layouts.MODEL, 'How wide?')
+            for program in opened
+        ]
+        try:
+            waiting = self.wait_for(lambda: self.find_waiting(opened))
+        finally:
+            self.lab.thaw('engine-1')
+            gevent.joinall(asking, timeout=PATIENCE_SECONDS)
+        self.assertIn('a slot of model talk in rank 0', waiting)
+
+    def find_waiting(self, opened):
+        """Return the last decision about a program that waits, if any."""
+        for program in opened:
+            found = self.command('explain', program.identifier, self.at)
+            last = found['sentences'][-1]
+            if 'waits for' in last:
+                return last
+        return ''
+
+    def wait_for(self, find):
+        """Return what is found once it is there."""
+        with gevent.Timeout(PATIENCE_SECONDS):
+            while not (found := find()):
+                gevent.sleep(0.1)
+        return found
+
     def test_foreign_caller_leaves_no_trace(self):
         """A caller with a wrong token does not fill another's log."""
         program = self.open()
@@ -165,6 +200,33 @@
                 lab.session('entry-2').open('quote').close()
 
 
+class TakeoverTest(unittest.TestCase):
+    """A program that moved is explained by the host that has it."""
+
+    def test_moved_program(self):
+        """After its host died, another one says that it took over."""
+        layout = layouts.Layout(entries=3, engines=1)
+        with tempfile.TemporaryDirectory() as folder:
+            with labs.Lab(folder, layout) as lab:
+                program = lab.session('entry-1').open('quote')
+                lab.kill('entry-1')
+                at = ','.join(
+                    str(layout.operator_address(name))
+                    for name in layout.entry_names
+                )
+                out = self.await_explanation(program.identifier, at)
+        self.assertIn('was opened at entry-1.1, which this host took over', out)
+
+    def await_explanation(self, program, at):
+        """Ask until a host knows the program."""
+        with gevent.Timeout(PATIENCE_SECONDS):
+            while True:
+                code, out, _ = test_commands.run('explain', program, at)
+                if not code:
+                    return out
+                gevent.sleep(0.2)
+
+
 class MetricsPageTest(unittest.TestCase):
     """The page lists what is served."""
 
