Check a bundle's signature before it is rolled

Cause: 'bundle roll' put any envelope at the platform; one signed by the wrong key was refused only by the hosts, after it stood at the head.

Change: roll takes the public key that the hosts use and refuses with exit code 3 before anything is sent.

--- a/src/carobfork/commands/bundles.py
+++ b/src/carobfork/commands/bundles.py
@@ -46,16 +46,17 @@
             version=found.version,
         )
 
-    def roll(self, signed: str, platform: str) -> outputs.Report:
+    def roll(self, signed: str, platform: str, key: str) -> outputs.Report:
         """Put a signed bundle in force on all hosts.
 
-        Example: ``carobfork bundle roll signed.json 127.0.0.1:7001``
+        Example: ``carobfork bundle roll signed.json 127.0.0.1:7001 ops.pub``
 
         :param signed: path of the signed bundle.
         :param platform: address of the platform as ip:port.
+        :param key: path of the public key that the hosts check it with.
         """
         envelope = documents.read_text(signed).encode()
-        offered = _bundle_of(envelope)
+        offered = signatures.SignedBundleReader(key).read(envelope)
         store = platforms.HttpObjectStore(sessions.parse_address(platform))
         found = store.fetch(control.BUNDLE_KEY)
         if found is not None:
--- a/src/carobfork/commands/groups.py
+++ b/src/carobfork/commands/groups.py
@@ -17,7 +17,7 @@
 
     Each command takes ``--json`` for scripts and ``--help``.
 
-    Example: ``carobfork bundle roll signed.json --platform 127.0.0.1:7001``
+    Example: ``carobfork bundle roll signed.json 127.0.0.1:7001 ops.pub``
     """
 
     def __init__(self) -> None:
--- a/src/carobfork_standins/labs.py
+++ b/src/carobfork_standins/labs.py
@@ -193,8 +193,9 @@
         self.command(
             'bundle', 'sign', plain, self.path('operators.key'), signed
         )
+        platform = str(self.layout.platform_address)
         self.command(
-            'bundle', 'roll', signed, str(self.layout.platform_address)
+            'bundle', 'roll', signed, platform, self.path('operators.pub')
         )
 
     def command(self, *arguments: str) -> subprocess.CompletedProcess:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -154,3 +154,16 @@
         self.assertIn('bundle.services[orders].name: orders -> -', out)
         _, out, _ = run('bundle', 'diff', old, old)
         self.assertEqual(out, 'No differences.\n')
+
+    def test_roll_checks_the_signature(self):
+        """A bundle signed by another key is refused before it is sent."""
+        for private, public in ('ab', 'cd'):
+            run('keys', 'make', self.path(private), self.path(public))
+        bundle = self.write_bundle('bundle.jsonc')
+        signed = self.path('signed')
+        run('bundle', 'sign', bundle, self.path('a'), signed)
+        for public, expected in (('d', 3), ('b', 6)):
+            with self.subTest(public=public):
+                key = self.path(public)
+                code, _, _ = run('bundle', 'roll', signed, '127.0.0.1:1', key)
+                self.assertEqual(code, expected)
