Read refusals and errors of streams in the experiments' driver

Cause: a refusal that arrived inside a stream was counted as call_failed, and failed sub-agents printed tracebacks. Change: the driver decodes the error event; sub-agents' errors count for their program.

--- a/src/carobfork_standins/experiments/drivers.py
+++ b/src/carobfork_standins/experiments/drivers.py
@@ -6,6 +6,7 @@
 
 import attrs
 import gevent
+from gevent import pool
 
 from carobfork import clock, exceptions, sessions
 from carobfork.protocol import headers
@@ -14,7 +15,7 @@
 
 _EVENT = b'"content": "'
 _USAGE = re.compile(rb'"prompt_tokens": (\d+).*"cached_tokens": (\d+)')
-_ERROR = b'"error":'
+_ERROR = b'{"error":'
 _TRIES = 3
 _TRIES_ONCE_ADMITTED = 30
 _RETRY_MS = 200
@@ -90,8 +91,7 @@
             self._run_turns(session, plan, measure)
         except exceptions.CarobforkError as error:
             measure.errors.append(error.code)
-        else:
-            measure.finished = True
+        measure.finished = not measure.errors
         measure.end_ms = self.now_ms()
 
     def _run_turns(
@@ -101,13 +101,11 @@
         measure: ProgramMeasure,
     ) -> None:
         with session.open(plan.kind) as program:
-            beside = []
+            beside = pool.Group()
             if plan.sub_agent:
-                beside.append(
-                    gevent.spawn(self._run_sub_agent, session, plan, measure)
-                )
+                beside.spawn(self._run_sub_agent, session, plan, measure)
             _Conversation(self, program, measure).run(plan.turns)
-            gevent.joinall(beside, raise_error=True)
+            beside.join()
 
     def _run_sub_agent(
         self,
@@ -115,8 +113,11 @@
         plan: workloads.ProgramPlan,
         measure: ProgramMeasure,
     ) -> None:
-        with session.open(plan.kind) as program:
-            _Conversation(self, program, measure).run(plan.sub_agent)
+        try:
+            with session.open(plan.kind) as program:
+                _Conversation(self, program, measure).run(plan.sub_agent)
+        except exceptions.CarobforkError as error:
+            measure.errors.append(error.code)
 
 
 class _Conversation:
@@ -187,8 +188,7 @@
             now_ms = self._driver.now_ms()
             times_ms.extend(now_ms for _ in range(piece.count(_EVENT)))
             tail = (tail + piece)[-_TAIL_BYTES:]
-        if _ERROR in tail:
-            raise exceptions.CallFailedError(tail.decode())
+        _raise_error(tail)
         prompt, cached = _usage(tail)
         again = max(0, min(self._served_tokens, prompt) - cached)
         self._served_tokens = prompt + len(times_ms)
@@ -207,6 +207,13 @@
         )
 
 
+def _raise_error(tail: bytes) -> None:
+    """Raise the error that a broken-off stream ends with, if it does."""
+    _, found, fields = tail.rpartition(_ERROR)
+    if found:
+        raise sessions.decode_error(found + fields)
+
+
 def _usage(tail: bytes) -> tuple[int, int]:
     found = _USAGE.search(tail)
     if found is None:
