Tell hosts at once that one leaves, and finish requests before it stops

Cause: a stop closed the listeners at once. Callers keep an address answer for 5 s, so they met a closed port; the WSGI server has no pool by default and waited for no stream; connections complete in the kernel but not yet accepted were reset, which callers must take for an unknown outcome. A host frozen and thawed declared all others dead, since it had heard nobody. Each heartbeat round sorted and hashed the ring once for every host.

Ruled out: a greenlet pool in the WSGI server. It waits for idle keep-alive connections too, up to its whole timeout.

A leaving host asks every live host to acknowledge that it leaves, writes so to its object, and waits until address answers have expired. Silences start anew after this process itself stood still. What is kept of old incarnations is forgotten.

Conclusion: the first half of a planned stop; programs are not yet handed over.

--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -16,6 +16,7 @@
     routing,
     service_calls,
     slots,
+    stops,
 )
 from carobfork.protocol import callers, codecs, documents, operators, signatures
 from carobfork.state import bundles, identifiers, programs
@@ -88,7 +89,12 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Stop listening, finish what is under way and stop."""
+        """Leave without cutting a request, or at once after a failure."""
+        if kind is None:
+            stop = stops.PlannedStop(
+                self.members, self.link, self.store, self.timer
+            )
+            stop.run(self._hand_over, [self.caller_listener])
         self._exits.close()
         gevent.killall(self._greenlets)
 
@@ -141,11 +147,15 @@
         operator = operators.OperatorApplication(self.describe_state)
         caller = callers.CallerApplication(self._build_parts())
         settings = self.settings
-        for address, application in (
-            (settings.operator_address, operator),
-            (settings.caller_address, caller),
-        ):
-            self._exits.enter_context(servers.HttpServer(address, application))
+        self._exits.enter_context(
+            servers.HttpServer(settings.operator_address, operator)
+        )
+        self.caller_listener = self._exits.enter_context(
+            servers.HttpServer(settings.caller_address, caller)
+        )
+
+    def _hand_over(self) -> None:
+        """Give the programs to a successor."""
 
     def _describe(self, number: int) -> routing.EntryHost:
         return routing.EntryHost(
--- a/src/carobfork/coordination/control.py
+++ b/src/carobfork/coordination/control.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import attrs
 import cattrs
 import gevent
 import structlog
@@ -124,6 +125,20 @@
     return host
 
 
+def mark_leaving(store: ports.ObjectStore, host: routing.EntryHost) -> None:
+    """Say in a host's object that it is about to stop.
+
+    :raises PlatformError: the platform did not confirm it.
+    """
+    key = HOSTS_PREFIX + host.incarnation.host
+    found = store.fetch(key)
+    registered = decode_host(found.body) if found else None
+    if registered is None or registered.incarnation != host.incarnation:
+        return
+    leaving = attrs.evolve(registered, leaving=True)
+    store.update(key, encode_host(leaving), expected_version=found.version)
+
+
 def encode_host(host: routing.EntryHost) -> bytes:
     """Return a host's object at the platform."""
     return json.dumps(_converter.unstructure(host)).encode()
--- a/src/carobfork/coordination/membership.py
+++ b/src/carobfork/coordination/membership.py
@@ -13,12 +13,17 @@
 import structlog
 
 from carobfork import clock
-from carobfork.coordination import control, messages, ports, routing
+from carobfork.coordination import (
+    control,
+    detectors,
+    messages,
+    ports,
+    rings,
+    routing,
+)
 from carobfork.state import identifiers
 
 HEARTBEAT_INTERVAL_MS = 1000
-SUSPECT_AFTER_MS = 3500
-SUCCESSORS = 6
 
 logger = structlog.get_logger(part='membership')
 
@@ -49,19 +54,18 @@
         self._directory = directory
         self._link = link
         self._holder = holder
-        self._timer = timer
-        self._heard_ms: dict[identifiers.Incarnation, float] = {}
+        self._detector = detectors.FailureDetector(timer)
         self._leaving: set[identifiers.Incarnation] = set()
-        self._dead: set[identifiers.Incarnation] = set()
         self._listeners: list[DeathListener] = []
         link.on(messages.Heartbeat, self._hear)
+        link.on(messages.Leaving, self._note_leaving)
 
     def live(self) -> list[routing.EntryHost]:
         """Return the hosts believed to be alive, this one included."""
         return [
             host
             for host in self._directory.registered()
-            if host.incarnation not in self._dead
+            if not self._detector.is_dead(host.incarnation)
         ]
 
     def is_leaving(self, host: routing.EntryHost) -> bool:
@@ -70,6 +74,15 @@
             return self.leaving
         return host.leaving or host.incarnation in self._leaving
 
+    def staying(self) -> list[routing.EntryHost]:
+        """Return the live hosts that are not about to stop."""
+        return [host for host in self.live() if not self.is_leaving(host)]
+
+    def others(self) -> list[routing.EntryHost]:
+        """Return the live hosts without this one."""
+        own = self.own.incarnation
+        return [host for host in self.live() if host.incarnation != own]
+
     def find(self, name: str) -> routing.EntryHost | None:
         """Return a live host by its name."""
         for host in self.live():
@@ -83,18 +96,19 @@
 
     def successors(self, name: str) -> list[routing.EntryHost]:
         """Return the hosts that monitor a host, nearest first."""
-        ring = sorted(self._directory.registered(), key=_position)
-        start = _hash(name)
-        after = [host for host in ring if _position(host) > start]
-        before = [host for host in ring if _position(host) < start]
-        return [*after, *before][:SUCCESSORS]
+        return rings.successors(self._directory.registered(), name)
 
     def is_first_successor(self, name: str) -> bool:
         """Tell whether this host is the nearest live one after another."""
-        for host in self.successors(name):
-            if host.incarnation not in self._dead:
-                return host.incarnation == self.own.incarnation
-        return False
+        alive = (
+            host
+            for host in self.successors(name)
+            if not self._detector.is_dead(host.incarnation)
+        )
+        nearest = next(alive, None)
+        return (
+            nearest is not None and nearest.incarnation == self.own.incarnation
+        )
 
     def run(self) -> None:
         """Send and check heartbeats until the greenlet is killed."""
@@ -107,40 +121,32 @@
         heartbeat = messages.Heartbeat(
             self.own.incarnation, self._holder.version, self.leaving
         )
-        for host in self.successors(self.own.incarnation.host):
-            self._link.send(host.peer_address, heartbeat)
-        for host in self._directory.registered():
-            if self._is_monitored(host):
-                self._check(host)
-
-    def _is_monitored(self, host: routing.EntryHost) -> bool:
-        if host.incarnation.host == self.own.incarnation.host:
-            return False
-        monitors = self.successors(host.incarnation.host)
-        names = {monitor.incarnation.host for monitor in monitors}
-        return self.own.incarnation.host in names
-
-    def _check(self, host: routing.EntryHost) -> None:
-        now_ms = self._timer.now_ms()
-        heard_ms = self._heard_ms.setdefault(host.incarnation, now_ms)
-        if now_ms - heard_ms <= SUSPECT_AFTER_MS:
-            return
-        if host.incarnation not in self._dead:
-            logger.warning('A host fell silent.', peer=str(host.incarnation))
-            self._dead.add(host.incarnation)
-            for listener in self._listeners:
-                listener(host)
+        registered = self._directory.registered()
+        own_name = self.own.incarnation.host
+        for successor in rings.successors(registered, own_name):
+            self._link.send(successor.peer_address, heartbeat)
+        if self._detector.tick():
+            logger.warning('This process stood still for a while.')
+        for monitored in rings.predecessors(registered, own_name):
+            if self._detector.check(monitored.incarnation):
+                self._report(monitored)
+        self._forget_old_incarnations()
+
+    def _report(self, host: routing.EntryHost) -> None:
+        logger.warning('A host fell silent.', peer=str(host.incarnation))
+        for listener in self._listeners:
+            listener(host)
+
+    def _note_leaving(self, leaving: messages.Leaving) -> messages.Noted:
+        self._leaving.add(leaving.sender)
+        return messages.Noted()
+
+    def _forget_old_incarnations(self) -> None:
+        known = {host.incarnation for host in self._directory.registered()}
+        self._leaving &= known
+        self._detector.keep(known)
 
     def _hear(self, heartbeat: messages.Heartbeat) -> None:
-        self._heard_ms[heartbeat.sender] = self._timer.now_ms()
-        self._dead.discard(heartbeat.sender)
+        self._detector.hear(heartbeat.sender)
         if heartbeat.leaving:
             self._leaving.add(heartbeat.sender)
-
-
-def _position(host: routing.EntryHost) -> str:
-    return _hash(host.incarnation.host)
-
-
-def _hash(name: str) -> str:
-    return identifiers.digest(name.encode())
--- a/src/carobfork/coordination/messages.py
+++ b/src/carobfork/coordination/messages.py
@@ -31,6 +31,20 @@
     leaving: bool = False
 
 
+@register
+@attrs.frozen
+class Leaving:
+    """A host is about to stop; address answers no longer name it."""
+
+    sender: identifiers.Incarnation
+
+
+@register
+@attrs.frozen
+class Noted:
+    """A message was understood and acted upon."""
+
+
 @register
 @attrs.frozen
 class Failure:
--- a/src/carobfork/coordination/ports.py
+++ b/src/carobfork/coordination/ports.py
@@ -73,6 +73,13 @@
         """
 
 
+class Listener(Protocol):
+    """Where requests come in."""
+
+    def drain(self) -> None:
+        """Stop listening and wait for the requests in progress."""
+
+
 class RecordCodec(Protocol):
     """Turn records into a segment's bytes and back."""
 
--- /dev/null
+++ b/src/carobfork/coordination/rings.py
@@ -0,0 +1,40 @@
+"""Rings: hosts ordered by a hash of their names, each watched by the next."""
+
+import functools
+from collections.abc import Iterable
+
+from carobfork.coordination import routing
+from carobfork.state import identifiers
+
+SUCCESSORS = 6
+KNOWN_NAMES = 2000
+
+
+def successors(
+    hosts: Iterable[routing.EntryHost], name: str
+) -> list[routing.EntryHost]:
+    """Return the hosts that follow a name on the ring, nearest first."""
+    return _from(name, sorted(hosts, key=_position))[:SUCCESSORS]
+
+
+def predecessors(
+    hosts: Iterable[routing.EntryHost], name: str
+) -> list[routing.EntryHost]:
+    """Return the hosts that have a name among their successors."""
+    return _from(name, sorted(hosts, key=_position))[-SUCCESSORS:]
+
+
+def _from(name: str, ring: list[routing.EntryHost]) -> list[routing.EntryHost]:
+    start = _hash(name)
+    after = [host for host in ring if _position(host) > start]
+    before = [host for host in ring if _position(host) < start]
+    return [*after, *before]
+
+
+def _position(host: routing.EntryHost) -> str:
+    return _hash(host.incarnation.host)
+
+
+@functools.lru_cache(maxsize=KNOWN_NAMES)
+def _hash(name: str) -> str:
+    return identifiers.digest(name.encode())
--- a/src/carobfork/coordination/routing.py
+++ b/src/carobfork/coordination/routing.py
@@ -87,11 +87,9 @@
 
     def addresses(self, program: str = '') -> AddressAnswer:
         """Return the hosts to use: a program's home first."""
-        hosts = [
-            host
-            for host in self._hosts.live()
-            if not self._hosts.is_leaving(host)
-        ]
+        live = self._hosts.live()
+        staying = [host for host in live if not self._hosts.is_leaving(host)]
+        hosts = staying or live
         random.shuffle(hosts)
         if program:
             home = identifiers.home_of(program)
--- a/src/carobfork_standins/labs.py
+++ b/src/carobfork_standins/labs.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Sequence
 from types import TracebackType
 
 import attrs
@@ -217,10 +218,22 @@
                 gevent.sleep(_POLL_SECONDS)
 
     def _stop_all(self) -> None:
-        for name in reversed(self.processes):
-            if self.processes[name].handle.poll() is None:
-                self.thaw(name)
-                self.stop(name)
+        running = [
+            name
+            for name, process in self.processes.items()
+            if process.handle.poll() is None
+        ]
+        entries = [name for name in running if name in self.layout.entry_names]
+        others = [name for name in running if name not in entries]
+        for group in (entries, others):
+            self._stop_group(group)
+
+    def _stop_group(self, names: Sequence[str]) -> None:
+        for name in names:
+            self.thaw(name)
+            self.processes[name].send(signal.SIGTERM)
+        for stopped in names:
+            self.processes[stopped].wait()
 
     def _show_logs(self) -> None:
         for process in self.processes.values():
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,123 @@
+"""Membership: silence, freezes, incarnations and hosts that leave."""
+
+import unittest
+
+from carobfork import clock
+from carobfork.coordination import (
+    control,
+    detectors,
+    membership,
+    messages,
+    rings,
+    routing,
+)
+from carobfork.state import programs
+from tests import hosts
+
+
+class MembershipTest(unittest.TestCase):
+    """One host of four, on a clock moved by hand."""
+
+    def setUp(self):
+        """Build the membership of entry-1."""
+        self.timer = clock.ManualClock()
+        self.link = hosts.MemoryLink()
+        self.directory = control.HostDirectory()
+        self.own = hosts.host('entry-1')
+        self.other = hosts.host('entry-2')
+        for number in range(1, 5):
+            self.directory.note(hosts.host(f'entry-{number}'))
+        self.members = membership.Membership(
+            self.own,
+            self.directory,
+            self.link,
+            control.BundleHolder(),
+            self.timer,
+        )
+        self.deaths = []
+        self.members.on_death(self.deaths.append)
+
+    def rounds(self, count, heard=()):
+        """Let heartbeat rounds pass, in which some hosts are heard."""
+        for _ in range(count):
+            self.timer.advance(membership.HEARTBEAT_INTERVAL_MS)
+            for sender in heard:
+                self.link.deliver(messages.Heartbeat(sender.incarnation, 1))
+            self.members.beat()
+
+    def test_silent_host_is_declared_dead_once(self):
+        """A silent host is reported once; one that is heard is not."""
+        others = [hosts.host('entry-3'), hosts.host('entry-4')]
+        self.rounds(8, heard=others)
+        self.assertEqual([self.other], self.deaths)
+        self.assertEqual([self.own, *others], self.members.live())
+
+    def test_host_heard_again_is_live(self):
+        """A host that was only paused counts as live again."""
+        self.rounds(8)
+        self.rounds(1, heard=[self.other])
+        self.assertIn(self.other, self.members.live())
+
+    def test_own_freeze_declares_nobody_dead(self):
+        """After a freeze of this process silences are counted anew."""
+        self.rounds(2)
+        self.timer.advance(60_000)
+        self.members.beat()
+        self.rounds(2)
+        self.assertEqual([], self.deaths)
+        self.rounds(3)
+        self.assertEqual(3, len(self.deaths))
+
+    def test_new_incarnation_is_live(self):
+        """Death and leaving belong to an incarnation, not to a name."""
+        self.link.deliver(messages.Leaving(self.other.incarnation))
+        self.rounds(8)
+        reborn = hosts.host('entry-2', number=2)
+        self.directory.note(reborn)
+        self.rounds(1)
+        self.assertIn(reborn, self.members.staying())
+        self.assertNotIn(self.other, self.members.live())
+
+    def test_leaving_host_is_not_named(self):
+        """Address answers leave out a host as soon as it says so."""
+        self.link.deliver(messages.Leaving(self.other.incarnation))
+        router = routing.Router(
+            self.own.incarnation, programs.ProgramTable(), self.members
+        )
+        self.assertNotIn('entry-2:7101', router.addresses().addresses)
+        self.assertEqual(3, len(router.addresses().addresses))
+
+    def test_leaving_alone_is_still_named(self):
+        """Where all hosts leave, callers are told those that still serve."""
+        for host in self.directory.registered():
+            self.link.deliver(messages.Leaving(host.incarnation))
+        self.members.leaving = True
+        router = routing.Router(
+            self.own.incarnation, programs.ProgramTable(), self.members
+        )
+        self.assertEqual(4, len(router.addresses().addresses))
+
+    def test_detector_forgets_old_incarnations(self):
+        """What is kept is bounded by the hosts that are registered."""
+        detector = detectors.FailureDetector(self.timer)
+        for number in range(100):
+            detector.hear(hosts.host('entry-2', number).incarnation)
+        detector.keep({self.other.incarnation})
+        self.assertEqual(1, len(detector._heard_ms))
+
+
+class RingTest(unittest.TestCase):
+    """Each host is monitored by its successors."""
+
+    def test_monitoring_is_mutual(self):
+        """A host's predecessors are those that have it as successor."""
+        fleet = [hosts.host(f'entry-{number}') for number in range(40)]
+        for watcher in fleet:
+            name = watcher.incarnation.host
+            watched = {
+                host
+                for host in fleet
+                if watcher in rings.successors(fleet, host.incarnation.host)
+            }
+            self.assertEqual(watched, set(rings.predecessors(fleet, name)))
+            self.assertEqual(rings.SUCCESSORS, len(watched))
