Keep new work from leaving, failing and stalled backend servers

Cause: service calls took a random server, whatever it had answered before. A repeatable call that was sent and not answered was refused as not run although it may have run.

Ruled out: believing the platform's list alone, since it lags; a health check of its own, since an engine may pass it without producing a token.

Change: the platform's list (control/backends), the servers' own answers (header Leaving, with status 503 a refusal), failures with a growing pause and one trial after it, and progress of streams decide which server may get work. A call that was not sent or was refused so goes to another server, at most three in all. A sent call without answer is unknown, repeatable or not.

Conclusion: services are covered; engines learn the same, their dispatchers are to be told.

--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -8,11 +8,13 @@
 
 from carobfork import clock
 from carobfork.coordination import (
+    backends,
     control,
     homes,
     journals,
     membership,
     model_calls,
+    observations,
     routing,
     service_calls,
     slots,
@@ -59,6 +61,8 @@
         self.holder = control.BundleHolder()
         self.directory = control.HostDirectory()
         self.table = programs.ProgramTable()
+        self.health = backends.BackendHealth(self.timer)
+        self.holder.subscribe(self.health.apply_bundle)
         self._greenlets: list[gevent.Greenlet] = []
         self._exits = contextlib.ExitStack()
 
@@ -112,6 +116,7 @@
                 'records_committed': self.journal.records_committed,
                 'platform_writes': self.journal.platform_writes,
             },
+            'unusable_servers': self.health.unusable(),
             'peers': attrs.asdict(self.link.traffic),
         }
 
@@ -123,20 +128,31 @@
         reader = signatures.SignedBundleReader(
             self.settings.bundle_public_key_file
         )
-        return control.ControlWatch(
-            self.store, self.holder, reader, self.directory
-        )
+        self.gate = control.BundleGate(reader, self.holder)
+        handlers = {
+            control.BUNDLE_KEY: self.gate.offer,
+            control.BACKENDS_KEY: self._apply_backend_list,
+        }
+        return control.ControlWatch(self.store, self.directory, handlers)
+
+    def _apply_backend_list(self, body: bytes) -> None:
+        self.health.apply_list(backends.BackendList.parse(body))
 
     def _build_parts(self) -> callers.CallerParts:
         home = homes.Home(self.journal, self.table, self.holder, self.broker)
-        backend = services.HttpServiceBackend()
+        backend = observations.ObservedServices(
+            services.HttpServiceBackend(), self.health
+        )
+        models = observations.ObservedModels(
+            engines.HttpModelBackend(), self.health
+        )
         return callers.CallerParts(
             home=home,
             router=routing.Router(
                 self.own.incarnation, self.table, self.members
             ),
-            models=model_calls.ModelCaller(home, engines.HttpModelBackend()),
-            services=service_calls.ServiceCaller(home, backend),
+            models=model_calls.ModelCaller(home, models),
+            services=service_calls.ServiceCaller(home, backend, self.health),
             forwarder=forwarders.HttpForwarder(),
         )
 
--- /dev/null
+++ b/src/carobfork/coordination/backends.py
@@ -0,0 +1,190 @@
+"""Backends: which backend servers may get new work.
+
+The platform's list of leaving servers lags, so what the servers themselves
+answer counts beside it. A server without progress counts as stalled however
+many connections it accepts: progress is an answer or part of one.
+"""
+
+import enum
+import json
+from collections.abc import Iterator, Sequence
+
+import attrs
+import cattrs
+import structlog
+
+from carobfork import clock, exceptions
+from carobfork.state import bundles
+
+FIRST_RETRY_MS = 1000
+LONGEST_RETRY_MS = 30_000
+LEAVING_MEMORY_MS = 60_000
+STALLED_AFTER_MS = 8000
+_DOUBLING_LIMIT = 5
+_converter = cattrs.Converter()
+
+logger = structlog.get_logger(part='backends')
+
+
+class ServerState(enum.StrEnum):
+    """What the platform's list says of a backend server."""
+
+    live = 'live'
+    leaving = 'leaving'
+
+
+@attrs.frozen
+class BackendList:
+    """The platform's list of backend servers; it lags behind reality."""
+
+    servers: dict[str, ServerState]
+
+    @classmethod
+    def parse(cls, body: bytes) -> 'BackendList':
+        """Parse the list's object.
+
+        :raises SettingsError: the object has another form.
+        """
+        try:
+            return _converter.structure(json.loads(body), cls)
+        except (ValueError, cattrs.BaseValidationError) as error:
+            raise exceptions.SettingsError(
+                f'the list of backend servers is malformed: {error}',
+                step='parse',
+            ) from error
+
+
+@attrs.define
+class _Health:
+    """What is known of one server."""
+
+    listed_leaving: bool = False
+    leaving_until_ms: float = 0
+    failures: int = 0
+    retry_at_ms: float = 0
+    in_progress: int = 0
+    progress_ms: float = 0
+    """When the server last answered something, or became busy."""
+
+
+class BackendHealth:
+    """Remember failures, stalls and leaving servers.
+
+    :param timer: measures spans.
+    """
+
+    def __init__(self, timer: clock.Clock) -> None:
+        """Start believing every server usable."""
+        self._timer = timer
+        self._servers: dict[str, _Health] = {}
+
+    def apply_bundle(self, bundle: bundles.Bundle) -> None:
+        """Forget the servers that a bundle no longer lists."""
+        listed = set(_server_names(bundle))
+        for name in self._servers.keys() - listed:
+            self._servers.pop(name)
+
+    def apply_list(self, listed: BackendList) -> None:
+        """Take over the platform's list."""
+        leaving = {
+            name
+            for name, state in listed.servers.items()
+            if state is ServerState.leaving
+        }
+        for name in leaving:
+            self._of(name)
+        for known, health in self._servers.items():
+            health.listed_leaving = known in leaving
+
+    def begin(self, name: str) -> None:
+        """Note that a server has one more request."""
+        health = self._of(name)
+        if not health.in_progress:
+            health.progress_ms = self._timer.now_ms()
+        health.in_progress += 1
+
+    def end(self, name: str) -> None:
+        """Note that a request ended, however it did."""
+        self._of(name).in_progress -= 1
+
+    def progress(self, name: str) -> None:
+        """Note that a server answered something."""
+        health = self._of(name)
+        health.progress_ms = self._timer.now_ms()
+        health.failures = 0
+
+    def fail(self, name: str) -> None:
+        """Note that a server refused, broke off or stayed silent."""
+        health = self._of(name)
+        doublings = min(health.failures, _DOUBLING_LIMIT)
+        health.failures += 1
+        delay_ms = min(FIRST_RETRY_MS << doublings, LONGEST_RETRY_MS)
+        health.retry_at_ms = self._timer.now_ms() + delay_ms
+        logger.info('A server failed.', peer=name, failures=health.failures)
+
+    def note_leaving(self, name: str) -> None:
+        """Note that a server itself said that it leaves."""
+        health = self._of(name)
+        health.leaving_until_ms = self._timer.now_ms() + LEAVING_MEMORY_MS
+
+    def is_leaving(self, name: str) -> bool:
+        """Tell whether a server is listed as leaving or said so."""
+        health = self._servers.get(name)
+        if health is None:
+            return False
+        now_ms = self._timer.now_ms()
+        return health.listed_leaving or now_ms < health.leaving_until_ms
+
+    def is_usable(self, name: str) -> bool:
+        """Tell whether a server may get new work.
+
+        One that failed may get some again after a pause, in which a single
+        request shows whether it has recovered.
+        """
+        health = self._servers.get(name)
+        if health is None:
+            return True
+        if self.is_leaving(name) or self._is_stalled(health):
+            return False
+        if not health.failures:
+            return True
+        is_idle = not health.in_progress
+        return is_idle and self._timer.now_ms() >= health.retry_at_ms
+
+    def unusable(self) -> list[str]:
+        """Return the servers that may get no new work, for the state dump."""
+        return [name for name in self._servers if not self.is_usable(name)]
+
+    def _is_stalled(self, health: _Health) -> bool:
+        silence_ms = self._timer.now_ms() - health.progress_ms
+        return health.in_progress > 0 and silence_ms > STALLED_AFTER_MS
+
+    def _of(self, name: str) -> _Health:
+        return self._servers.setdefault(name, _Health())
+
+
+def order_servers(
+    servers: Sequence[bundles.Server], health: BackendHealth
+) -> list[bundles.Server]:
+    """Return the servers to try, those believed usable first.
+
+    Servers that failed come last rather than never, since this host may be
+    wrong about them; leaving ones are left out.
+
+    :raises NotRunError: all servers are leaving.
+    """
+    staying = [
+        server for server in servers if not health.is_leaving(server.name)
+    ]
+    if not staying:
+        raise exceptions.NotRunError(
+            'all servers are leaving', step='choose server'
+        )
+    return sorted(staying, key=lambda server: not health.is_usable(server.name))
+
+
+def _server_names(bundle: bundles.Bundle) -> Iterator[str]:
+    for model in bundle.models:
+        yield from (worker.name for worker in model.workers)
+    for service in bundle.services:
+        yield from (server.name for server in service.servers)
--- a/src/carobfork/coordination/control.py
+++ b/src/carobfork/coordination/control.py
@@ -1,7 +1,7 @@
 """Control: the host list and the bundle, followed through one watch."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import attrs
@@ -16,6 +16,7 @@
 PREFIX = 'control/'
 HOSTS_PREFIX = 'control/hosts/'
 BUNDLE_KEY = 'control/bundle'
+BACKENDS_KEY = 'control/backends'
 RETRY_DELAY_MS = 500
 _converter = cattrs.Converter()
 
@@ -72,6 +73,36 @@
         return True
 
 
+class BundleGate:
+    """Let signed bundles into force.
+
+    :param reader: checks their signatures and content.
+    :param holder: holds the bundle in force.
+    """
+
+    def __init__(self, reader: BundleReader, holder: BundleHolder) -> None:
+        """Start without an envelope."""
+        self.envelope = b''
+        """The signed bundle in force, as it travels."""
+        self._reader = reader
+        self._holder = holder
+
+    def offer(self, envelope: bytes) -> None:
+        """Check a signed bundle and put it in force if it is newer.
+
+        :raises SettingsError: the signature or the content is wrong.
+        """
+        bundle = self._reader.read(envelope)
+        if self._holder.offer(bundle):
+            self.envelope = envelope
+        elif bundle.version < self._holder.version:
+            logger.warning(
+                'An older bundle was refused.',
+                version=bundle.version,
+                in_force=self._holder.version,
+            )
+
+
 class HostDirectory:
     """The entry hosts registered at the platform."""
 
@@ -153,23 +184,20 @@
     """Follow the platform's control objects.
 
     :param store: the platform's object API.
-    :param holder: where accepted bundles go.
-    :param reader: checks bundles' signatures.
     :param directory: where hosts go.
+    :param handlers: called with the body of the object under each key.
     """
 
     def __init__(
         self,
         store: ports.ObjectStore,
-        holder: BundleHolder,
-        reader: BundleReader,
         directory: HostDirectory,
+        handlers: Mapping[str, Callable[[bytes], None]],
     ) -> None:
         """Start before the first revision."""
         self._store = store
-        self._holder = holder
-        self._reader = reader
         self._directory = directory
+        self._handlers = handlers
         self._revision = 0
 
     def run(self) -> None:
@@ -189,15 +217,17 @@
         self._revision = revision
 
     def _apply(self, change: ports.StoredObject) -> None:
-        if change.key.startswith(HOSTS_PREFIX):
-            self._directory.note(decode_host(change.body))
-        elif change.key == BUNDLE_KEY:
-            self._accept_bundle(change.body)
-
-    def _accept_bundle(self, envelope: bytes) -> None:
         try:
-            bundle = self._reader.read(envelope)
+            self._read(change)
         except exceptions.SettingsError as error:
-            logger.warning('A bundle was refused.', error=str(error))
+            logger.warning(
+                'An object was refused.', key=change.key, error=str(error)
+            )
+
+    def _read(self, change: ports.StoredObject) -> None:
+        if change.key.startswith(HOSTS_PREFIX):
+            self._directory.note(decode_host(change.body))
             return
-        self._holder.offer(bundle)
+        handler = self._handlers.get(change.key)
+        if handler is not None:
+            handler(change.body)
--- a/src/carobfork/coordination/ports.py
+++ b/src/carobfork/coordination/ports.py
@@ -153,11 +153,15 @@
 
 @attrs.frozen
 class ServiceReply:
-    """A plain service's answer."""
+    """A plain service's answer.
+
+    ``leaving`` tells that the server wants no further work.
+    """
 
     status: int
     body: bytes
     content_type: str
+    leaving: bool = False
 
 
 class ServiceBackend(Protocol):
@@ -168,5 +172,6 @@
     ) -> ServiceReply:
         """Send a request once and wait for its answer.
 
+        :raises LeavingError: the server refused since it leaves.
         :raises ConnectionFailedError: no whole answer came.
         """
--- a/src/carobfork/coordination/service_calls.py
+++ b/src/carobfork/coordination/service_calls.py
@@ -11,12 +11,13 @@
 from gevent import event
 
 from carobfork import clock, exceptions
-from carobfork.coordination import calls, homes, ports
+from carobfork.coordination import backends, calls, homes, ports
 from carobfork.state import bundles, programs, records
 
 INTENT_TIMEOUT_MS = 5000
 RECORD_TIMEOUT_MS = 30_000
 LATE_ANSWER_MS = 600_000
+MAX_ATTEMPTS = 3
 
 logger = structlog.get_logger(part='service calls')
 
@@ -26,12 +27,19 @@
 
     :param home: the programs and their journal.
     :param backend: the plain services.
+    :param health: which of their servers to try first.
     """
 
-    def __init__(self, home: homes.Home, backend: ports.ServiceBackend) -> None:
+    def __init__(
+        self,
+        home: homes.Home,
+        backend: ports.ServiceBackend,
+        health: backends.BackendHealth,
+    ) -> None:
         """Start without calls under way."""
         self._home = home
         self._backend = backend
+        self._health = health
         self._running: dict[tuple[str, str], _Running] = {}
 
     def run(self, call: calls.ServiceCall) -> records.AnswerRecorded:
@@ -118,7 +126,6 @@
     def _send(
         self, call: calls.ServiceCall, operation: bundles.Operation
     ) -> records.AnswerRecorded:
-        server = random.choice(self._service(call).servers)
         request = ports.ServiceRequest(
             method=call.method,
             path=call.path,
@@ -126,7 +133,7 @@
             content_type=call.content_type,
             call=f'{call.program}/{call.key}',
         )
-        reply = self._send_once(server, request, operation)
+        server, reply = self._send_to_one(call, request, operation)
         return records.AnswerRecorded(
             program=call.program,
             key=call.key,
@@ -137,6 +144,30 @@
             content_type=reply.content_type,
         )
 
+    def _send_to_one(
+        self,
+        call: calls.ServiceCall,
+        request: ports.ServiceRequest,
+        operation: bundles.Operation,
+    ) -> tuple[bundles.Server, ports.ServiceReply]:
+        """Send a call to one server after another until one takes it."""
+        refusals: list[exceptions.CarobforkError] = []
+        for server in self._candidates(call):
+            try:
+                return server, self._send_once(server, request, operation)
+            except exceptions.NotRunError as error:
+                refusals.append(error)
+            except exceptions.UnknownOutcomeError as unknown:
+                if not operation.repeatable:
+                    raise
+                refusals.append(unknown)
+        raise _gravest(refusals)
+
+    def _candidates(self, call: calls.ServiceCall) -> list[bundles.Server]:
+        servers = list(self._service(call).servers)
+        random.shuffle(servers)
+        return backends.order_servers(servers, self._health)[:MAX_ATTEMPTS]
+
     def _send_once(
         self,
         server: bundles.Server,
@@ -149,7 +180,7 @@
         try:
             return self._backend.send(server, request, timeout_ms)
         except exceptions.ConnectionFailedError as error:
-            if error.sent and not operation.repeatable:
+            if error.sent:
                 raise calls.unknown_outcome(server.name) from error
             raise exceptions.NotRunError(
                 'the service could not be reached',
@@ -171,6 +202,20 @@
         )
 
 
+def _gravest(
+    refusals: list[exceptions.CarobforkError],
+) -> exceptions.CarobforkError:
+    """Return the error that a call ends with after several attempts.
+
+    What was sent once may have run, so an unknown outcome outweighs servers
+    that could not be reached.
+    """
+    for refusal in refusals:
+        if refusal.outcome is exceptions.Outcome.unknown:
+            return refusal
+    return refusals[0]
+
+
 class _Running:
     """A call under way that several callers may wait for."""
 
--- a/src/carobfork/exceptions.py
+++ b/src/carobfork/exceptions.py
@@ -126,6 +126,12 @@
     code = 'stopping'
 
 
+class LeavingError(NotRunError):
+    """The backend server refused the call because it is leaving."""
+
+    code = 'leaving'
+
+
 class UnknownOutcomeError(CarobforkError):
     """The call may have run; its outcome is not known yet."""
 
--- a/src/carobfork/transport/engines.py
+++ b/src/carobfork/transport/engines.py
@@ -6,7 +6,7 @@
 from carobfork.coordination import ports
 from carobfork.protocol import answers, sse
 from carobfork.state import bundles
-from carobfork.transport import connections
+from carobfork.transport import connections, departures
 
 SILENCE_TIMEOUT_MS = 30_000
 _HTTP_OK = 200
@@ -30,6 +30,7 @@
             read_timeout_ms=SILENCE_TIMEOUT_MS,
         )
         with connections.Exchange(worker.address, request) as exchange:
+            departures.require_staying(exchange, worker.name)
             if exchange.status != _HTTP_OK:
                 raise exceptions.CallFailedError(
                     f'the engine answered {exchange.status}',
--- a/src/carobfork/transport/services.py
+++ b/src/carobfork/transport/services.py
@@ -2,7 +2,7 @@
 
 from carobfork.coordination import ports
 from carobfork.state import bundles
-from carobfork.transport import connections
+from carobfork.transport import connections, departures
 
 
 class HttpServiceBackend:
@@ -26,8 +26,10 @@
             read_timeout_ms=timeout_ms,
         )
         with connections.Exchange(server.address, message) as exchange:
+            departures.require_staying(exchange, server.name)
             return ports.ServiceReply(
                 status=exchange.status,
                 body=exchange.read(),
                 content_type=exchange.header('Content-Type'),
+                leaving=departures.is_leaving(exchange),
             )
--- a/src/carobfork_standins/service.py
+++ b/src/carobfork_standins/service.py
@@ -15,6 +15,7 @@
 
 from carobfork import clock
 from carobfork.state import bundles
+from carobfork.transport import departures
 from carobfork_standins import web
 
 
@@ -33,6 +34,8 @@
     delay_before_ms: int = 0
     delay_after_ms: int = 0
     failing_status: int = 0
+    leaving: int = 0
+    """Whether calls are refused because the server leaves."""
 
 
 class ServiceApplication(web.Application):
@@ -56,6 +59,8 @@
 
     def _run(self, request: Request, path: str) -> Response:
         faults = self._faults
+        if faults.leaving:
+            return Response(status=503, headers={departures.HEADER: '1'})
         gevent.sleep(clock.to_seconds(faults.delay_before_ms))
         key = request.headers.get('Idempotency-Key', '')
         self._counts[key] += 1
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,139 @@
+"""Backends: leaving, failing and stalled servers get no new work."""
+
+import unittest
+
+from carobfork import clock, exceptions
+from carobfork.coordination import backends, observations, ports
+from carobfork.state import bundles
+
+WORKER = bundles.Worker('engine-1', bundles.Address('127.0.0.1', 1))
+SERVERS = tuple(
+    bundles.Server(f'service-{number}', bundles.Address('127.0.0.1', number))
+    for number in range(1, 4)
+)
+
+
+class BackendHealthTest(unittest.TestCase):
+    """What is remembered of servers, on a clock moved by hand."""
+
+    def setUp(self):
+        """Start without memories."""
+        self.timer = clock.ManualClock()
+        self.health = backends.BackendHealth(self.timer)
+
+    def apply_list(self, **servers):
+        """Apply the platform's list."""
+        listed = {
+            name.replace('_', '-'): backends.ServerState(state)
+            for name, state in servers.items()
+        }
+        self.health.apply_list(backends.BackendList(listed))
+
+    def test_list_and_answers_count_both(self):
+        """A server that says it leaves is out though it is listed live."""
+        self.health.note_leaving('service-1')
+        self.apply_list(service_1='live', service_2='leaving')
+        usable = [self.health.is_usable(server.name) for server in SERVERS]
+        self.assertEqual([False, False, True], usable)
+
+    def test_leaving_server_may_come_back(self):
+        """Without further word a server is asked again after a while."""
+        self.health.note_leaving('service-1')
+        self.timer.advance(backends.LEAVING_MEMORY_MS)
+        self.assertTrue(self.health.is_usable('service-1'))
+
+    def test_failed_server_gets_one_trial(self):
+        """After a pause one request tries the server, not a burst."""
+        self.health.fail('service-1')
+        self.assertFalse(self.health.is_usable('service-1'))
+        self.timer.advance(backends.FIRST_RETRY_MS)
+        self.assertTrue(self.health.is_usable('service-1'))
+        self.health.begin('service-1')
+        self.assertFalse(self.health.is_usable('service-1'))
+        self.health.progress('service-1')
+        self.assertTrue(self.health.is_usable('service-1'))
+
+    def test_pause_grows_and_is_bounded(self):
+        """Repeated failures double the pause up to a limit."""
+        for _ in range(50):
+            self.health.fail('service-1')
+        self.timer.advance(backends.LONGEST_RETRY_MS - 1)
+        self.assertFalse(self.health.is_usable('service-1'))
+        self.timer.advance(1)
+        self.assertTrue(self.health.is_usable('service-1'))
+
+    def test_connections_without_tokens_are_a_stall(self):
+        """An engine that accepts requests and yields nothing is out."""
+        self.health.begin('engine-1')
+        self.timer.advance(backends.STALLED_AFTER_MS + 1)
+        self.health.begin('engine-1')
+        self.assertFalse(self.health.is_usable('engine-1'))
+        self.health.progress('engine-1')
+        self.assertTrue(self.health.is_usable('engine-1'))
+
+    def test_order_puts_doubtful_servers_last(self):
+        """Failing servers are tried last, leaving ones never."""
+        self.health.fail('service-1')
+        self.health.note_leaving('service-2')
+        ordered = backends.order_servers(SERVERS, self.health)
+        names = [server.name for server in ordered]
+        self.assertEqual(['service-3', 'service-1'], names)
+
+    def test_all_leaving_is_not_run(self):
+        """Where all servers leave, the call is refused as not run."""
+        for server in SERVERS:
+            self.health.note_leaving(server.name)
+        with self.assertRaises(exceptions.NotRunError):
+            backends.order_servers(SERVERS, self.health)
+
+    def test_malformed_list_is_refused(self):
+        """A list of another form is an error with a code."""
+        with self.assertRaises(exceptions.SettingsError):
+            backends.BackendList.parse(b'{"servers": {"engine-1": "gone"}}')
+
+
+class ObservedModelsTest(unittest.TestCase):
+    """Streams teach the health memory."""
+
+    def setUp(self):
+        """Wrap an engine that fails as the test says."""
+        self.health = backends.BackendHealth(clock.ManualClock())
+        self.failure = None
+        self.models = observations.ObservedModels(self, self.health)
+
+    def stream(self, worker, prompt):
+        """Yield one event and fail."""
+        yield b'data: 1'
+        if self.failure is not None:
+            raise self.failure
+
+    def decode(self, events):
+        """Return nothing; streams are all that is tested."""
+
+    def turn(self, messages, answer):
+        """Return nothing; streams are all that is tested."""
+
+    def run_stream(self):
+        """Read a whole stream and return the error it ended with."""
+        prompt = ports.Prompt('talk', 'p', 'a', b'', b'', 'urgent')
+        try:
+            list(self.models.stream(WORKER, prompt))
+        except exceptions.CarobforkError as error:
+            return error
+
+    def test_broken_stream_is_a_failure(self):
+        """A stream that breaks off keeps new work away."""
+        self.failure = exceptions.ConnectionFailedError('broken', sent=True)
+        self.assertIs(self.failure, self.run_stream())
+        self.assertEqual(['engine-1'], self.health.unusable())
+
+    def test_refusal_of_leaving_engine_is_remembered(self):
+        """An engine that refuses as leaving is leaving."""
+        self.failure = exceptions.LeavingError('leaving')
+        self.run_stream()
+        self.assertTrue(self.health.is_leaving('engine-1'))
+
+    def test_whole_stream_leaves_nothing(self):
+        """After a whole answer the engine is idle and usable."""
+        self.run_stream()
+        self.assertEqual([], self.health.unusable())
