Roll bundles by one settled update and learn them from peers in an outage

Cause: a roll whose answer was lost ended in an error although it was in force; a roll that lost a race told the object's version, not the bundle that won; a bundle's parts were checked one by one only, so a program of an unknown rank reached the hosts; a host that started while the platform was down had no bundle at all; parts built after the bundle came in force never heard of it (a model call then ended without an answer, seen in the scenario bundle_late_hosts before the change).

Ruled out: retrying the conditional update without reading back (the retry conflicts with its own first attempt); asking peers one after another (an older bundle could be in force for a moment).

Change: Rollout reads back after a lost answer or a conflict and names the version that won; a head that the operators did not sign gives way to a version above its claim. Checks between the parts of a bundle run before sign-off and on hosts, all problems at once. Subscribers get the bundle in force.

--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -9,6 +9,7 @@
 from carobfork import clock
 from carobfork.coordination import (
     backends,
+    bundle_peers,
     control,
     homes,
     journals,
@@ -45,6 +46,8 @@
     bundle_public_key_file: str
     peer_key_file: str
     log_format: str = 'json'
+    seed_peers: tuple[bundles.Address, ...] = ()
+    """Peer addresses to learn the bundle from while the platform is down."""
 
 
 class EntryHost:
@@ -60,6 +63,7 @@
         self.store = platforms.HttpObjectStore(settings.platform_address)
         self.holder = control.BundleHolder()
         self.directory = control.HostDirectory()
+        self.own: routing.EntryHost | None = None
         self.table = programs.ProgramTable()
         self.health = backends.BackendHealth(self.timer)
         self.holder.subscribe(self.health.apply_bundle)
@@ -68,13 +72,24 @@
 
     def __enter__(self) -> 'EntryHost':
         """Register, follow the control objects and listen."""
-        self.own = control.register_host(self.store, self._describe)
-        self.directory.note(self.own)
         self.link = self._exits.enter_context(self._build_link())
         self.watch = self._build_watch()
+        self.bundle_peers = bundle_peers.BundlePeers(
+            self.link, self.holder, self.gate
+        )
+        operator = operators.OperatorApplication(self.describe_state)
+        self._exits.enter_context(
+            servers.HttpServer(self.settings.operator_address, operator)
+        )
+        self._greenlets.append(
+            gevent.spawn(self.bundle_peers.run, self.settings.seed_peers)
+        )
+        self.own = control.register_host(self.store, self._describe)
+        self.directory.note(self.own)
         self.members = membership.Membership(
             self.own, self.directory, self.link, self.holder, self.timer
         )
+        self.members.on_version(self.bundle_peers.hear)
         self.journal = journals.Journal(
             self.store,
             codecs.MsgpackRecordCodec(),
@@ -104,6 +119,8 @@
 
     def describe_state(self) -> dict:
         """Return the state dump as JSON-ready fields."""
+        if self.own is None:
+            return {'incarnation': '', 'bundle_version': self.holder.version}
         return {
             'incarnation': str(self.own.incarnation),
             'bundle_version': self.holder.version,
@@ -160,14 +177,9 @@
         self._greenlets.extend(gevent.spawn(loop) for loop in loops)
 
     def _listen(self) -> None:
-        operator = operators.OperatorApplication(self.describe_state)
         caller = callers.CallerApplication(self._build_parts())
-        settings = self.settings
-        self._exits.enter_context(
-            servers.HttpServer(settings.operator_address, operator)
-        )
         self.caller_listener = self._exits.enter_context(
-            servers.HttpServer(settings.caller_address, caller)
+            servers.HttpServer(self.settings.caller_address, caller)
         )
 
     def _hand_over(self) -> None:
--- /dev/null
+++ b/src/carobfork/coordination/bundle_checks.py
@@ -0,0 +1,152 @@
+"""Bundle checks: what must hold between the parts of a bundle.
+
+Checks fill a registry by decorator. They run before a bundle is signed off
+and again on every host, and all problems are reported at once.
+"""
+
+import collections
+from collections.abc import Callable, Iterable, Iterator, Mapping
+
+import attrs
+
+from carobfork import exceptions
+from carobfork.coordination import orders, placements
+from carobfork.state import bundles
+
+SHARES_LIMIT = 1.0
+_ROUNDING = 1e-9
+
+POLICY_REGISTRIES: dict[str, Mapping[str, object]] = {  # noqa: WPS407
+    'order': orders.ORDERS,
+    'placement': placements.PLACEMENTS,
+}
+
+
+@attrs.frozen
+class Problem:
+    """Something wrong at a place in a bundle."""
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        """Return the path and the message."""
+        return f'{self.path}: {self.message}'
+
+
+Check = Callable[[bundles.Bundle], Iterator[Problem]]
+CHECKS: list[Check] = []  # noqa: WPS407
+
+
+def register(check: Check) -> Check:
+    """Register a check."""
+    CHECKS.append(check)
+    return check
+
+
+def verify(bundle: bundles.Bundle, source: str) -> None:
+    """Check a bundle.
+
+    :param source: what to call the bundle in errors.
+    :raises SettingsError: naming every problem found.
+    """
+    problems = [problem for check in CHECKS for problem in check(bundle)]
+    if problems:
+        raise exceptions.SettingsError(
+            '; '.join(f'{source}.{problem}' for problem in problems),
+            step='check',
+            peer=source,
+        )
+
+
+@register
+def check_names(bundle: bundles.Bundle) -> Iterator[Problem]:
+    """Names are unique where something is looked up by them."""
+    for field in ('ranks', 'programs', 'models', 'services'):
+        names = [member.name for member in getattr(bundle, field)]
+        yield from _repeated(field, 'name', names)
+    # Engines and servers share one name space: the list of leaving ones.
+    backend_names = list(_backend_names(bundle))
+    yield from _repeated('models and services', 'name', backend_names)
+
+
+@register
+def check_operations(bundle: bundles.Bundle) -> Iterator[Problem]:
+    """A service's operations differ in method or path."""
+    for index, service in enumerate(bundle.services):
+        targets = [
+            f'{operation.method} {operation.path}'
+            for operation in service.operations
+        ]
+        path = f'services[{index}].operations'
+        yield from _repeated(path, 'target', targets)
+
+
+@register
+def check_ranks(bundle: bundles.Bundle) -> Iterator[Problem]:
+    """Programs name ranks of the bundle."""
+    known = [rank.name for rank in bundle.ranks]
+    for index, kind in enumerate(bundle.programs):
+        if kind.rank not in known:
+            yield Problem(
+                f'programs[{index}].rank',
+                f'"{kind.rank}" is no rank, allowed: {", ".join(known)}',
+            )
+
+
+@register
+def check_shares(bundle: bundles.Bundle) -> Iterator[Problem]:
+    """Shares are parts of one capacity."""
+    total = sum(rank.share for rank in bundle.ranks)
+    if total > SHARES_LIMIT + _ROUNDING:
+        yield Problem('ranks', f'the shares sum to {total:g}, more than 1')
+    for index, rank in enumerate(bundle.ranks):
+        if not 0 <= rank.share <= SHARES_LIMIT:
+            yield Problem(
+                f'ranks[{index}].share', f'{rank.share:g} is not from 0 to 1'
+            )
+
+
+@register
+def check_backends(bundle: bundles.Bundle) -> Iterator[Problem]:
+    """Models have workers, services have servers."""
+    for index, model in enumerate(bundle.models):
+        if not model.workers:
+            yield Problem(f'models[{index}].workers', 'there are none')
+    for number, service in enumerate(bundle.services):
+        if not service.servers:
+            yield Problem(f'services[{number}].servers', 'there are none')
+
+
+@register
+def check_policies(bundle: bundles.Bundle) -> Iterator[Problem]:
+    """Policies are registered ones."""
+    for field, registry in POLICY_REGISTRIES.items():
+        name = getattr(bundle.policy, field)
+        if name not in registry:
+            allowed = ', '.join(sorted(registry))
+            yield Problem(
+                f'policy.{field}', f'"{name}" is unknown, allowed: {allowed}'
+            )
+
+
+@register
+def check_version(bundle: bundles.Bundle) -> Iterator[Problem]:
+    """Versions count from 1; 0 stands for no bundle."""
+    if bundle.version < 1:
+        yield Problem('version', f'{bundle.version} is less than 1')
+
+
+def _backend_names(bundle: bundles.Bundle) -> Iterator[str]:
+    for model in bundle.models:
+        yield from (worker.name for worker in model.workers)
+    for service in bundle.services:
+        yield from (server.name for server in service.servers)
+
+
+def _repeated(
+    path: str, noun: str, members: Iterable[str]
+) -> Iterator[Problem]:
+    for member, count in collections.Counter(members).items():
+        if count > 1:
+            yield Problem(path, f'{noun} "{member}" stands {count} times')
--- a/src/carobfork/coordination/control.py
+++ b/src/carobfork/coordination/control.py
@@ -32,6 +32,12 @@
         :raises SettingsError: the signature or the content is wrong.
         """
 
+    def claimed_version(self, envelope: bytes) -> int:
+        """Return the version of an envelope whose signature may be wrong.
+
+        It is 0 where the envelope is not even readable.
+        """
+
 
 class BundleHolder:
     """Hold the bundle in force; its version never goes back."""
@@ -59,8 +65,10 @@
         return self._bundle
 
     def subscribe(self, listener: Callable[[bundles.Bundle], None]) -> None:
-        """Call ``listener`` with each bundle that comes into force."""
+        """Call ``listener`` with the bundle in force and each later one."""
         self._listeners.append(listener)
+        if self._bundle is not None:
+            listener(self._bundle)
 
     def offer(self, bundle: bundles.Bundle) -> bool:
         """Put a bundle in force if it is newer, and say whether it is."""
--- a/src/carobfork/coordination/membership.py
+++ b/src/carobfork/coordination/membership.py
@@ -21,13 +21,14 @@
     rings,
     routing,
 )
-from carobfork.state import identifiers
+from carobfork.state import bundles, identifiers
 
 HEARTBEAT_INTERVAL_MS = 1000
 
 logger = structlog.get_logger(part='membership')
 
 DeathListener = Callable[[routing.EntryHost], None]
+VersionListener = Callable[[int, bundles.Address], None]
 
 
 class Membership:
@@ -57,6 +58,7 @@
         self._detector = detectors.FailureDetector(timer)
         self._leaving: set[identifiers.Incarnation] = set()
         self._listeners: list[DeathListener] = []
+        self._version_listeners: list[VersionListener] = []
         link.on(messages.Heartbeat, self._hear)
         link.on(messages.Leaving, self._note_leaving)
 
@@ -94,6 +96,10 @@
         """Call ``listener`` when a monitored host falls silent."""
         self._listeners.append(listener)
 
+    def on_version(self, listener: VersionListener) -> None:
+        """Call ``listener`` with each bundle version heard, and where."""
+        self._version_listeners.append(listener)
+
     def successors(self, name: str) -> list[routing.EntryHost]:
         """Return the hosts that monitor a host, nearest first."""
         return rings.successors(self._directory.registered(), name)
@@ -150,3 +156,7 @@
         self._detector.hear(heartbeat.sender)
         if heartbeat.leaving:
             self._leaving.add(heartbeat.sender)
+        sender = self._directory.find(heartbeat.sender.host)
+        if sender is not None:
+            for listener in self._version_listeners:
+                listener(heartbeat.bundle_version, sender.peer_address)
--- /dev/null
+++ b/src/carobfork/coordination/rollouts.py
@@ -0,0 +1,93 @@
+"""Rollouts: put a signed bundle in force by one conditional update.
+
+A bundle is accepted once the head object was replaced on condition of the
+version that was read, by one of a higher bundle version. An answer that was
+lost is settled by reading back.
+"""
+
+import gevent
+import structlog
+
+from carobfork import clock, exceptions
+from carobfork.coordination import control, ports
+from carobfork.state import bundles
+
+ATTEMPTS = 10
+RETRY_DELAY_MS = 200
+_STEP = 'roll'
+_PEER = 'platform'
+
+logger = structlog.get_logger(part='rollouts')
+
+
+class Rollout:
+    """Roll one signed bundle.
+
+    :param store: the platform's object API.
+    :param reader: parses envelopes and checks their signatures.
+    :param envelope: the signed bundle.
+    """
+
+    def __init__(
+        self,
+        store: ports.ObjectStore,
+        reader: control.BundleReader,
+        envelope: bytes,
+    ) -> None:
+        """Check the bundle.
+
+        :raises SettingsError: the signature or the content is wrong.
+        """
+        self.offered = reader.read(envelope)
+        self._store = store
+        self._reader = reader
+        self._envelope = envelope
+
+    def run(self) -> bundles.Bundle:
+        """Put the bundle in force and return it.
+
+        :raises ConflictError: another bundle won; the error names it.
+        :raises UnknownOutcomeError: the platform did not tell the outcome.
+        """
+        for _ in range(ATTEMPTS):
+            try:
+                return self._attempt()
+            except exceptions.ConflictError as conflict:
+                if conflict.step == _STEP:
+                    raise
+            except exceptions.PlatformError as error:
+                logger.warning('The roll is retried.', error=str(error))
+            gevent.sleep(clock.to_seconds(RETRY_DELAY_MS))
+        raise exceptions.UnknownOutcomeError(
+            f'the platform did not say whether version {self.offered.version} '
+            'is in force; roll it again',
+            step=_STEP,
+            peer=_PEER,
+        )
+
+    def _attempt(self) -> bundles.Bundle:
+        found = self._store.fetch(control.BUNDLE_KEY)
+        version = 0
+        if found is not None:
+            if found.body == self._envelope:
+                return self.offered
+            self._require_newer(found.body)
+            version = found.version
+        self._store.update(control.BUNDLE_KEY, self._envelope, version)
+        return self.offered
+
+    def _require_newer(self, envelope: bytes) -> None:
+        """Check that the offered bundle replaces what the head holds.
+
+        A head that the operators did not sign is replaced by a version above
+        the one that it claims; no host has it in force.
+        """
+        version = self._reader.claimed_version(envelope)
+        if version >= self.offered.version:
+            raise exceptions.ConflictError(
+                f'the head object holds version {version}, version '
+                f'{self.offered.version} was offered',
+                current_version=version,
+                step=_STEP,
+                peer=_PEER,
+            )
--- a/src/carobfork/daemons.py
+++ b/src/carobfork/daemons.py
@@ -35,9 +35,22 @@
 
 
 def run_until_stopped(part: contextlib.AbstractContextManager) -> None:
-    """Hold a context open until SIGTERM or SIGINT."""
+    """Hold a context open until SIGTERM or SIGINT.
+
+    A signal while the context is still being entered ends the process at
+    once, since nothing is served yet.
+    """
     stopped = event.Event()
-    gevent.signal_handler(signal.SIGTERM, stopped.set)
-    gevent.signal_handler(signal.SIGINT, stopped.set)
+    starting = gevent.getcurrent()
+
+    def stop() -> None:  # noqa: WPS430
+        stopped.set()
+        if not entered.is_set():
+            gevent.kill(starting, SystemExit)
+
+    entered = event.Event()
+    gevent.signal_handler(signal.SIGTERM, stop)
+    gevent.signal_handler(signal.SIGINT, stop)
     with part:
+        entered.set()
         stopped.wait()
--- a/src/carobfork/protocol/signatures.py
+++ b/src/carobfork/protocol/signatures.py
@@ -11,11 +11,13 @@
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
 from carobfork import exceptions
+from carobfork.coordination import bundle_checks
 from carobfork.protocol import documents
 from carobfork.state import bundles
 
 PRIVATE_MODE = 0o600
 _OTHERS_MASK = 0o77
+_SOURCE = 'the bundle'
 
 
 @attrs.frozen
@@ -96,7 +98,20 @@
             raise exceptions.SettingsError(
                 'the bundle is not signed by the operators', step='verify'
             ) from error
-        return documents.parse(signed.text, bundles.Bundle, 'the bundle')
+        bundle = documents.parse(signed.text, bundles.Bundle, _SOURCE)
+        bundle_checks.verify(bundle, _SOURCE)
+        return bundle
+
+    def claimed_version(self, envelope: bytes) -> int:
+        """Return the version of an envelope whose signature may be wrong.
+
+        It is 0 where the envelope is not even readable.
+        """
+        try:
+            signed = documents.parse(envelope.decode(), SignedBundle, _SOURCE)
+            return documents.parse(signed.text, bundles.Bundle, _SOURCE).version
+        except (exceptions.SettingsError, UnicodeDecodeError):
+            return 0
 
 
 def write_new(path: str, pem: bytes) -> None:
--- a/src/carobfork_standins/labs.py
+++ b/src/carobfork_standins/labs.py
@@ -47,6 +47,11 @@
 
     def start(self) -> None:
         """Start the process and wait until it listens."""
+        self.launch()
+        self.wait_until_ready()
+
+    def launch(self) -> None:
+        """Start the process without waiting for it."""
         with self.log_path.open('ab') as log:
             self.handle = subprocess.Popen(
                 [sys.executable, '-m', *self.arguments],
@@ -54,7 +59,6 @@
                 stderr=log,
                 start_new_session=True,
             )
-        self._wait_until_ready()
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
@@ -69,7 +73,11 @@
             gevent.sleep(_POLL_SECONDS)
         return self.handle.returncode
 
-    def _wait_until_ready(self) -> None:
+    def wait_until_ready(self) -> None:
+        """Wait until the process listens.
+
+        :raises LabError: it ends or takes too long.
+        """
         deadline = time.monotonic() + READY_SECONDS
         while not _listens(self.address):
             if self.handle.poll() is not None or time.monotonic() > deadline:
--- a/src/carobfork_standins/layouts.py
+++ b/src/carobfork_standins/layouts.py
@@ -115,12 +115,16 @@
             failure_domain=f'domain-{number % _DOMAINS + 1}',
             caller_address=bundles.Address(self._entry_ip(name), CALLER_PORT),
             operator_address=self.operator_address(name),
-            peer_address=bundles.Address(self._entry_ip(name), PEER_PORT),
+            peer_address=self._peer_address(name),
             platform_address=self.platform_address,
             bundle_public_key_file=f'{directory}/operators.pub',
             peer_key_file=f'{directory}/peers.key',
+            seed_peers=tuple(map(self._peer_address, self.entry_names)),
         )
 
+    def _peer_address(self, name: str) -> bundles.Address:
+        return bundles.Address(self._entry_ip(name), PEER_PORT)
+
     def _entry_ip(self, name: str) -> str:
         return f'{self.network}.{self.entry_names.index(name) + 10}'
 
--- a/src/carobfork_standins/scenarios/player.py
+++ b/src/carobfork_standins/scenarios/player.py
@@ -5,6 +5,7 @@
 
 from carobfork_standins import labs, layouts
 from carobfork_standins.scenarios import (  # noqa: F401
+    bundle_verbs,
     fleet_verbs,
     language,
     stages,
--- a/tests/hosts.py
+++ b/tests/hosts.py
@@ -9,12 +9,13 @@
 
 
 def host(name, number=1, leaving=False):
-    """Return an entry host at an address named after it."""
+    """Return an entry host at an address numbered after it."""
+    ip = f'127.0.0.{name.rpartition("-")[-1]}'
     return routing.EntryHost(
         incarnation=identifiers.Incarnation(name, number),
         failure_domain='domain-1',
-        caller_address=bundles.Address(name, 7101),
-        peer_address=bundles.Address(name, PEER_PORT),
+        caller_address=bundles.Address(ip, 7101),
+        peer_address=bundles.Address(ip, PEER_PORT),
         leaving=leaving,
     )
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -84,7 +84,7 @@
         router = routing.Router(
             self.own.incarnation, programs.ProgramTable(), self.members
         )
-        self.assertNotIn('entry-2:7101', router.addresses().addresses)
+        self.assertNotIn('127.0.0.2:7101', router.addresses().addresses)
         self.assertEqual(3, len(router.addresses().addresses))
 
     def test_leaving_alone_is_still_named(self):
