--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,9 @@
-"""Benches: measurements over real processes."""
+"""Benches: measurements over real processes.
+
+Importing the package lets blocking calls yield, before any library is
+imported that makes them.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
