--- a/bench/heartbeats.py
+++ b/bench/heartbeats.py
@@ -1,14 +1,17 @@
 """Heartbeats: what an idle entry host sends to its peers."""
 
-import argparse
-import json
-import statistics
-import sys
-import tempfile
+from gevent import monkey
 
-import gevent
+monkey.patch_all()
 
-from carobfork_standins import labs, layouts
+import json  # noqa: E402
+import statistics  # noqa: E402
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+
+import gevent  # noqa: E402
+
+from carobfork_standins import labs, layouts  # noqa: E402
 
 SIZES = (2, 4, 6)
 SPAN_SECONDS = 20
@@ -33,9 +36,7 @@
 
 def main() -> None:
     """Print one JSON line a size and run."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--runs', type=int, default=RUNS)
-    for _ in range(parser.parse_args().runs):
+    for _ in range(RUNS):
         for size in SIZES:
             sys.stdout.write(f'{json.dumps(measure(size))}\n')
 
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -1,24 +1,28 @@
 """Rollout: the time until a rolled bundle is in force on every entry host."""
 
-import argparse
-import json
-import statistics
-import sys
-import tempfile
-import time
+from gevent import monkey
 
-import gevent
+monkey.patch_all()
 
-from carobfork import clock
-from carobfork.coordination import rollouts
-from carobfork.protocol import documents, signatures
-from carobfork.transport import platforms
-from carobfork_standins import labs, layouts
+import json  # noqa: E402
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+import time  # noqa: E402
+
+import gevent  # noqa: E402
+
+from carobfork import clock  # noqa: E402
+from carobfork.coordination import rollouts  # noqa: E402
+from carobfork.protocol import documents, signatures  # noqa: E402
+from carobfork.transport import platforms  # noqa: E402
+from carobfork_standins import labs, layouts  # noqa: E402
 
 POLL_SECONDS = 0.002
 TIMEOUT_SECONDS = 60
 MAX_DECIMALS = 1
 ROLLS = 20
+RUNS = 3
+ENTRIES = 6
 
 
 def measure_roll(lab: labs.Lab, version: int) -> list[float]:
@@ -37,33 +41,26 @@
     return [wait.get() for wait in waits]
 
 
-def measure_run(entries: int, rolls: int) -> dict:
+def measure_run() -> dict:
     """Start a lab, roll several versions and sum up."""
     with tempfile.TemporaryDirectory() as directory:
-        layout = layouts.Layout(entries=entries)
-        with labs.Lab(directory, layout) as lab:
-            spans_ms = [
+        with labs.Lab(directory, layouts.Layout(entries=ENTRIES)) as lab:
+            spans_ms = sorted(
                 max(measure_roll(lab, version))
-                for version in range(2, rolls + 2)
-            ]
+                for version in range(2, ROLLS + 2)
+            )
     return {
-        'entries': entries,
-        'rolls': rolls,
-        'median_ms': round(statistics.median(spans_ms), MAX_DECIMALS),
-        'max_ms': round(max(spans_ms), MAX_DECIMALS),
+        'entries': ENTRIES,
+        'rolls': ROLLS,
+        'median_ms': round(spans_ms[ROLLS // 2], MAX_DECIMALS),
+        'max_ms': round(spans_ms[-1], MAX_DECIMALS),
     }
 
 
 def main() -> None:
     """Print one JSON line a run."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--entries', type=int, default=6)
-    parser.add_argument('--rolls', type=int, default=ROLLS)
-    parser.add_argument('--runs', type=int, default=3)
-    arguments = parser.parse_args()
-    for _ in range(arguments.runs):
-        summary = measure_run(arguments.entries, arguments.rolls)
-        sys.stdout.write(f'{json.dumps(summary)}\n')
+    for _ in range(RUNS):
+        sys.stdout.write(f'{json.dumps(measure_run())}\n')
 
 
 def _wait_for(lab: labs.Lab, entry: str, version: int, started: float) -> float:
--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -6,22 +6,22 @@
 import attrs
 import gevent
 
-from carobfork import clock
+from carobfork import clock, recording
 from carobfork.coordination import (
     backends,
     bundle_peers,
     control,
     homes,
-    journals,
     membership,
     model_calls,
     observations,
+    registrations,
     routing,
     service_calls,
     slots,
     stops,
 )
-from carobfork.protocol import callers, codecs, documents, operators, signatures
+from carobfork.protocol import callers, documents, operators, signatures
 from carobfork.state import bundles, identifiers, programs
 from carobfork.transport import (
     engines,
@@ -63,7 +63,7 @@
         self.store = platforms.HttpObjectStore(settings.platform_address)
         self.holder = control.BundleHolder()
         self.directory = control.HostDirectory()
-        self.own: routing.EntryHost | None = None
+        self._is_listening = False
         self.table = programs.ProgramTable()
         self.health = backends.BackendHealth(self.timer)
         self.holder.subscribe(self.health.apply_bundle)
@@ -73,8 +73,8 @@
     def __enter__(self) -> 'EntryHost':
         """Register, follow the control objects and listen."""
         self.link = self._exits.enter_context(self._build_link())
-        self.watch = self._build_watch()
-        self.bundle_peers = bundle_peers.BundlePeers(
+        self._watch = self._build_watch()
+        self._bundle_peers = bundle_peers.BundlePeers(
             self.link, self.holder, self.gate
         )
         operator = operators.OperatorApplication(self.describe_state)
@@ -82,24 +82,33 @@
             servers.HttpServer(self.settings.operator_address, operator)
         )
         self._greenlets.append(
-            gevent.spawn(self.bundle_peers.run, self.settings.seed_peers)
+            gevent.spawn(self._bundle_peers.run, self.settings.seed_peers)
         )
-        self.own = control.register_host(self.store, self._describe)
-        self.directory.note(self.own)
-        self.members = membership.Membership(
-            self.own, self.directory, self.link, self.holder, self.timer
+        self.registration = registrations.Registration(
+            self.store, self.directory, self._describe
         )
-        self.members.on_version(self.bundle_peers.hear)
-        self.journal = journals.Journal(
-            self.store,
-            codecs.MsgpackRecordCodec(),
-            self.own.incarnation,
-            self.table.apply,
+        own = self.registration.register()
+        self.members = membership.Membership(
+            own, self.directory, self.link, self.holder, self.timer
         )
+        self.members.on_version(self._bundle_peers.hear)
         self.broker = slots.LocalSlots(self.timer)
         self.holder.subscribe(self.broker.apply_bundle)
-        self._start(self.journal.run, self.watch.run, self.members.run)
+        self.recording = recording.Recording(self.store, self.table, self.timer)
+        self.home = homes.Home(
+            self.recording.open_journal(own.incarnation),
+            self.table,
+            self.holder,
+            self.broker,
+        )
+        self._start(self._watch.run, self.members.run)
+        self._exits.enter_context(
+            self.recording.keep(
+                self.home, self.registration, self.members, self.link
+            )
+        )
         self._listen()
+        self._is_listening = True
         return self
 
     def __exit__(
@@ -113,27 +122,24 @@
             stop = stops.PlannedStop(
                 self.members, self.link, self.store, self.timer
             )
-            stop.run(self._hand_over, [self.caller_listener])
+            stop.run(self._hand_over, [self._caller_listener])
         self._exits.close()
         gevent.killall(self._greenlets)
 
     def describe_state(self) -> dict:
         """Return the state dump as JSON-ready fields."""
-        if self.own is None:
+        if not self._is_listening:
             return {'incarnation': '', 'bundle_version': self.holder.version}
         return {
-            'incarnation': str(self.own.incarnation),
+            'incarnation': str(self.members.own.incarnation),
             'bundle_version': self.holder.version,
             'programs': len(self.table.programs),
             'live_hosts': [
                 str(host.incarnation) for host in self.members.live()
             ],
-            'journal': {
-                'sealed': self.journal.sealed,
-                'records_committed': self.journal.records_committed,
-                'platform_writes': self.journal.platform_writes,
-            },
             'unusable_servers': self.health.unusable(),
+            'service_calls_under_way': self.services.under_way,
+            **self.recording.describe(),
             'peers': attrs.asdict(self.link.traffic),
         }
 
@@ -145,9 +151,9 @@
         reader = signatures.SignedBundleReader(
             self.settings.bundle_public_key_file
         )
-        self.gate = control.BundleGate(reader, self.holder)
+        self._gate = control.BundleGate(reader, self.holder)
         handlers = {
-            control.BUNDLE_KEY: self.gate.offer,
+            control.BUNDLE_KEY: self._gate.offer,
             control.BACKENDS_KEY: self._apply_backend_list,
         }
         return control.ControlWatch(self.store, self.directory, handlers)
@@ -156,20 +162,23 @@
         self.health.apply_list(backends.BackendList.parse(body))
 
     def _build_parts(self) -> callers.CallerParts:
-        home = homes.Home(self.journal, self.table, self.holder, self.broker)
-        backend = observations.ObservedServices(
-            services.HttpServiceBackend(), self.health
-        )
+        home = self.home
         models = observations.ObservedModels(
             engines.HttpModelBackend(), self.health
         )
+        self.services = service_calls.ServiceCaller(
+            home,
+            observations.ObservedServices(
+                services.HttpServiceBackend(), self.health
+            ),
+            self.health,
+            self.timer,
+        )
         return callers.CallerParts(
             home=home,
-            router=routing.Router(
-                self.own.incarnation, self.table, self.members
-            ),
+            router=routing.Router(self.table, self.members),
             models=model_calls.ModelCaller(home, models),
-            services=service_calls.ServiceCaller(home, backend, self.health),
+            services=self.services,
             forwarder=forwarders.HttpForwarder(),
         )
 
@@ -178,7 +187,7 @@
 
     def _listen(self) -> None:
         caller = callers.CallerApplication(self._build_parts())
-        self.caller_listener = self._exits.enter_context(
+        self._caller_listener = self._exits.enter_context(
             servers.HttpServer(self.settings.caller_address, caller)
         )
 
--- a/src/carobfork/coordination/membership.py
+++ b/src/carobfork/coordination/membership.py
@@ -70,6 +70,14 @@
             if not self._detector.is_dead(host.incarnation)
         ]
 
+    def knows(self, name: str) -> bool:
+        """Tell whether a host is registered, live or not."""
+        return self._directory.find(name) is not None
+
+    def registered(self) -> list[routing.EntryHost]:
+        """Return all registered hosts, live or not."""
+        return self._directory.registered()
+
     def is_leaving(self, host: routing.EntryHost) -> bool:
         """Tell whether a host is about to stop."""
         if host.incarnation == self.own.incarnation:
@@ -80,18 +88,6 @@
         """Return the live hosts that are not about to stop."""
         return [host for host in self.live() if not self.is_leaving(host)]
 
-    def others(self) -> list[routing.EntryHost]:
-        """Return the live hosts without this one."""
-        own = self.own.incarnation
-        return [host for host in self.live() if host.incarnation != own]
-
-    def find(self, name: str) -> routing.EntryHost | None:
-        """Return a live host by its name."""
-        for host in self.live():
-            if host.incarnation.host == name:
-                return host
-        return None
-
     def on_death(self, listener: DeathListener) -> None:
         """Call ``listener`` when a monitored host falls silent."""
         self._listeners.append(listener)
--- a/src/carobfork/coordination/stops.py
+++ b/src/carobfork/coordination/stops.py
@@ -64,7 +64,9 @@
         # A host that misses this hears it with the next heartbeats or by
         # the platform.
         workers = pool.Pool(ANNOUNCE_PARALLEL)
-        workers.map(self._announce, self._members.others())
+        own = self._members.own
+        others = [host for host in self._members.live() if host != own]
+        workers.map(self._announce, others)
         self._publish()
         self._wait_for_answers()
         if self._members.staying():
--- a/src/carobfork_standins/scenarios/player.py
+++ b/src/carobfork_standins/scenarios/player.py
@@ -8,6 +8,7 @@
     bundle_verbs,
     fleet_verbs,
     language,
+    recording,
     stages,
     verbs,
 )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -81,9 +81,7 @@
     def test_leaving_host_is_not_named(self):
         """Address answers leave out a host as soon as it says so."""
         self.link.deliver(messages.Leaving(self.other.incarnation))
-        router = routing.Router(
-            self.own.incarnation, programs.ProgramTable(), self.members
-        )
+        router = routing.Router(programs.ProgramTable(), self.members)
         self.assertNotIn('127.0.0.2:7101', router.addresses().addresses)
         self.assertEqual(3, len(router.addresses().addresses))
 
@@ -92,9 +90,7 @@
         for host in self.directory.registered():
             self.link.deliver(messages.Leaving(host.incarnation))
         self.members.leaving = True
-        router = routing.Router(
-            self.own.incarnation, programs.ProgramTable(), self.members
-        )
+        router = routing.Router(programs.ProgramTable(), self.members)
         self.assertEqual(4, len(router.addresses().addresses))
 
     def test_detector_forgets_old_incarnations(self):
