--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -75,7 +75,7 @@
         self.link = self._exits.enter_context(self._build_link())
         self._watch = self._build_watch()
         self._bundle_peers = bundle_peers.BundlePeers(
-            self.link, self.holder, self.gate
+            self.link, self.holder, self._gate
         )
         operator = operators.OperatorApplication(self.describe_state)
         self._exits.enter_context(
