Hand all programs to a successor at a planned stop

Cause: a stopping host ended with its programs; callers then waited for the death to be noticed and taken over, and a stream that outlived the stop lost its record.

Ruled out: waiting for all streams before the seal (every other program of the host would wait for the longest stream); one handover a program (a platform write each).

Calls in progress are finished here; their records go to the successor in numbered batches, and the successor holds the turns of their programs until they are reported idle or the host is gone. Requests that still come are passed on; a request may be passed on twice. A subscriber gets the bundle in force, a peer message that comes before its part is built is refused as not run. Stand-ins do not wait for watches when they stop.

--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -6,30 +6,28 @@
 import attrs
 import gevent
 
-from carobfork import clock, recording
+from carobfork import backing, clock, following, recording, stopping
 from carobfork.coordination import (
-    backends,
-    bundle_peers,
     control,
     homes,
+    mailboxes,
     membership,
     model_calls,
-    observations,
+    ownerships,
+    peer_slots,
+    pool_hosts,
+    pool_routes,
     registrations,
     routing,
     service_calls,
-    slots,
-    stops,
 )
-from carobfork.protocol import callers, documents, operators, signatures
+from carobfork.protocol import callers, documents, operators
 from carobfork.state import bundles, identifiers, programs
 from carobfork.transport import (
-    engines,
     forwarders,
     peers,
     platforms,
     servers,
-    services,
 )
 
 
@@ -65,24 +63,29 @@
         self.directory = control.HostDirectory()
         self._is_listening = False
         self.table = programs.ProgramTable()
-        self.health = backends.BackendHealth(self.timer)
-        self.holder.subscribe(self.health.apply_bundle)
+        self._backing = backing.Backing(self.timer)
+        self.holder.subscribe(self._backing.health.apply_bundle)
         self._greenlets: list[gevent.Greenlet] = []
         self._exits = contextlib.ExitStack()
 
     def __enter__(self) -> 'EntryHost':
         """Register, follow the control objects and listen."""
         self.link = self._exits.enter_context(self._build_link())
-        self._watch = self._build_watch()
-        self._bundle_peers = bundle_peers.BundlePeers(
-            self.link, self.holder, self._gate
+        self._stopping = stopping.Stopping(self.store, self.link, self.timer)
+        self._following = following.Following(
+            self.store,
+            self.link,
+            self.holder,
+            self.directory,
+            self.settings.bundle_public_key_file,
+            self._backing.apply_list,
         )
         operator = operators.OperatorApplication(self.describe_state)
         self._exits.enter_context(
             servers.HttpServer(self.settings.operator_address, operator)
         )
         self._greenlets.append(
-            gevent.spawn(self._bundle_peers.run, self.settings.seed_peers)
+            gevent.spawn(self._following.peers.run, self.settings.seed_peers)
         )
         self.registration = registrations.Registration(
             self.store, self.directory, self._describe
@@ -91,22 +94,26 @@
         self.members = membership.Membership(
             own, self.directory, self.link, self.holder, self.timer
         )
-        self.members.on_version(self._bundle_peers.hear)
-        self.broker = slots.LocalSlots(self.timer)
-        self.holder.subscribe(self.broker.apply_bundle)
+        self.members.on_version(self._following.peers.hear)
+        self._build_slots()
         self.recording = recording.Recording(self.store, self.table, self.timer)
         self.home = homes.Home(
             self.recording.open_journal(own.incarnation),
             self.table,
             self.holder,
             self.broker,
+            ownerships.Ownership(self.timer),
         )
-        self._start(self._watch.run, self.members.run)
+        self._start(self._following.watch.run, self.members.run)
+        self._start(self.pool_host.run, self.broker.run)
         self._exits.enter_context(
             self.recording.keep(
                 self.home, self.registration, self.members, self.link
             )
         )
+        self._stopping.succeed_others(
+            self.home, self.recording.takeovers, self.members
+        )
         self._listen()
         self._is_listening = True
         return self
@@ -119,10 +126,12 @@
     ) -> None:
         """Leave without cutting a request, or at once after a failure."""
         if kind is None:
-            stop = stops.PlannedStop(
-                self.members, self.link, self.store, self.timer
+            self._stopping.run(
+                self.home,
+                self.members,
+                self._caller_listener,
+                self._programs_under_way,
             )
-            stop.run(self._hand_over, [self._caller_listener])
         self._exits.close()
         gevent.killall(self._greenlets)
 
@@ -137,47 +146,41 @@
             'live_hosts': [
                 str(host.incarnation) for host in self.members.live()
             ],
-            'unusable_servers': self.health.unusable(),
+            'unusable_servers': self._backing.health.unusable(),
             'service_calls_under_way': self.services.under_way,
             **self.recording.describe(),
             'peers': attrs.asdict(self.link.traffic),
+            'pools': [attrs.asdict(pool) for pool in self.pool_host.describe()],
         }
 
     def _build_link(self) -> peers.PeerLink:
         keys = documents.load(self.settings.peer_key_file, peers.PeerKeys)
         return peers.PeerLink(self.settings.peer_address, keys)
 
-    def _build_watch(self) -> control.ControlWatch:
-        reader = signatures.SignedBundleReader(
-            self.settings.bundle_public_key_file
-        )
-        self._gate = control.BundleGate(reader, self.holder)
-        handlers = {
-            control.BUNDLE_KEY: self._gate.offer,
-            control.BACKENDS_KEY: self._apply_backend_list,
-        }
-        return control.ControlWatch(self.store, self.directory, handlers)
-
-    def _apply_backend_list(self, body: bytes) -> None:
-        self.health.apply_list(backends.BackendList.parse(body))
+    def _build_slots(self) -> None:
+        own = self.members.own.incarnation
+        mailbox = mailboxes.Mailbox(own, self.members, self.link)
+        routes = pool_routes.PoolRoutes(own, self.members)
+        self.pool_host = pool_hosts.PoolHost(mailbox, self.timer)
+        self.broker = peer_slots.PeerSlots(mailbox, routes, self.timer)
+        for part in (self.pool_host, self.broker):
+            self.holder.subscribe(part.apply_bundle)
+        self.members.on_death(self.pool_host.forget_host)
+        self.members.on_death(self.broker.reroute)
 
     def _build_parts(self) -> callers.CallerParts:
         home = self.home
-        models = observations.ObservedModels(
-            engines.HttpModelBackend(), self.health
-        )
         self.services = service_calls.ServiceCaller(
-            home,
-            observations.ObservedServices(
-                services.HttpServiceBackend(), self.health
-            ),
-            self.health,
-            self.timer,
+            home, self._backing.services, self._backing.health
         )
+        self.models = model_calls.ModelCaller(home, self._backing.models)
         return callers.CallerParts(
             home=home,
-            router=routing.Router(self.table, self.members),
-            models=model_calls.ModelCaller(home, models),
+            router=routing.Router(
+                self.table, self.members, self._stopping.requests
+            ),
+            models=self.models,
+            requests=self._stopping.requests,
             services=self.services,
             forwarder=forwarders.HttpForwarder(),
         )
@@ -191,8 +194,10 @@
             servers.HttpServer(self.settings.caller_address, caller)
         )
 
-    def _hand_over(self) -> None:
-        """Give the programs to a successor."""
+    def _programs_under_way(self) -> set[str]:
+        """Return the programs with calls in progress."""
+        keys = (*self.models.runs, *self.services.running)
+        return {program for program, _ in keys}
 
     def _describe(self, number: int) -> routing.EntryHost:
         return routing.EntryHost(
--- a/src/carobfork/coordination/service_calls.py
+++ b/src/carobfork/coordination/service_calls.py
@@ -38,7 +38,6 @@
     :param home: the programs and their journal.
     :param backend: the plain services.
     :param health: which of their servers to try first.
-    :param timer: measures how long ago the ownership was confirmed.
     """
 
     def __init__(
@@ -46,19 +45,18 @@
         home: homes.Home,
         backend: ports.ServiceBackend,
         health: backends.BackendHealth,
-        timer: clock.Clock,
     ) -> None:
         """Start without calls under way."""
         self._home = home
         self._backend = backend
         self._health = health
-        self._intents = intents.IntentRecorder(home, timer)
-        self._running: dict[tuple[str, str], waits.RunningCall] = {}
+        self._intents = intents.IntentRecorder(home)
+        self.running: dict[tuple[str, str], waits.RunningCall] = {}
 
     @property
     def under_way(self) -> int:
         """How many calls wait for their turn or an answer."""
-        return len(self._running)
+        return len(self.running)
 
     def run(self, call: calls.ServiceCall) -> records.AnswerRecorded:
         """Run a call, join it under way, or return its recorded answer.
@@ -69,7 +67,7 @@
         """
         program = self._home.authorise(call.program, call.token)
         operation = self._operation(call)
-        running = self._running.get((call.program, call.key))
+        running = self.running.get((call.program, call.key))
         if running is None:
             self._intents.require_settled(call)
             answer = calls.recorded_answer(program, call.key, call.digest)
@@ -93,7 +91,7 @@
                 peer=call.service,
             )
         running = waits.RunningCall(call.digest)
-        self._running[call.program, call.key] = running
+        self.running[call.program, call.key] = running
         gevent.spawn(self._execute, running, program, call, operation)
         return running
 
@@ -126,7 +124,7 @@
             logger.warning('A call met an error late.', error=str(error))
             return
         running.fail(_before_dispatch(error))
-        self._running.pop((call.program, call.key), None)
+        self.running.pop((call.program, call.key), None)
 
     def _prepare(
         self,
@@ -136,14 +134,14 @@
         operation: bundles.Operation,
     ) -> None:
         """Do all that must be done before anything is sent."""
-        self._home.require_owned(program)
+        self._home.confirm_owned(program)
         running.require_wanted()
         if operation.repeatable:
             running.dispatched.set()
             return
         self._intents.record(call)
         try:
-            self._home.require_owned(program)
+            self._home.confirm_owned(program)
             running.require_wanted()
         except exceptions.NotRunError:
             self._intents.withdraw(call)
@@ -170,7 +168,7 @@
         else:
             self._record_answer(running, program, answer)
         finally:
-            self._running.pop((call.program, call.key), None)
+            self.running.pop((call.program, call.key), None)
 
     def _record_answer(
         self,
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -14,6 +14,7 @@
 from carobfork.coordination import (
     calls,
     homes,
+    local_requests,
     model_calls,
     routing,
     service_calls,
@@ -23,6 +24,8 @@
 
 DEFAULT_MAX_TOKENS = 1024
 EVENT_STREAM_TYPE = 'text/event-stream'
+MAX_HOPS = 2
+MOVE_RETRY_MS = 500
 _HTTP_CREATED = 201
 _READ = 'read request'
 
@@ -52,6 +55,7 @@
     models: model_calls.ModelCaller
     services: service_calls.ServiceCaller
     forwarder: Forwarder
+    requests: local_requests.LocalRequests
 
 
 class CallerApplication:
@@ -114,12 +118,16 @@
             address = self._parts.router.resolve(program)
             if address is not None:
                 return self._forward(request, address)
-        return endpoint(request, **arguments)
+        with self._parts.requests.serving(program or ''):
+            return endpoint(request, **arguments)
 
     def _forward(self, request: Request, address: bundles.Address) -> Response:
-        if headers.FORWARDED in request.headers:
-            raise exceptions.UnknownProgramError(
-                'the program is not homed here', step='forward'
+        hops = int(request.headers.get(headers.FORWARDED, '0'))
+        if hops >= MAX_HOPS:
+            raise exceptions.NotRunError(
+                'the program is moving between hosts',
+                step='forward',
+                retry_after_ms=MOVE_RETRY_MS,
             )
         names = (headers.PROGRAM, headers.TOKEN, headers.CALL, 'Content-Type')
         fields = {
@@ -127,7 +135,7 @@
             for name in names
             if name in request.headers
         }
-        fields[headers.FORWARDED] = '1'
+        fields[headers.FORWARDED] = str(hops + 1)
         try:
             reply = self._parts.forwarder.forward(
                 address,
--- a/src/carobfork/transport/peers.py
+++ b/src/carobfork/transport/peers.py
@@ -177,7 +177,8 @@
     def _reply_to(self, packed: bytes) -> object:
         try:
             message = self._codec.decode(packed)
-            return self._handlers[type(message)](message)
+            handler = self._handlers.get(type(message), _refuse)
+            return handler(message)
         except exceptions.CarobforkError as error:
             return messages.Failure(
                 error.code, error.message, error.step, error.peer
@@ -205,3 +206,9 @@
 
     def _spawn(self, loop: Callable, *arguments) -> None:
         self._greenlets.append(gevent.spawn(loop, *arguments))
+
+
+def _refuse(message: object) -> None:
+    raise exceptions.NotRunError(
+        f'{type(message).__name__} is not served yet', step=_STEP
+    )
--- a/src/carobfork/transport/servers.py
+++ b/src/carobfork/transport/servers.py
@@ -24,10 +24,17 @@
 
     :param address: where to listen.
     :param application: a WSGI application.
+    :param stop_timeout_ms: how long a stop waits for requests in progress.
     """
 
-    def __init__(self, address: bundles.Address, application: Callable) -> None:
+    def __init__(
+        self,
+        address: bundles.Address,
+        application: Callable,
+        stop_timeout_ms: int = STOP_TIMEOUT_MS,
+    ) -> None:
         """Prepare the server; entering it listens."""
+        self._stop_timeout_ms = stop_timeout_ms
         self.requests = RequestCounter(application)
         self._server = pywsgi.WSGIServer(
             (address.ip, address.port),
@@ -56,7 +63,7 @@
         self.stop_listening()
         self.requests.closing = True
         self.requests.wait_for_first_requests()
-        self.requests.wait_until_none(STOP_TIMEOUT_MS)
+        self.requests.wait_until_none(self._stop_timeout_ms)
 
     def stop_listening(self) -> None:
         """Close the listener once it has accepted every waiting connection.
--- a/src/carobfork_standins/__main__.py
+++ b/src/carobfork_standins/__main__.py
@@ -24,7 +24,11 @@
     settings_class, application_class = KINDS[kind]
     settings = documents.load(path, settings_class)
     application = application_class(settings)
-    daemons.run_until_stopped(servers.HttpServer(settings.address, application))
+    # A watch may wait long after its reader has gone.
+    server = servers.HttpServer(
+        settings.address, application, stop_timeout_ms=0
+    )
+    daemons.run_until_stopped(server)
 
 
 if __name__ == '__main__':
--- a/src/carobfork_standins/scenarios/fleet_verbs.py
+++ b/src/carobfork_standins/scenarios/fleet_verbs.py
@@ -45,6 +45,35 @@
     return verbs.DONE
 
 
+@stages.verb('unnamed')
+def unnamed(stage: stages.Stage, step: language.Step) -> stages.Seen:
+    """Wait until a host's answers leave another out: ``unnamed entry-2 X``."""
+    asked, host = step.words
+    wait_until(
+        lambda: host not in _named(stage, asked), f'{asked} still names {host}'
+    )
+    return verbs.DONE
+
+
+@stages.verb('named')
+def named(stage: stages.Stage, step: language.Step) -> stages.Seen:
+    """Wait until a host's answers name another: ``named entry-2 entry-1``."""
+    asked, host = step.words
+    wait_until(
+        lambda: host in _named(stage, asked), f'{asked} does not name {host}'
+    )
+    return verbs.DONE
+
+
+def _named(stage: stages.Stage, asked: str) -> list[str]:
+    answer = stage.lab.ask(asked, '/v1/addresses')
+    return [
+        name
+        for name in stage.lab.layout.entry_names
+        if str(stage.lab.processes[name].address) in answer['addresses']
+    ]
+
+
 def wait_until(holds: Callable[[], bool], complaint: str) -> None:
     """Wait for a condition.
 
--- a/tests/test_bundles.py
+++ b/tests/test_bundles.py
@@ -15,7 +15,7 @@
 from carobfork.protocol import documents
 from carobfork.state import bundles
 from carobfork_standins import layouts
-from tests import hosts, objects
+from tests import peer_links, stores
 
 ADDRESSES = tuple(bundles.Address(f'127.0.0.{last}', 1) for last in (1, 2, 3))
 FORGED = b'//forged'
@@ -52,6 +52,23 @@
     return json.dumps(documents.to_fields(bundle)).encode()
 
 
+class RacingStore(stores.ManualStore):
+    """Let another operator act before the next update."""
+
+    def __init__(self, faults):
+        """Start without another operator."""
+        super().__init__(faults)
+        self.interloper = None
+
+    def update(self, key, body, expected_version):
+        """Replace an object after the other operator has acted."""
+        interloper = self.interloper
+        self.interloper = None
+        if interloper is not None:
+            interloper()
+        return super().update(key, body, expected_version)
+
+
 class BundleChecksTest(unittest.TestCase):
     """All problems between the parts of a bundle come at once."""
 
@@ -105,7 +122,7 @@
 
     def setUp(self):
         """Start with version 1 in force."""
-        self.store = objects.MemoryStore()
+        self.store = RacingStore(faults=[])
         self.roll(envelope_of(1))
 
     def roll(self, envelope):
@@ -119,7 +136,7 @@
     def test_loser_learns_the_winner(self):
         """Of two bundles of one version the first is in force."""
         winner = envelope_of(2, tokens=1)
-        self.store.before_update = lambda: self.roll(winner)
+        self.store.interloper = lambda: self.roll(winner)
         with self.assertRaises(exceptions.ConflictError) as caught:
             self.roll(envelope_of(2, tokens=2))
         self.assertEqual(2, caught.exception.current_version)
@@ -127,15 +144,16 @@
 
     def test_higher_version_wins_after_a_race(self):
         """A race lost to a lower version is run again."""
-        self.store.before_update = lambda: self.roll(envelope_of(2))
+        self.store.interloper = lambda: self.roll(envelope_of(2))
         self.assertEqual(3, self.roll(envelope_of(3)).version)
         self.assertEqual(envelope_of(3), self.head())
 
     def test_lost_answer_is_read_back(self):
         """An update without answer is found in force, and not repeated."""
-        self.store.lost_answers = 1
+        self.store = RacingStore(faults=['', '', '', 'lose'])
+        self.roll(envelope_of(1))
         self.assertEqual(2, self.roll(envelope_of(2)).version)
-        self.assertEqual(2, self.store.updates)
+        self.assertEqual(2, self.store.writes)
 
     def test_forged_head_is_replaced_from_above(self):
         """A head of another key gives way to a version above its claim."""
@@ -152,7 +170,7 @@
 
     def setUp(self):
         """Build a host without a bundle."""
-        self.link = hosts.MemoryLink()
+        self.link = peer_links.MemoryLink()
         self.holder = control.BundleHolder()
         self.gate = control.BundleGate(PlainReader(), self.holder)
         self.peers = bundle_peers.BundlePeers(self.link, self.holder, self.gate)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,13 +6,14 @@
 from carobfork.coordination import (
     control,
     detectors,
+    local_requests,
     membership,
     messages,
     rings,
     routing,
 )
 from carobfork.state import programs
-from tests import hosts
+from tests import peer_links
 
 
 class MembershipTest(unittest.TestCase):
@@ -21,12 +22,12 @@
     def setUp(self):
         """Build the membership of entry-1."""
         self.timer = clock.ManualClock()
-        self.link = hosts.MemoryLink()
+        self.link = peer_links.MemoryLink()
         self.directory = control.HostDirectory()
-        self.own = hosts.host('entry-1')
-        self.other = hosts.host('entry-2')
+        self.own = peer_links.host('entry-1')
+        self.other = peer_links.host('entry-2')
         for number in range(1, 5):
-            self.directory.note(hosts.host(f'entry-{number}'))
+            self.directory.note(peer_links.host(f'entry-{number}'))
         self.members = membership.Membership(
             self.own,
             self.directory,
@@ -47,7 +48,7 @@
 
     def test_silent_host_is_declared_dead_once(self):
         """A silent host is reported once; one that is heard is not."""
-        others = [hosts.host('entry-3'), hosts.host('entry-4')]
+        others = [peer_links.host('entry-3'), peer_links.host('entry-4')]
         self.rounds(8, heard=others)
         self.assertEqual([self.other], self.deaths)
         self.assertEqual([self.own, *others], self.members.live())
@@ -72,7 +73,7 @@
         """Death and leaving belong to an incarnation, not to a name."""
         self.link.deliver(messages.Leaving(self.other.incarnation))
         self.rounds(8)
-        reborn = hosts.host('entry-2', number=2)
+        reborn = peer_links.host('entry-2', number=2)
         self.directory.note(reborn)
         self.rounds(1)
         self.assertIn(reborn, self.members.staying())
@@ -81,7 +82,11 @@
     def test_leaving_host_is_not_named(self):
         """Address answers leave out a host as soon as it says so."""
         self.link.deliver(messages.Leaving(self.other.incarnation))
-        router = routing.Router(programs.ProgramTable(), self.members)
+        router = routing.Router(
+            programs.ProgramTable(),
+            self.members,
+            local_requests.LocalRequests(),
+        )
         self.assertNotIn('127.0.0.2:7101', router.addresses().addresses)
         self.assertEqual(3, len(router.addresses().addresses))
 
@@ -90,14 +95,18 @@
         for host in self.directory.registered():
             self.link.deliver(messages.Leaving(host.incarnation))
         self.members.leaving = True
-        router = routing.Router(programs.ProgramTable(), self.members)
+        router = routing.Router(
+            programs.ProgramTable(),
+            self.members,
+            local_requests.LocalRequests(),
+        )
         self.assertEqual(4, len(router.addresses().addresses))
 
     def test_detector_forgets_old_incarnations(self):
         """What is kept is bounded by the hosts that are registered."""
         detector = detectors.FailureDetector(self.timer)
         for number in range(100):
-            detector.hear(hosts.host('entry-2', number).incarnation)
+            detector.hear(peer_links.host('entry-2', number).incarnation)
         detector.keep({self.other.incarnation})
         self.assertEqual(1, len(detector._heard_ms))
 
@@ -107,7 +116,7 @@
 
     def test_monitoring_is_mutual(self):
         """A host's predecessors are those that have it as successor."""
-        fleet = [hosts.host(f'entry-{number}') for number in range(40)]
+        fleet = [peer_links.host(f'entry-{number}') for number in range(40)]
         for watcher in fleet:
             name = watcher.incarnation.host
             watched = {
