--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -6,7 +6,7 @@
 import attrs
 import gevent
 
-from carobfork import backing, clock, following, recording, stopping
+from carobfork import backing, clock, following, logs, recording, stopping
 from carobfork.coordination import (
     control,
     homes,
@@ -21,12 +21,14 @@
     routing,
     service_calls,
 )
-from carobfork.protocol import callers, documents, operators
-from carobfork.state import bundles, identifiers, programs
+from carobfork.inspections import counted_stores, inspectors, noted_calls
+from carobfork.protocol import callers, documents, key_files, operators
+from carobfork.state import bundles, identifiers, limits, programs
 from carobfork.transport import (
     forwarders,
     peers,
     platforms,
+    readers,
     servers,
 )
 
@@ -35,15 +37,18 @@
 class EntrySettings:
     """Settings of an entry host."""
 
-    host: str
-    failure_domain: str
+    host: str = attrs.field(validator=limits.name)
+    failure_domain: str = attrs.field(validator=limits.name)
     caller_address: bundles.Address
     operator_address: bundles.Address
     peer_address: bundles.Address
     platform_address: bundles.Address
     bundle_public_key_file: str
     peer_key_file: str
-    log_format: str = 'json'
+    log_format: str = attrs.field(
+        default='json', validator=limits.one_of(logs.FORMATS)
+    )
+    caller_limits: readers.Limits = attrs.Factory(readers.Limits)
     seed_peers: tuple[bundles.Address, ...] = ()
     """Peer addresses to learn the bundle from while the platform is down."""
 
@@ -58,13 +63,16 @@
         """Build what needs no other process; entering starts the host."""
         self.settings = settings
         self.timer = clock.SystemClock()
-        self.store = platforms.HttpObjectStore(settings.platform_address)
+        self.store = counted_stores.CountedStore(
+            platforms.HttpObjectStore(settings.platform_address), self.timer
+        )
         self.holder = control.BundleHolder()
-        self.directory = control.HostDirectory()
-        self._is_listening = False
+        self._directory = control.HostDirectory()
+        self.is_listening = False
         self.table = programs.ProgramTable()
         self._backing = backing.Backing(self.timer)
         self.holder.subscribe(self._backing.health.apply_bundle)
+        self.notes = noted_calls.open_notes(self.timer, self.table)
         self._greenlets: list[gevent.Greenlet] = []
         self._exits = contextlib.ExitStack()
 
@@ -76,23 +84,24 @@
             self.store,
             self.link,
             self.holder,
-            self.directory,
+            self._directory,
             self.settings.bundle_public_key_file,
             self._backing.apply_list,
         )
-        operator = operators.OperatorApplication(self.describe_state)
+        inspector = inspectors.HostInspector(self, self._end_program)
+        operator = operators.OperatorApplication(inspector)
         self._exits.enter_context(
             servers.HttpServer(self.settings.operator_address, operator)
         )
         self._greenlets.append(
             gevent.spawn(self._following.peers.run, self.settings.seed_peers)
         )
-        self.registration = registrations.Registration(
-            self.store, self.directory, self._describe
+        self._registration = registrations.Registration(
+            self.store, self._directory, self._describe
         )
-        own = self.registration.register()
+        own = self._registration.register()
         self.members = membership.Membership(
-            own, self.directory, self.link, self.holder, self.timer
+            own, self._directory, self.link, self.holder, self.timer
         )
         self.members.on_version(self._following.peers.hear)
         self._build_slots()
@@ -101,21 +110,21 @@
             self.recording.open_journal(own.incarnation),
             self.table,
             self.holder,
-            self.broker,
+            noted_calls.NotedSlots(self.broker, self.notes.decisions),
             ownerships.Ownership(self.timer),
         )
         self._start(self._following.watch.run, self.members.run)
         self._start(self.pool_host.run, self.broker.run)
         self._exits.enter_context(
             self.recording.keep(
-                self.home, self.registration, self.members, self.link
+                self.home, self._registration, self.members, self.link
             )
         )
         self._stopping.succeed_others(
             self.home, self.recording.takeovers, self.members
         )
         self._listen()
-        self._is_listening = True
+        self.is_listening = True
         return self
 
     def __exit__(
@@ -129,7 +138,7 @@
             self._stopping.run(
                 self.home,
                 self.members,
-                self._caller_listener,
+                self.caller_listener,
                 self._programs_under_way,
             )
         self._exits.close()
@@ -137,7 +146,7 @@
 
     def describe_state(self) -> dict:
         """Return the state dump as JSON-ready fields."""
-        if not self._is_listening:
+        if not self.is_listening:
             return {'incarnation': '', 'bundle_version': self.holder.version}
         return {
             'incarnation': str(self.members.own.incarnation),
@@ -154,13 +163,19 @@
         }
 
     def _build_link(self) -> peers.PeerLink:
+        key_files.require_private(self.settings.peer_key_file)
         keys = documents.load(self.settings.peer_key_file, peers.PeerKeys)
         return peers.PeerLink(self.settings.peer_address, keys)
 
+    def _end_program(self, program: str, reason: str) -> None:
+        self.home.end_program(program, reason)
+
+    def _find_own(self) -> identifiers.Incarnation:
+        return self.members.own.incarnation
+
     def _build_slots(self) -> None:
-        own = self.members.own.incarnation
-        mailbox = mailboxes.Mailbox(own, self.members, self.link)
-        routes = pool_routes.PoolRoutes(own, self.members)
+        mailbox = mailboxes.Mailbox(self._find_own, self.members, self.link)
+        routes = pool_routes.PoolRoutes(self._find_own, self.members)
         self.pool_host = pool_hosts.PoolHost(mailbox, self.timer)
         self.broker = peer_slots.PeerSlots(mailbox, routes, self.timer)
         for part in (self.pool_host, self.broker):
@@ -169,13 +184,16 @@
         self.members.on_death(self.broker.reroute)
 
     def _build_parts(self) -> callers.CallerParts:
-        home = self.home
         self.services = service_calls.ServiceCaller(
-            home, self._backing.services, self._backing.health
+            self.home,
+            noted_calls.NotedServices(
+                self._backing.services, self.notes.decisions
+            ),
+            self._backing.health,
         )
-        self.models = model_calls.ModelCaller(home, self._backing.models)
+        self.models = model_calls.ModelCaller(self.home, self._backing.models)
         return callers.CallerParts(
-            home=home,
+            home=self.home,
             router=routing.Router(
                 self.table, self.members, self._stopping.requests
             ),
@@ -183,6 +201,7 @@
             requests=self._stopping.requests,
             services=self.services,
             forwarder=forwarders.HttpForwarder(),
+            notes=self.notes,
         )
 
     def _start(self, *loops) -> None:
@@ -190,8 +209,12 @@
 
     def _listen(self) -> None:
         caller = callers.CallerApplication(self._build_parts())
-        self._caller_listener = self._exits.enter_context(
-            servers.HttpServer(self.settings.caller_address, caller)
+        self.caller_listener = self._exits.enter_context(
+            servers.HttpServer(
+                self.settings.caller_address,
+                caller,
+                self.settings.caller_limits,
+            )
         )
 
     def _programs_under_way(self) -> set[str]:
--- a/src/carobfork/coordination/bundle_checks.py
+++ b/src/carobfork/coordination/bundle_checks.py
@@ -96,15 +96,10 @@
 
 @register
 def check_shares(bundle: bundles.Bundle) -> Iterator[Problem]:
-    """Shares are parts of one capacity."""
+    """Shares are parts of one capacity; each one is checked as a field."""
     total = sum(rank.share for rank in bundle.ranks)
     if total > SHARES_LIMIT + _ROUNDING:
         yield Problem('ranks', f'the shares sum to {total:g}, more than 1')
-    for index, rank in enumerate(bundle.ranks):
-        if not 0 <= rank.share <= SHARES_LIMIT:
-            yield Problem(
-                f'ranks[{index}].share', f'{rank.share:g} is not from 0 to 1'
-            )
 
 
 @register
@@ -130,13 +125,6 @@
             )
 
 
-@register
-def check_version(bundle: bundles.Bundle) -> Iterator[Problem]:
-    """Versions count from 1; 0 stands for no bundle."""
-    if bundle.version < 1:
-        yield Problem('version', f'{bundle.version} is less than 1')
-
-
 def _backend_names(bundle: bundles.Bundle) -> Iterator[str]:
     for model in bundle.models:
         yield from (worker.name for worker in model.workers)
--- a/src/carobfork/coordination/service_calls.py
+++ b/src/carobfork/coordination/service_calls.py
@@ -10,7 +10,7 @@
 import gevent
 import structlog
 
-from carobfork import clock, exceptions
+from carobfork import clock, exceptions, logs
 from carobfork.coordination import (
     backends,
     calls,
@@ -92,7 +92,7 @@
             )
         running = waits.RunningCall(call.digest)
         self.running[call.program, call.key] = running
-        gevent.spawn(self._execute, running, program, call, operation)
+        logs.spawn(self._execute, running, program, call, operation)
         return running
 
     def _execute(
@@ -107,7 +107,7 @@
             with self._home.turn(program):
                 with self._home.reservation(program, tokens=0):
                     self._prepare(running, program, call, operation)
-                    sending = gevent.spawn(
+                    sending = logs.spawn(
                         self._send, running, program, call, operation
                     )
                     sending.join(clock.to_seconds(operation.timeout_ms))
--- a/src/carobfork/transport/servers.py
+++ b/src/carobfork/transport/servers.py
@@ -9,10 +9,11 @@
 from types import TracebackType
 
 import gevent
-from gevent import event, pywsgi
+from gevent import event
 
 from carobfork import clock
 from carobfork.state import bundles
+from carobfork.transport import readers
 
 STOP_TIMEOUT_MS = 30_000
 FIRST_REQUEST_TIMEOUT_MS = 500
@@ -24,6 +25,7 @@
 
     :param address: where to listen.
     :param application: a WSGI application.
+    :param limits: what the listener accepts.
     :param stop_timeout_ms: how long a stop waits for requests in progress.
     """
 
@@ -31,17 +33,20 @@
         self,
         address: bundles.Address,
         application: Callable,
+        limits: readers.Limits | None = None,
         stop_timeout_ms: int = STOP_TIMEOUT_MS,
     ) -> None:
         """Prepare the server; entering it listens."""
         self._stop_timeout_ms = stop_timeout_ms
         self.requests = RequestCounter(application)
-        self._server = pywsgi.WSGIServer(
-            (address.ip, address.port),
-            self.requests,
-            log=None,
-            handler_class=_Handler,
+        self._server = readers.BoundedServer(
+            address, self.requests, limits or readers.Limits()
         )
+        self._server.handler_class = _Handler
+
+    def traffic(self) -> readers.Traffic:
+        """Return what the listener holds and has sent."""
+        return self._server.traffic()
 
     def __enter__(self) -> 'HttpServer':
         """Start listening."""
@@ -132,7 +137,7 @@
             self._none.set()
 
 
-class _Handler(pywsgi.WSGIHandler):
+class _Handler(readers.BoundedHandler):
     """Tell the request counter when a connection's first request is here."""
 
     def handle(self) -> None:
--- a/src/carobfork_standins/service.py
+++ b/src/carobfork_standins/service.py
@@ -57,6 +57,15 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._faults = Faults()
 
+    def describe_state(self) -> dict:
+        """Return how many calls ran and the faults."""
+        return {
+            'server': self._name,
+            'calls': len(self._counts),
+            'runs': self._counts.total(),
+            'faults': attrs.asdict(self._faults),
+        }
+
     def _run(self, request: Request, path: str) -> Response:
         faults = self._faults
         if faults.leaving:
