--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -6,7 +6,7 @@
 import attrs
 import gevent
 
-from carobfork import clock, logs, recording
+from carobfork import backing, clock, following, logs, recording, stopping
 from carobfork.coordination import (
     control,
     homes,
@@ -22,22 +22,14 @@
     service_calls,
 )
 from carobfork.inspections import counted_stores, inspectors, noted_calls
-from carobfork.protocol import (
-    callers,
-    documents,
-    key_files,
-    operators,
-    signatures,
-)
+from carobfork.protocol import callers, documents, key_files, operators
 from carobfork.state import bundles, identifiers, limits, programs
 from carobfork.transport import (
-    engines,
     forwarders,
     peers,
     platforms,
     readers,
     servers,
-    services,
 )
 
 
@@ -57,6 +49,8 @@
         default='json', validator=limits.one_of(logs.FORMATS)
     )
     caller_limits: readers.Limits = attrs.Factory(readers.Limits)
+    seed_peers: tuple[bundles.Address, ...] = ()
+    """Peer addresses to learn the bundle from while the platform is down."""
 
 
 class EntryHost:
@@ -73,23 +67,43 @@
             platforms.HttpObjectStore(settings.platform_address), self.timer
         )
         self.holder = control.BundleHolder()
-        self.directory = control.HostDirectory()
+        self._directory = control.HostDirectory()
+        self.is_listening = False
         self.table = programs.ProgramTable()
+        self._backing = backing.Backing(self.timer)
+        self.holder.subscribe(self._backing.health.apply_bundle)
         self.notes = noted_calls.open_notes(self.timer, self.table)
         self._greenlets: list[gevent.Greenlet] = []
         self._exits = contextlib.ExitStack()
 
     def __enter__(self) -> 'EntryHost':
         """Register, follow the control objects and listen."""
+        self.link = self._exits.enter_context(self._build_link())
+        self._stopping = stopping.Stopping(self.store, self.link, self.timer)
+        self._following = following.Following(
+            self.store,
+            self.link,
+            self.holder,
+            self._directory,
+            self.settings.bundle_public_key_file,
+            self._backing.apply_list,
+        )
+        inspector = inspectors.HostInspector(self, self._end_program)
+        operator = operators.OperatorApplication(inspector)
+        self._exits.enter_context(
+            servers.HttpServer(self.settings.operator_address, operator)
+        )
+        self._greenlets.append(
+            gevent.spawn(self._following.peers.run, self.settings.seed_peers)
+        )
         self._registration = registrations.Registration(
-            self.store, self.directory, self._describe
+            self.store, self._directory, self._describe
         )
         own = self._registration.register()
-        self.link = self._exits.enter_context(self._build_link())
-        self._watch = self._build_watch()
         self.members = membership.Membership(
-            own, self.directory, self.link, self.holder, self.timer
+            own, self._directory, self.link, self.holder, self.timer
         )
+        self.members.on_version(self._following.peers.hear)
         self._build_slots()
         self.recording = recording.Recording(self.store, self.table, self.timer)
         self.home = homes.Home(
@@ -99,14 +113,18 @@
             noted_calls.NotedSlots(self.broker, self.notes.decisions),
             ownerships.Ownership(self.timer),
         )
-        self._start(self._watch.run, self.members.run)
+        self._start(self._following.watch.run, self.members.run)
         self._start(self.pool_host.run, self.broker.run)
         self._exits.enter_context(
             self.recording.keep(
                 self.home, self._registration, self.members, self.link
             )
         )
+        self._stopping.succeed_others(
+            self.home, self.recording.takeovers, self.members
+        )
         self._listen()
+        self.is_listening = True
         return self
 
     def __exit__(
@@ -115,12 +133,21 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Stop listening, finish what is under way and stop."""
+        """Leave without cutting a request, or at once after a failure."""
+        if kind is None:
+            self._stopping.run(
+                self.home,
+                self.members,
+                self.caller_listener,
+                self._programs_under_way,
+            )
         self._exits.close()
         gevent.killall(self._greenlets)
 
     def describe_state(self) -> dict:
         """Return the state dump as JSON-ready fields."""
+        if not self.is_listening:
+            return {'incarnation': '', 'bundle_version': self.holder.version}
         return {
             'incarnation': str(self.members.own.incarnation),
             'bundle_version': self.holder.version,
@@ -128,6 +155,7 @@
             'live_hosts': [
                 str(host.incarnation) for host in self.members.live()
             ],
+            'unusable_servers': self._backing.health.unusable(),
             'service_calls_under_way': self.services.under_way,
             **self.recording.describe(),
             'peers': attrs.asdict(self.link.traffic),
@@ -139,13 +167,8 @@
         keys = documents.load(self.settings.peer_key_file, peers.PeerKeys)
         return peers.PeerLink(self.settings.peer_address, keys)
 
-    def _build_watch(self) -> control.ControlWatch:
-        reader = signatures.SignedBundleReader(
-            self.settings.bundle_public_key_file
-        )
-        return control.ControlWatch(
-            self.store, self.holder, reader, self.directory
-        )
+    def _end_program(self, program: str, reason: str) -> None:
+        self.home.end_program(program, reason)
 
     def _find_own(self) -> identifiers.Incarnation:
         return self.members.own.incarnation
@@ -157,23 +180,25 @@
         self.broker = peer_slots.PeerSlots(mailbox, routes, self.timer)
         for part in (self.pool_host, self.broker):
             self.holder.subscribe(part.apply_bundle)
-            if self.holder.version:
-                part.apply_bundle(self.holder.current)
         self.members.on_death(self.pool_host.forget_host)
         self.members.on_death(self.broker.reroute)
 
     def _build_parts(self) -> callers.CallerParts:
-        self.models = model_calls.ModelCaller(
-            self.home, engines.HttpModelBackend()
+        self.services = service_calls.ServiceCaller(
+            self.home,
+            noted_calls.NotedServices(
+                self._backing.services, self.notes.decisions
+            ),
+            self._backing.health,
         )
-        backend = noted_calls.NotedServices(
-            services.HttpServiceBackend(), self.notes.decisions
-        )
-        self.services = service_calls.ServiceCaller(self.home, backend)
+        self.models = model_calls.ModelCaller(self.home, self._backing.models)
         return callers.CallerParts(
             home=self.home,
-            router=routing.Router(self.table, self.members),
+            router=routing.Router(
+                self.table, self.members, self._stopping.requests
+            ),
             models=self.models,
+            requests=self._stopping.requests,
             services=self.services,
             forwarder=forwarders.HttpForwarder(),
             notes=self.notes,
@@ -184,17 +209,18 @@
 
     def _listen(self) -> None:
         caller = callers.CallerApplication(self._build_parts())
-        settings = self.settings
-        self.caller_listener = servers.HttpServer(
-            settings.caller_address, caller, settings.caller_limits
+        self.caller_listener = self._exits.enter_context(
+            servers.HttpServer(
+                self.settings.caller_address,
+                caller,
+                self.settings.caller_limits,
+            )
         )
-        inspector = inspectors.HostInspector(self, self.home.end_program)
-        operator = operators.OperatorApplication(inspector)
-        for server in (
-            servers.HttpServer(settings.operator_address, operator),
-            self.caller_listener,
-        ):
-            self._exits.enter_context(server)
+
+    def _programs_under_way(self) -> set[str]:
+        """Return the programs with calls in progress."""
+        keys = (*self.models.runs, *self.services.running)
+        return {program for program, _ in keys}
 
     def _describe(self, number: int) -> routing.EntryHost:
         return routing.EntryHost(
--- a/src/carobfork/inspections/inspectors.py
+++ b/src/carobfork/inspections/inspectors.py
@@ -32,6 +32,8 @@
 
     def describe_state(self) -> dict:
         """Return the state dump as JSON-ready fields."""
+        if not self._host.is_listening:
+            return self._host.describe_state()
         return {
             **self._host.describe_state(),
             **state_dumps.describe(self._host),
--- a/src/carobfork/protocol/signatures.py
+++ b/src/carobfork/protocol/signatures.py
@@ -9,10 +9,12 @@
 from cryptography.hazmat.primitives.asymmetric import ed25519
 
 from carobfork import exceptions
+from carobfork.coordination import bundle_checks
 from carobfork.protocol import documents, key_files
 from carobfork.state import bundles
 
 _ENVELOPE_FIELDS = frozenset(('text', 'signature'))
+_SOURCE = 'the bundle'
 
 
 @attrs.frozen
@@ -79,7 +81,32 @@
     )
 
 
-class SignedBundleReader:
+class EnvelopeReader:
+    """Parse signed bundles without checking who signed them."""
+
+    def read(self, envelope: bytes) -> bundles.Bundle:
+        """Return the bundle of an envelope.
+
+        :raises SettingsError: the content is wrong.
+        """
+        signed = open_envelope(envelope)
+        bundle = documents.parse(signed.text, bundles.Bundle, _SOURCE)
+        bundle_checks.verify(bundle, _SOURCE)
+        return bundle
+
+    def claimed_version(self, envelope: bytes) -> int:
+        """Return the version of an envelope whose signature may be wrong.
+
+        It is 0 where the envelope is not even readable.
+        """
+        try:
+            signed = open_envelope(envelope)
+            return documents.parse(signed.text, bundles.Bundle, _SOURCE).version
+        except (exceptions.SettingsError, UnicodeDecodeError):
+            return 0
+
+
+class SignedBundleReader(EnvelopeReader):
     """Check and parse signed bundles.
 
     :param public_path: the operators' public key.
@@ -103,4 +130,4 @@
             raise exceptions.SettingsError(
                 'the bundle is not signed by the operators', step='verify'
             ) from error
-        return documents.parse(signed.text, bundles.Bundle, 'the bundle')
+        return super().read(envelope)
