--- /dev/null
+++ b/src/carobfork/coordination/handovers.py
@@ -0,0 +1,245 @@
+"""Handovers: give all programs to a successor at a planned stop.
+
+The successor takes the whole journal over, which is one write, not one for
+each program. Calls in progress are finished here and their records are sent
+to the successor, which holds the turns of their programs until then.
+"""
+
+import random
+from collections.abc import Callable
+
+import attrs
+import gevent
+import structlog
+from gevent import event
+
+from carobfork import clock, exceptions
+from carobfork.coordination import (
+    homes,
+    journals,
+    local_requests,
+    membership,
+    messages,
+    ports,
+    routing,
+)
+from carobfork.state import identifiers
+
+HAND_OVER_TIMEOUT_MS = 20_000
+FLUSH_TIMEOUT_MS = 5000
+RECORDS_TIMEOUT_MS = 10_000
+FINISH_TIMEOUT_MS = 60_000
+BATCH_RECORDS = 200
+ATTEMPTS = 3
+_POLL_MS = 50
+
+logger = structlog.get_logger(part='handovers')
+
+
+@messages.register
+@attrs.frozen
+class HandOver:
+    """The sender stops; the receiver is to take its programs over.
+
+    ``busy`` lists the programs whose calls the sender still finishes.
+    """
+
+    sender: identifiers.Incarnation
+    busy: tuple[str, ...]
+
+
+@messages.register
+@attrs.frozen
+class HandedRecords:
+    """Records of calls that the sender finishes, numbered from ``first``."""
+
+    sender: identifiers.Incarnation
+    first: int
+    segment: bytes
+
+
+@messages.register
+@attrs.frozen
+class ProgramsIdle:
+    """The sender has finished the calls of these programs."""
+
+    sender: identifiers.Incarnation
+    programs: tuple[str, ...]
+
+
+class Handover:
+    """Give this host's programs to a successor.
+
+    :param home: this host's programs.
+    :param members: who stays.
+    :param link: how to reach the successor.
+    :param codec: encodes the records sent to it.
+    :param requests: pauses new requests meanwhile.
+    :param under_way: returns the programs with calls in progress.
+    """
+
+    def __init__(
+        self,
+        home: homes.Home,
+        members: membership.Membership,
+        link: ports.PeerLink,
+        codec: ports.RecordCodec,
+        requests: local_requests.LocalRequests,
+        under_way: Callable[[], set[str]],
+    ) -> None:
+        """Prepare the handover; ``run`` begins it."""
+        self._home = home
+        self._members = members
+        self._link = link
+        self._codec = codec
+        self._requests = requests
+        self._under_way = under_way
+        self._queue: list[journals.Entry] = []
+        self._queued = event.Event()
+        self._sent = 0
+
+    def run(self) -> None:
+        """Hand over and finish what is in progress, within bounds.
+
+        Where no successor confirms it the programs stay here until the host
+        ends, and other hosts then take them over as from a dead one.
+        """
+        self._requests.pause()
+        journal = self._home.journal
+        journal.diversion = self._take
+        try:
+            successor = self._ask_any()
+        except exceptions.CarobforkError as error:
+            logger.warning('The programs stay here.', error=str(error))
+            self._keep_all(journal)
+            self._requests.resume(successor=None)
+            return
+        journal.seal()
+        self._requests.resume(successor)
+        self._finish(successor)
+
+    def _keep_all(self, journal: journals.Journal) -> None:
+        """Record here what was to be sent to a successor."""
+        if not journal.sealed:
+            journal.end_diversion(self._queue)
+            return
+        # A successor has the programs although it did not confirm it.
+        for entry in self._queue:
+            entry.fail(_lost('the journal is sealed'))
+
+    def _ask_any(self) -> routing.EntryHost:
+        """Ask hosts that stay until one has taken the programs.
+
+        :raises CarobforkError: none confirmed it.
+        """
+        self._flush()
+        failure = exceptions.NotRunError('no host stays', step='hand over')
+        for successor in self._candidates():
+            try:
+                return self._ask(successor)
+            except exceptions.CarobforkError as error:
+                failure = error
+        raise failure
+
+    def _flush(self) -> None:
+        """Wait until the journal holds everything recorded so far.
+
+        :raises PlatformError: the platform does not answer.
+        """
+        journal = self._home.journal
+        for _ in range(FLUSH_TIMEOUT_MS // _POLL_MS):
+            if not journal.uncommitted():
+                return
+            gevent.sleep(clock.to_seconds(_POLL_MS))
+        raise exceptions.PlatformError(
+            'the last records are not committed', step='hand over'
+        )
+
+    def _candidates(self) -> list[routing.EntryHost]:
+        staying = self._members.staying()
+        count = min(ATTEMPTS, len(staying))
+        return random.sample(staying, count)
+
+    def _ask(self, successor: routing.EntryHost) -> routing.EntryHost:
+        busy = tuple(self._busy())
+        request = HandOver(self._own, busy)
+        address = successor.peer_address
+        self._link.request(address, request, HAND_OVER_TIMEOUT_MS)
+        logger.info(
+            'The programs were handed over.',
+            peer=str(successor.incarnation),
+            busy=len(busy),
+        )
+        return successor
+
+    def _finish(self, successor: routing.EntryHost) -> None:
+        """Send records on and report programs until none is busy."""
+        sender = gevent.spawn(self._send_all, successor)
+        waiting = self._busy()
+        for _ in range(FINISH_TIMEOUT_MS // _POLL_MS):
+            busy = self._busy()
+            idle = waiting - busy
+            if idle and not self._queue:
+                report = ProgramsIdle(self._own, tuple(idle))
+                self._link.send(successor.peer_address, report)
+                waiting &= busy
+            if not waiting and not busy:
+                break
+            gevent.sleep(clock.to_seconds(_POLL_MS))
+        sender.kill()
+
+    def _busy(self) -> set[str]:
+        return self._under_way() | self._requests.programs()
+
+    def _take(self, entry: journals.Entry) -> None:
+        self._queue.append(entry)
+        self._queued.set()
+
+    def _send_all(self, successor: routing.EntryHost) -> None:
+        while True:
+            self._queued.wait()
+            while self._queue:
+                self._send(successor, self._queue[:BATCH_RECORDS])
+            self._queued.clear()
+
+    def _send(
+        self, successor: routing.EntryHost, batch: list[journals.Entry]
+    ) -> None:
+        segment = self._codec.pack([entry.encoded for entry in batch])
+        request = HandedRecords(self._own, self._sent, segment)
+        try:
+            self._request(successor, request)
+        except exceptions.CarobforkError as error:
+            logger.warning('Records were not handed over.', error=str(error))
+            for lost in batch:
+                lost.fail(_lost(error))
+        else:
+            for entry in batch:
+                entry.note_committed(self._home.journal.apply)
+        self._sent += len(batch)
+        self._queue = self._queue[len(batch) :]
+
+    def _request(
+        self, successor: routing.EntryHost, request: HandedRecords
+    ) -> None:
+        for _ in range(ATTEMPTS):
+            try:
+                self._link.request(
+                    successor.peer_address, request, RECORDS_TIMEOUT_MS
+                )
+            except exceptions.ConnectionFailedError as error:
+                failure = error
+            else:
+                return
+        raise failure
+
+    @property
+    def _own(self) -> identifiers.Incarnation:
+        return self._members.own.incarnation
+
+
+def _lost(reason: object) -> exceptions.UnknownOutcomeError:
+    return exceptions.UnknownOutcomeError(
+        f'the successor did not confirm the record: {reason}',
+        step='hand over',
+    )
--- a/src/carobfork/coordination/routing.py
+++ b/src/carobfork/coordination/routing.py
@@ -1,6 +1,7 @@
 """Routing: which entry host is a program's home, and which to call."""
 
 import random
+from collections.abc import Iterable
 from typing import Protocol
 
 import attrs
@@ -46,6 +47,15 @@
         """Tell whether a host is about to stop."""
 
 
+class Requests(Protocol):
+    """The requests that this host serves itself."""
+
+    successor: EntryHost | None
+
+    def wait(self) -> None:
+        """Wait while the programs move to another host."""
+
+
 @attrs.frozen
 class AddressAnswer:
     """Which entry hosts to use, best first, and for how long.
@@ -62,14 +72,17 @@
 
     :param table: the programs homed here.
     :param hosts: the live entry hosts.
+    :param requests: tells whether the programs were handed over.
     """
 
     def __init__(
         self,
         table: programs.ProgramTable,
         hosts: HostList,
+        requests: Requests,
     ) -> None:
         """Remember where to look."""
+        self._requests = requests
         self._table = table
         self._hosts = hosts
 
@@ -79,15 +92,17 @@
         :raises NotRunError: its home is gone and not taken over yet.
         :raises UnknownProgramError: it never had a home.
         """
+        self._requests.wait()
         home = identifiers.home_of(program)
         if (
             home == self._hosts.own.incarnation
             or program in self._table.programs
         ):
-            return None
-        for host in self._hosts.live():
-            if host.is_home_of(home):
-                return self._address_of(host)
+            successor = self._requests.successor
+            return successor.caller_address if successor else None
+        hosts = _adopters_first(self._hosts.live(), home)
+        if hosts:
+            return self._address_of(hosts[0])
         if self._hosts.knows(home.host):
             raise exceptions.NotRunError(
                 'the program is being taken over',
@@ -103,11 +118,9 @@
 
     def addresses(self, program: str = '') -> AddressAnswer:
         """Return the hosts to use: a program's home first."""
-        hosts = [
-            host
-            for host in self._hosts.live()
-            if not self._hosts.is_leaving(host)
-        ]
+        live = self._hosts.live()
+        staying = [host for host in live if not self._hosts.is_leaving(host)]
+        hosts = staying or live
         random.shuffle(hosts)
         if program:
             home = identifiers.home_of(program)
@@ -121,3 +134,14 @@
         if host.incarnation == self._hosts.own.incarnation:
             return None
         return host.caller_address
+
+
+def _adopters_first(
+    hosts: Iterable[EntryHost], home: identifiers.Incarnation
+) -> list[EntryHost]:
+    """Return the hosts that are a program's home.
+
+    A host that stops lives on for a while after it was taken over.
+    """
+    homes = [host for host in hosts if host.is_home_of(home)]
+    return sorted(homes, key=lambda host: home not in host.adopted)
--- a/src/carobfork/coordination/service_calls.py
+++ b/src/carobfork/coordination/service_calls.py
@@ -11,10 +11,19 @@
 import structlog
 
 from carobfork import clock, exceptions, logs
-from carobfork.coordination import calls, homes, intents, journals, ports, waits
+from carobfork.coordination import (
+    backends,
+    calls,
+    homes,
+    intents,
+    journals,
+    ports,
+    waits,
+)
 from carobfork.state import bundles, programs, records
 
 LATE_ANSWER_MS = 600_000
+MAX_ATTEMPTS = 3
 RUNNING_LIMIT = 2000
 MAX_ANSWER_BYTES = 600_000
 _RETRY_AFTER_MS = 1000
@@ -28,23 +37,26 @@
 
     :param home: the programs and their journal.
     :param backend: the plain services.
+    :param health: which of their servers to try first.
     """
 
     def __init__(
         self,
         home: homes.Home,
         backend: ports.ServiceBackend,
+        health: backends.BackendHealth,
     ) -> None:
         """Start without calls under way."""
         self._home = home
         self._backend = backend
+        self._health = health
         self._intents = intents.IntentRecorder(home)
-        self._running: dict[tuple[str, str], waits.RunningCall] = {}
+        self.running: dict[tuple[str, str], waits.RunningCall] = {}
 
     @property
     def under_way(self) -> int:
         """How many calls wait for their turn or an answer."""
-        return len(self._running)
+        return len(self.running)
 
     def run(self, call: calls.ServiceCall) -> records.AnswerRecorded:
         """Run a call, join it under way, or return its recorded answer.
@@ -55,7 +67,7 @@
         """
         program = self._home.authorise(call.program, call.token)
         operation = self._operation(call)
-        running = self._running.get((call.program, call.key))
+        running = self.running.get((call.program, call.key))
         if running is None:
             self._intents.require_settled(call)
             answer = calls.recorded_answer(program, call.key, call.digest)
@@ -79,7 +91,7 @@
                 peer=call.service,
             )
         running = waits.RunningCall(call.digest)
-        self._running[call.program, call.key] = running
+        self.running[call.program, call.key] = running
         logs.spawn(self._execute, running, program, call, operation)
         return running
 
@@ -112,7 +124,7 @@
             logger.warning('A call met an error late.', error=str(error))
             return
         running.fail(_before_dispatch(error))
-        self._running.pop((call.program, call.key), None)
+        self.running.pop((call.program, call.key), None)
 
     def _prepare(
         self,
@@ -156,7 +168,7 @@
         else:
             self._record_answer(running, program, answer)
         finally:
-            self._running.pop((call.program, call.key), None)
+            self.running.pop((call.program, call.key), None)
 
     def _record_answer(
         self,
@@ -190,7 +202,6 @@
     def _exchange(
         self, call: calls.ServiceCall, operation: bundles.Operation
     ) -> records.AnswerRecorded:
-        server = random.choice(self._service(call).servers)
         request = ports.ServiceRequest(
             method=call.method,
             path=call.path,
@@ -198,7 +209,7 @@
             content_type=call.content_type,
             call=f'{call.program}/{call.key}',
         )
-        reply = self._send_once(server, request, operation)
+        server, reply = self._send_to_one(call, request, operation)
         if len(reply.body) > MAX_ANSWER_BYTES:
             reply = ports.ServiceReply(
                 _BAD_GATEWAY, b'the answer is too large', 'text/plain'
@@ -213,6 +224,30 @@
             content_type=reply.content_type,
         )
 
+    def _send_to_one(
+        self,
+        call: calls.ServiceCall,
+        request: ports.ServiceRequest,
+        operation: bundles.Operation,
+    ) -> tuple[bundles.Server, ports.ServiceReply]:
+        """Send a call to one server after another until one takes it."""
+        refusals: list[exceptions.CarobforkError] = []
+        for server in self._candidates(call):
+            try:
+                return server, self._send_once(server, request, operation)
+            except exceptions.NotRunError as error:
+                refusals.append(error)
+            except exceptions.UnknownOutcomeError as unknown:
+                if not operation.repeatable:
+                    raise
+                refusals.append(unknown)
+        raise _gravest(refusals)
+
+    def _candidates(self, call: calls.ServiceCall) -> list[bundles.Server]:
+        servers = list(self._service(call).servers)
+        random.shuffle(servers)
+        return backends.order_servers(servers, self._health)[:MAX_ATTEMPTS]
+
     def _send_once(
         self,
         server: bundles.Server,
@@ -247,6 +282,20 @@
         )
 
 
+def _gravest(
+    refusals: list[exceptions.CarobforkError],
+) -> exceptions.CarobforkError:
+    """Return the error that a call ends with after several attempts.
+
+    What was sent once may have run, so an unknown outcome outweighs servers
+    that could not be reached.
+    """
+    for refusal in refusals:
+        if refusal.outcome is exceptions.Outcome.unknown:
+            return refusal
+    return refusals[0]
+
+
 def _before_dispatch(error: Exception) -> exceptions.CarobforkError:
     """Return what a failure before dispatch tells: nothing ran."""
     if isinstance(error, exceptions.CarobforkError):
--- a/src/carobfork_standins/__main__.py
+++ b/src/carobfork_standins/__main__.py
@@ -33,9 +33,11 @@
         return outputs.exit_code(error)
     if not checking:
         application = application_class(settings)
-        daemons.run_until_stopped(
-            servers.HttpServer(settings.address, application)
+        # A watch may wait long after its reader has gone.
+        server = servers.HttpServer(
+            settings.address, application, stop_timeout_ms=0
         )
+        daemons.run_until_stopped(server)
     return 0
 
 
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -9,6 +9,7 @@
 from carobfork import exceptions
 from carobfork.coordination import (
     appenders,
+    backends,
     calls,
     intents,
     journals,
@@ -57,7 +58,11 @@
         self.host = recording_hosts.Host('entry-1', self.store)
         self.other = recording_hosts.Host('entry-2', self.store)
         self.service = ManualService()
-        self.caller = service_calls.ServiceCaller(self.host.home, self.service)
+        self.caller = service_calls.ServiceCaller(
+            self.host.home,
+            self.service,
+            backends.BackendHealth(self.host.timer),
+        )
         self.opened = self.host.home.open_program('quote')
 
     def tearDown(self):
