Say that a roll was not sent where the platform was never reached

The records' test host had no slots and failed at the door check. Change: a rollout remembers whether an update was sent; otherwise it raises the platform's error. The test host gets a door that refuses nobody.

--- a/src/carobfork/coordination/rollouts.py
+++ b/src/carobfork/coordination/rollouts.py
@@ -42,13 +42,16 @@
         self._store = store
         self._reader = reader
         self._envelope = envelope
+        self._sent = False
 
     def run(self) -> bundles.Bundle:
         """Put the bundle in force and return it.
 
         :raises ConflictError: another bundle won; the error names it.
+        :raises PlatformError: the platform was not reached; nothing was sent.
         :raises UnknownOutcomeError: the platform did not tell the outcome.
         """
+        problem = None
         for _ in range(ATTEMPTS):
             try:
                 return self._attempt()
@@ -57,8 +60,17 @@
                     raise
             except exceptions.PlatformError as error:
                 logger.warning('The roll is retried.', error=str(error))
+                problem = error
             gevent.sleep(clock.to_seconds(RETRY_DELAY_MS))
-        raise exceptions.UnknownOutcomeError(
+        raise self._failure(problem)
+
+    def _failure(
+        self, problem: exceptions.PlatformError | None
+    ) -> exceptions.CarobforkError:
+        """Return what all attempts together tell."""
+        if problem is not None and not self._sent:
+            return problem
+        return exceptions.UnknownOutcomeError(
             f'the platform did not say whether version {self.offered.version} '
             'is in force; roll it again',
             step=_STEP,
@@ -73,6 +85,7 @@
                 return self.offered
             self._require_newer(found.body)
             version = found.version
+        self._sent = True
         self._store.update(control.BUNDLE_KEY, self._envelope, version)
         return self.offered
 
--- a/tests/recording_hosts.py
+++ b/tests/recording_hosts.py
@@ -33,6 +33,13 @@
         """Do nothing."""
 
 
+class OpenDoor:
+    """Every program may be opened."""
+
+    def check_door(self, rank, queue_limit_ms):
+        """Refuse none."""
+
+
 class Host:
     """One host and what it decides about records.
 
@@ -57,7 +64,7 @@
             self.open_journal(self.own.incarnation),
             self.table,
             bundle_holder(),
-            None,
+            OpenDoor(),
             ownerships.Ownership(self.timer),
         )
         self.sealer = seals.Sealer(store, CODEC, NoHolders())
