--- a/src/carobfork/commands/bundles.py
+++ b/src/carobfork/commands/bundles.py
@@ -48,22 +48,17 @@
             version=found.version,
         )
 
-    def roll(
-        self, signed: str, platform: str, public_key: str = ''
-    ) -> outputs.Report:
+    def roll(self, signed: str, platform: str, key: str) -> outputs.Report:
         """Put a signed bundle in force on all hosts.
 
-        Example: ``carobfork bundle roll signed.json 127.0.0.1:7001``
+        Example: ``carobfork bundle roll signed.json 127.0.0.1:7001 ops.pub``
 
         :param signed: path of the signed bundle.
         :param platform: address of the platform as ip:port.
-        :param public_key: path of the operators' public key, to check the
-            signature here too; hosts always check it.
+        :param key: path of the public key that the hosts check it with.
         """
         envelope = documents.read_text(signed).encode()
-        reader = signatures.EnvelopeReader()
-        if public_key:
-            reader = signatures.SignedBundleReader(public_key)
+        reader = signatures.SignedBundleReader(key)
         store = platforms.HttpObjectStore(sessions.parse_address(platform))
         rolled = rollouts.Rollout(store, reader, envelope).run()
         return outputs.done(
--- a/src/carobfork/coordination/rollouts.py
+++ b/src/carobfork/coordination/rollouts.py
@@ -42,11 +42,13 @@
         self._store = store
         self._reader = reader
         self._envelope = envelope
+        self._was_sent = False
 
     def run(self) -> bundles.Bundle:
         """Put the bundle in force and return it.
 
         :raises ConflictError: another bundle won; the error names it.
+        :raises PlatformError: it does not answer, and nothing was sent.
         :raises UnknownOutcomeError: the platform did not tell the outcome.
         """
         for _ in range(ATTEMPTS):
@@ -58,6 +60,12 @@
             except exceptions.PlatformError as error:
                 logger.warning('The roll is retried.', error=str(error))
             gevent.sleep(clock.to_seconds(RETRY_DELAY_MS))
+        if not self._was_sent:
+            raise exceptions.PlatformError(
+                'the platform does not answer; nothing was rolled',
+                step=_STEP,
+                peer=_PEER,
+            )
         raise exceptions.UnknownOutcomeError(
             f'the platform did not say whether version {self.offered.version} '
             'is in force; roll it again',
@@ -73,6 +81,7 @@
                 return self.offered
             self._require_newer(found.body)
             version = found.version
+        self._was_sent = True
         self._store.update(control.BUNDLE_KEY, self._envelope, version)
         return self.offered
 
