Keep callers without the token out of a program's decisions

Cause: a malformed request that named another's program, refused before its token was looked at, was noted in that program's log and could push out its decisions; call keys there and in log lines had no bound; connections beyond the limit were each answered, however many.

--- a/src/carobfork/coordination/call_notes.py
+++ b/src/carobfork/coordination/call_notes.py
@@ -1,10 +1,21 @@
 """Call notes: what operators can learn about calls after they ended."""
 
+import attrs
+
 from carobfork import clock, exceptions
-from carobfork.coordination import decisions, outcome_counts
+from carobfork.coordination import calls, decisions, outcome_counts
 from carobfork.state import programs
 
 
+@attrs.frozen
+class Caller:
+    """Who a request says that it comes from, unchecked."""
+
+    program: str
+    token: str
+    call: str
+
+
 class CallNotes:
     """Count how calls ended and log what was decided about them.
 
@@ -24,15 +35,27 @@
         """Note that a request was answered with an outcome class."""
         self.outcomes.count(outcome)
 
-    def note_error(self, program: str, call: str, error: Exception) -> None:
+    def note_error(self, caller: Caller, error: Exception) -> None:
         """Note what a request ended with.
 
         Only programs homed here have a log, and callers without the
         program's token leave no trace in it.
         """
         self.outcomes.count_error(error)
-        is_foreign = isinstance(error, exceptions.ForbiddenError)
-        if program in self._table.programs and not is_foreign:
+        if self._is_admitted(caller):
             self.decisions.note(
-                program, decisions.Action.refused, f'call {call}', str(error)
+                caller.program,
+                decisions.Action.refused,
+                f'call {caller.call}',
+                str(error),
             )
+
+    def _is_admitted(self, caller: Caller) -> bool:
+        program = self._table.programs.get(caller.program)
+        if program is None:
+            return False
+        try:
+            calls.authorise(program, caller.token)
+        except exceptions.ForbiddenError:
+            return False
+        return True
--- a/src/carobfork/coordination/decisions.py
+++ b/src/carobfork/coordination/decisions.py
@@ -83,7 +83,10 @@
             self._logs.popitem(last=False)
         log.append(
             Decision(
-                self._timer.now_ms(), action, call, detail[:DETAIL_CHARACTERS]
+                self._timer.now_ms(),
+                action,
+                call[:DETAIL_CHARACTERS],
+                detail[:DETAIL_CHARACTERS],
             )
         )
 
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -89,10 +89,9 @@
     def __call__(self, environ: dict, start_response: Callable):
         """Answer one request."""
         request = Request(environ)
+        caller = requests.claimed_caller(request)
         logs.begin(
-            program=request.headers.get(headers.PROGRAM, ''),
-            call=request.headers.get(headers.CALL, ''),
-            peer=request.remote_addr,
+            program=caller.program, call=caller.call, peer=request.remote_addr
         )
         try:
             response = self._route(request)
@@ -110,11 +109,8 @@
         if not isinstance(error, exceptions.OverloadedError):
             # In a flood the counter of refusals tells enough.
             logger.info('A request was refused.', error=str(error))
-        self._parts.notes.note_error(
-            request.headers.get(headers.PROGRAM, ''),
-            request.headers.get(headers.CALL, ''),
-            error,
-        )
+        caller = requests.claimed_caller(request)
+        self._parts.notes.note_error(caller, error)
 
     def _route(self, request: Request) -> Response:
         request.max_content_length = responses.MAX_BODY_BYTES
--- a/src/carobfork/transport/readers.py
+++ b/src/carobfork/transport/readers.py
@@ -24,6 +24,8 @@
 HEAD_MS = 10_000
 BODY_MS = 20_000
 LINGER_MS = 1000
+REFUSING_FACTOR = 1.5
+"""Beyond the limit times this, connections are closed without an answer."""
 _PIECE_BYTES = 65_536
 _READ = 'read request'
 
@@ -89,15 +91,12 @@
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Serve a connection, or refuse it where there are too many."""
-        handler = self.handler_class(sock, address, self)
         self.open_connections += 1
         try:
-            if self.open_connections > self.limits.connections:
-                handler.refuse_connection()
-            else:
-                handler.handle()
+            self._admit(self.handler_class(sock, address, self))
         finally:
             self.open_connections -= 1
+            sock.close()
 
     def traffic(self) -> Traffic:
         """Return what the listener holds and has sent."""
@@ -121,6 +120,13 @@
         finally:
             self.reading_bytes -= body_bytes
 
+    def _admit(self, handler: 'BoundedHandler') -> None:
+        limit = self.limits.connections
+        if self.open_connections <= limit:
+            handler.handle()
+        elif self.open_connections <= limit * REFUSING_FACTOR:
+            handler.refuse_connection()
+
 
 class BoundedHandler(pywsgi.WSGIHandler):
     """Serve the requests of one connection."""
--- a/tests/test_inspections.py
+++ b/tests/test_inspections.py
@@ -134,6 +134,8 @@
         program.token = 'stolen'
         with self.assertRaises(exceptions.ForbiddenError):
             program.call(layouts.SERVICE, '/deposit', b'30', key='k9')
+        with self.assertRaises(exceptions.BadRequestError):
+            program.call(layouts.SERVICE, '/nothing', b'30', key='k9 x')
         found = self.command('explain', program.identifier, self.at)
         self.assertNotIn('k9', str(found))
 
