--- a/src/carobfork/commands/bundles.py
+++ b/src/carobfork/commands/bundles.py
@@ -6,7 +6,7 @@
 
 from carobfork import exceptions, sessions
 from carobfork.commands import differences, operations, outputs
-from carobfork.coordination import control
+from carobfork.coordination import bundle_checks, control, rollouts
 from carobfork.protocol import documents, signatures
 from carobfork.state import bundles
 from carobfork.transport import platforms
@@ -23,6 +23,7 @@
         :param bundle: path of the bundle file.
         """
         found = documents.load(bundle, bundles.Bundle)
+        bundle_checks.verify(found, bundle)
         return outputs.done(
             f'{bundle} is right, version {found.version}.',
             version=found.version,
@@ -39,6 +40,7 @@
         """
         text = documents.read_text(bundle)
         found = documents.parse(text, bundles.Bundle, bundle)
+        bundle_checks.verify(found, bundle)
         signed = signatures.sign(text, key)
         _write(output, signed.encode())
         return outputs.done(
@@ -56,15 +58,11 @@
         :param key: path of the public key that the hosts check it with.
         """
         envelope = documents.read_text(signed).encode()
-        offered = signatures.SignedBundleReader(key).read(envelope)
+        reader = signatures.SignedBundleReader(key)
         store = platforms.HttpObjectStore(sessions.parse_address(platform))
-        found = store.fetch(control.BUNDLE_KEY)
-        if found is not None:
-            _require_newer(offered, _bundle_of(found.body))
-        expected = found.version if found else 0
-        store.update(control.BUNDLE_KEY, envelope, expected_version=expected)
+        rolled = rollouts.Rollout(store, reader, envelope).run()
         return outputs.done(
-            f'Version {offered.version} is in force.', version=offered.version
+            f'Version {rolled.version} is in force.', version=rolled.version
         )
 
     def status(self, platform: str, hosts: str = '') -> outputs.Report:
@@ -142,17 +140,6 @@
     return _HostStatus(address, version=state['bundle_version'])
 
 
-def _require_newer(offered: bundles.Bundle, in_force: bundles.Bundle) -> None:
-    if in_force.version >= offered.version:
-        raise exceptions.ConflictError(
-            f'version {in_force.version} is in force, '
-            f'version {offered.version} was offered',
-            current_version=in_force.version,
-            step='roll',
-            peer='platform',
-        )
-
-
 def _in_force(platform: str) -> bytes:
     store = platforms.HttpObjectStore(sessions.parse_address(platform))
     found = store.fetch(control.BUNDLE_KEY)
--- a/src/carobfork/coordination/journals.py
+++ b/src/carobfork/coordination/journals.py
@@ -42,6 +42,24 @@
     offered: bool = False
     applied: bool = False
 
+    def note_kept(self, apply: Callable[[records.Record], None]) -> None:
+        """Apply the record once and tell those who wait for it."""
+        if not self.applied:
+            self.applied = True
+            apply(self.record)
+            self.kept.set()
+
+    def note_committed(self, apply: Callable[[records.Record], None]) -> None:
+        """Note that a journal holds the record."""
+        self.note_kept(apply)
+        self.committed.set()
+
+    def fail(self, error: Exception) -> None:
+        """Tell those who wait that the record was not committed."""
+        self.committed.set_exception(error)
+        if not self.applied:
+            self.kept.set_exception(error)
+
 
 class Journal:
     """Append records of one incarnation in group commits.
@@ -67,12 +85,14 @@
         """The number of the last committed record."""
         self.segments = appenders.SegmentAppender(store, incarnation)
         self._codec = codec
-        self._apply = apply
+        self.apply = apply
         self._numbers = itertools.count(1)
         self._in_flight: list[Entry] = []
         self._pending: list[Entry] = []
         self._pending_bytes = 0
         self._wakeup = event.Event()
+        self.diversion: Callable[[Entry], None] | None = None
+        """Takes further entries instead of this journal, if it is set."""
 
     @property
     def stalled(self) -> bool:
@@ -106,6 +126,11 @@
         :raises SealedError: another host owns these programs now.
         :raises PlatformError: too many records wait already.
         """
+        if self.diversion is not None:
+            encoded = self._codec.encode(record)
+            entry = Entry(next(self._numbers), record, encoded)
+            self.diversion(entry)
+            return entry
         if self.sealed:
             raise appenders.sealed_error(self.incarnation)
         if self._pending_bytes > PENDING_BYTES:
@@ -119,6 +144,13 @@
         self._wakeup.set()
         return entry
 
+    def end_diversion(self, entries: list[Entry]) -> None:
+        """Commit from now on, and first what the diversion took."""
+        self.diversion = None
+        self._pending.extend(entries)
+        self._pending_bytes += sum(len(entry.encoded) for entry in entries)
+        self._wakeup.set()
+
     def withdraw(self, entry: Entry) -> bool:
         """Take an entry back and say whether nothing holds it."""
         if entry.offered or entry not in self._pending:
@@ -133,8 +165,10 @@
 
     def note_kept(self, entries: list[Entry]) -> None:
         """Apply entries that peers hold and tell those who wait."""
-        if not self.sealed:
-            self._settle(entries)
+        if self.sealed:
+            return
+        for entry in entries:
+            entry.note_kept(self.apply)
 
     def seal(self) -> None:
         """Refuse all further records; another host owns the programs."""
@@ -146,9 +180,7 @@
         self._wakeup.set()
         error = appenders.sealed_error(self.incarnation)
         for entry in self.uncommitted():
-            entry.committed.set_exception(error)
-            if not entry.applied:
-                entry.kept.set_exception(error)
+            entry.fail(error)
         self._pending.clear()
         self._pending_bytes = 0
 
@@ -200,16 +232,8 @@
             return
         self.records_committed += len(self._in_flight)
         self.last_record = self._in_flight[-1].number
-        self._settle(self._in_flight)
         for entry in self._in_flight:
-            entry.committed.set()
-
-    def _settle(self, entries: list[Entry]) -> None:
-        for entry in entries:
-            if not entry.applied:
-                entry.applied = True
-                self._apply(entry.record)
-                entry.kept.set()
+            entry.note_committed(self.apply)
 
 
 def wait_for(settled: event.AsyncResult, timeout_ms: int | None) -> None:
--- a/src/carobfork/coordination/ports.py
+++ b/src/carobfork/coordination/ports.py
@@ -73,6 +73,13 @@
         """
 
 
+class Listener(Protocol):
+    """Where requests come in."""
+
+    def drain(self) -> None:
+        """Stop listening and wait for the requests in progress."""
+
+
 class RecordCodec(Protocol):
     """Turn records into a segment's bytes and back."""
 
@@ -155,11 +162,15 @@
 
 @attrs.frozen
 class ServiceReply:
-    """A plain service's answer."""
+    """A plain service's answer.
+
+    ``leaving`` tells that the server wants no further work.
+    """
 
     status: int
     body: bytes
     content_type: str
+    leaving: bool = False
 
 
 class ServiceBackend(Protocol):
@@ -170,5 +181,6 @@
     ) -> ServiceReply:
         """Send a request once and wait for its answer.
 
+        :raises LeavingError: the server refused since it leaves.
         :raises ConnectionFailedError: no whole answer came.
         """
--- a/src/carobfork/inspections/hosts.py
+++ b/src/carobfork/inspections/hosts.py
@@ -30,6 +30,7 @@
     link: peers.PeerLink
     notes: call_notes.CallNotes
     caller_listener: servers.HttpServer
+    is_listening: bool
 
     def describe_state(self) -> dict:
         """Return the state dump as JSON-ready fields."""
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -15,6 +15,7 @@
     call_notes,
     calls,
     homes,
+    local_requests,
     model_calls,
     routing,
     service_calls,
@@ -23,6 +24,8 @@
 from carobfork.state import bundles
 
 EVENT_STREAM_TYPE = 'text/event-stream'
+MAX_HOPS = 2
+MOVE_RETRY_MS = 500
 _HTTP_CREATED = 201
 
 logger = structlog.get_logger(part='callers')
@@ -52,6 +55,7 @@
     services: service_calls.ServiceCaller
     forwarder: Forwarder
     notes: call_notes.CallNotes
+    requests: local_requests.LocalRequests
 
 
 class CallerApplication:
@@ -124,12 +128,16 @@
             address = self._parts.router.resolve(program)
             if address is not None:
                 return self._forward(request, address)
-        return endpoint(request, **arguments)
+        with self._parts.requests.serving(program or ''):
+            return endpoint(request, **arguments)
 
     def _forward(self, request: Request, address: bundles.Address) -> Response:
-        if headers.FORWARDED in request.headers:
-            raise exceptions.UnknownProgramError(
-                'the program is not homed here', step='forward'
+        hops = int(request.headers.get(headers.FORWARDED, '0'))
+        if hops >= MAX_HOPS:
+            raise exceptions.NotRunError(
+                'the program is moving between hosts',
+                step='forward',
+                retry_after_ms=MOVE_RETRY_MS,
             )
         fields = {
             name: requests.required_header(request, name)
@@ -137,7 +145,7 @@
             if request.headers.get(name)
         }
         fields['Content-Type'] = requests.content_type(request)
-        fields[headers.FORWARDED] = '1'
+        fields[headers.FORWARDED] = str(hops + 1)
         try:
             reply = self._parts.forwarder.forward(
                 address,
--- a/src/carobfork_standins/labs.py
+++ b/src/carobfork_standins/labs.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Sequence
 from types import TracebackType
 
 import attrs
@@ -47,6 +48,11 @@
 
     def start(self) -> None:
         """Start the process and wait until it listens."""
+        self.launch()
+        self.wait_until_ready()
+
+    def launch(self) -> None:
+        """Start the process without waiting for it."""
         with self.log_path.open('ab') as log:
             self.handle = subprocess.Popen(
                 [sys.executable, '-m', *self.arguments],
@@ -54,7 +60,6 @@
                 stderr=log,
                 start_new_session=True,
             )
-        self._wait_until_ready()
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
@@ -69,7 +74,11 @@
             gevent.sleep(_POLL_SECONDS)
         return self.handle.returncode
 
-    def _wait_until_ready(self) -> None:
+    def wait_until_ready(self) -> None:
+        """Wait until the process listens.
+
+        :raises LabError: it ends or takes too long.
+        """
         deadline = time.monotonic() + READY_SECONDS
         while not _listens(self.address):
             if self.handle.poll() is not None or time.monotonic() > deadline:
@@ -240,10 +249,22 @@
         self.wait_for_bundle(1)
 
     def _stop_all(self) -> None:
-        for name in reversed(self.processes):
-            if self.processes[name].handle.poll() is None:
-                self.thaw(name)
-                self.stop(name)
+        running = [
+            name
+            for name, process in self.processes.items()
+            if process.handle.poll() is None
+        ]
+        entries = [name for name in running if name in self.layout.entry_names]
+        others = [name for name in running if name not in entries]
+        for group in (entries, others):
+            self._stop_group(group)
+
+    def _stop_group(self, names: Sequence[str]) -> None:
+        for name in names:
+            self.thaw(name)
+            self.processes[name].send(signal.SIGTERM)
+        for stopped in names:
+            self.processes[stopped].wait()
 
     def _show_logs(self) -> None:
         for process in self.processes.values():
