--- a/src/carobfork/coordination/bundle_checks.py
+++ b/src/carobfork/coordination/bundle_checks.py
@@ -10,7 +10,7 @@
 import attrs
 
 from carobfork import exceptions
-from carobfork.coordination import orders, placements
+from carobfork.coordination import admissions, limits, orders, placements
 from carobfork.state import bundles
 
 SHARES_LIMIT = 1.0
@@ -19,6 +19,8 @@
 POLICY_REGISTRIES: dict[str, Mapping[str, object]] = {  # noqa: WPS407
     'order': orders.ORDERS,
     'placement': placements.PLACEMENTS,
+    'limit': limits.LIMITS,
+    'admission': admissions.ADMISSIONS,
 }
 
 
