Keep batches short on the engines where urgent calls run

Ruled out: a lower limit for all engines (costs throughput always); engines set aside by the bundle.

Change: a rank may ask for a time between tokens; its calls are packed on as few engines as they need, where others fill half of a short batch. A rank that is owed its share ignores isolation.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -13,6 +13,7 @@
 import pathlib  # noqa: E402
 import sys  # noqa: E402
 
+import attrs  # noqa: E402
 import cattrs  # noqa: E402
 
 from carobfork.state import bundles  # noqa: E402
@@ -25,11 +26,13 @@
 SPAN_MS = 20_000
 FLOOD_FROM_MS = 5000
 OUTPUT = pathlib.Path(__file__).parent / 'results'
-POLICIES = (
-    bundles.Policy('fifo', 'round_robin'),
-    bundles.Policy('fifo', 'least_loaded'),
-    bundles.Policy('fifo', 'affinity'),
-    bundles.Policy(),
+BETWEEN_TOKENS_MS = 12
+VARIANTS = (
+    (bundles.Policy('fifo', 'round_robin'), 0),
+    (bundles.Policy('fifo', 'least_loaded'), 0),
+    (bundles.Policy('fifo', 'affinity'), 0),
+    (bundles.Policy(), 0),
+    (bundles.Policy(), BETWEEN_TOKENS_MS),
 )
 
 
@@ -76,11 +79,14 @@
     """Run the experiment named on the command line."""
     options = _options()
     experiment = EXPERIMENTS[options.experiment]
-    policies = [POLICIES[index] for index in options.policies]
+    variants = [VARIANTS[index] for index in options.variants]
     outcomes = []
     for seed in range(1, options.seeds + 1):
-        for policy in policies:
-            outcome = runs.run(experiment, policy, seed)
+        for policy, between_ms in variants:
+            varied = attrs.evolve(
+                experiment, urgent_between_tokens_ms=between_ms
+            )
+            outcome = runs.run(varied, policy, seed)
             outcomes.append(outcome)
             sys.stdout.write(_line(outcome))
             sys.stdout.flush()
@@ -92,7 +98,7 @@
     parser.add_argument('experiment', choices=sorted(EXPERIMENTS))
     parser.add_argument('--seeds', type=int, default=3)
     parser.add_argument(
-        '--policies', type=int, nargs='+', default=range(len(POLICIES))
+        '--variants', type=int, nargs='+', default=range(len(VARIANTS))
     )
     return parser.parse_args()
 
@@ -101,7 +107,7 @@
     words = [
         outcome.experiment,
         f'seed {outcome.seed}',
-        plots.policy_label(outcome.policy),
+        plots.run_label(outcome).replace('\n', ' + '),
     ]
     for name, rank in outcome.report.ranks.items():
         latency = rank.program_latency
--- a/src/carobfork/coordination/dispatchers.py
+++ b/src/carobfork/coordination/dispatchers.py
@@ -13,6 +13,7 @@
 from carobfork.coordination import (
     accounts,
     backlogs,
+    isolations,
     limits,
     orders,
     placements,
@@ -53,6 +54,7 @@
         self.granted: dict[str, Grant] = {}
         self.workers = worker_tables.WorkerTable(timer)
         self._timer = timer
+        self._isolation = isolations.Isolation(bundle.ranks, timer)
         self._account = accounts.Account(lambda: self.backlog.waiting())
         self.apply(pool, bundle)
 
@@ -69,6 +71,7 @@
             grant.worker for grant in self.granted.values()
         )
         self.workers.apply(pool, bundle.policy, busy)
+        self._isolation.apply(bundle.ranks)
         self._placer = placers.Placer(
             placements.PLACEMENTS[bundle.policy.placement], self._timer
         )
@@ -93,6 +96,7 @@
             self._forget(request.identifier)
             self.granted[request.identifier] = Grant(request, worker)
             self.workers.adopt(worker)
+            self._isolation.granted(self.backlog.rank_of(request), worker)
 
     def knows(self, identifier: str) -> bool:
         """Tell whether a call waits or holds a slot."""
@@ -109,12 +113,13 @@
         grant = self.granted.pop(identifier, None)
         if grant is None:
             return
+        seen = served or limits.Served()
+        rank = self.backlog.rank_of(grant.request)
+        busy = self.workers.busy(grant.worker)
         self.workers.release(grant.worker, served)
+        self._isolation.released(rank, grant.worker, seen, busy)
         self._account.settle(
-            self.backlog.floor,
-            self.backlog.rank_of(grant.request),
-            grant.charged_tokens,
-            served or limits.Served(),
+            self.backlog.floor, rank, grant.charged_tokens, seen
         )
 
     def grant_next(self) -> Grant | None:
@@ -122,8 +127,14 @@
         free = self.workers.free()
         if not free:
             return None
-        for rank in self.backlog.floor.ranks(self.backlog.waiting()):
-            grant = self._grant_in(rank, free)
+        ranks = list(self.backlog.floor.ranks(self.backlog.waiting()))
+        for place, rank in enumerate(ranks):
+            # A rank that goes before a more urgent one is owed its share.
+            is_owed = rank > min(ranks[place:])
+            suitable = free
+            if not is_owed:
+                suitable = self._isolation.suitable(rank, free)
+            grant = self._grant_in(rank, suitable)
             if grant is not None:
                 return grant
         return None
@@ -149,7 +160,7 @@
         """Grant to one of the first calls of a rank that takes a slot."""
         passed = []
         grant = None
-        while grant is None and len(passed) < LOOK_AHEAD:
+        while free and grant is None and len(passed) < LOOK_AHEAD:
             request = self.backlog.pop(rank)
             if request is None:
                 break
@@ -174,6 +185,7 @@
         self._placer.forget(request.identifier)
         load.busy += 1
         load.granted += 1
+        self._isolation.granted(rank, load.name)
         tokens = self._account.charge(self.backlog.floor, rank)
         grant = Grant(request, load.name, tokens)
         self.granted[request.identifier] = grant
--- a/src/carobfork/coordination/worker_tables.py
+++ b/src/carobfork/coordination/worker_tables.py
@@ -67,6 +67,11 @@
         if load is not None:
             load.adopt_slot()
 
+    def busy(self, name: str) -> int:
+        """Return how many of a worker's slots are held."""
+        load = self.loads.get(name)
+        return 0 if load is None else load.busy
+
     def release(self, name: str, served: limits.Served | None) -> None:
         """Free a slot and learn from it."""
         load = self.loads.get(name)
--- a/src/carobfork/state/bundles.py
+++ b/src/carobfork/state/bundles.py
@@ -38,6 +38,11 @@
         default=DEFAULT_QUEUE_LIMIT_MS, validator=limits.at_least(0)
     )
     """Longest expected wait for a slot before calls are refused."""
+    between_tokens_ms: int = attrs.field(
+        default=0, validator=limits.at_least(0)
+    )
+    """Mean time between tokens to keep while calls of this rank run on an
+    engine, by keeping its batch short; 0 where the rank does not ask."""
 
 
 @attrs.frozen
--- a/src/carobfork_standins/experiments/plots.py
+++ b/src/carobfork_standins/experiments/plots.py
@@ -20,7 +20,7 @@
     :param outcomes: all runs of the experiment.
     :param path: the picture's path, .png or .svg.
     """
-    labels = sorted({policy_label(one.policy) for one in outcomes})
+    labels = sorted({run_label(one) for one in outcomes})
     ranks = sorted({rank for one in outcomes for rank in one.report.ranks})
     figure, axes = pyplot.subplots(figsize=_FIGURE_INCHES)
     width = _WIDTH / len(ranks)
@@ -45,9 +45,13 @@
     pyplot.close(figure)
 
 
-def policy_label(policy) -> str:
-    """Return a policy's short name."""
-    return f'{policy.order} + {policy.placement}'
+def run_label(outcome: runs.RunResult) -> str:
+    """Return the short name of what a run compares."""
+    policy = outcome.policy
+    label = f'{policy.order}\n{policy.placement}'
+    if outcome.urgent_between_tokens_ms:
+        return f'{label}\nisolated'
+    return label
 
 
 def _samples(
@@ -56,5 +60,5 @@
     return [
         one.p95_ms(rank)
         for one in outcomes
-        if policy_label(one.policy) == label and rank in one.report.ranks
+        if run_label(one) == label and rank in one.report.ranks
     ]
--- a/src/carobfork_standins/experiments/runs.py
+++ b/src/carobfork_standins/experiments/runs.py
@@ -43,6 +43,8 @@
     engines: int = 4
     services: int = 2
     span_ms: float = 30_000
+    urgent_between_tokens_ms: int = 0
+    """Time between tokens that the urgent rank asks for, 0 for none."""
     flood_entry: str = ''
     """Entry host by which all callers enter; all hosts where empty."""
 
@@ -53,6 +55,7 @@
 
     experiment: str
     policy: bundles.Policy
+    urgent_between_tokens_ms: int
     seed: int
     report: reports.RunReport
     cost: 'Cost'
@@ -98,7 +101,7 @@
 def _run_in(
     lab: labs.Lab, experiment: Experiment, policy: bundles.Policy, seed: int
 ) -> RunResult:
-    lab.roll(attrs.evolve(lab.layout.bundle(version=2), policy=policy))
+    lab.roll(_bundle(lab, policy, experiment.urgent_between_tokens_ms))
     lab.wait_for_bundle(2)
     plans = workloads.plan(list(experiment.streams), capacity(experiment), seed)
     names = lab.layout.entry_names
@@ -117,12 +120,22 @@
     return RunResult(
         experiment=experiment.name,
         policy=policy,
+        urgent_between_tokens_ms=experiment.urgent_between_tokens_ms,
         seed=seed,
         report=reports.report(driver.measures, driver.now_ms()),
         cost=_cost(lab, before_seconds),
     )
 
 
+def _bundle(
+    lab: labs.Lab, policy: bundles.Policy, between_tokens_ms: int
+) -> bundles.Bundle:
+    bundle = lab.layout.bundle(version=2)
+    urgent, *others = bundle.ranks
+    asking = attrs.evolve(urgent, between_tokens_ms=between_tokens_ms)
+    return attrs.evolve(bundle, policy=policy, ranks=(asking, *others))
+
+
 def _cost(lab: labs.Lab, before_seconds: float) -> Cost:
     counts = lab.ask('platform', '/counts')
     traffic = [lab.state(name)['peers'] for name in lab.running_entries()]
