--- a/src/carobfork/__init__.py
+++ b/src/carobfork/__init__.py
@@ -7,7 +7,8 @@
 
 from carobfork.api import open_program
 from carobfork.exceptions import CarobforkError, Outcome
-from carobfork.sessions import Program, Reply, Session
+from carobfork.replies import Reply
+from carobfork.sessions import Program, Session
 
 __all__ = (
     'CarobforkError',
--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -8,7 +8,9 @@
 
 from carobfork import clock
 from carobfork.coordination import (
+    cache_sweeps,
     control,
+    gone_programs,
     homes,
     journals,
     membership,
@@ -123,17 +125,37 @@
 
     def _build_parts(self) -> callers.CallerParts:
         home = homes.Home(self.journal, self.table, self.holder, self.broker)
-        backend = services.HttpServiceBackend()
+        router = routing.Router(self.own.incarnation, self.table, self.members)
+        backend = engines.HttpModelBackend()
+        models = model_calls.ModelCaller(home, backend, self.timer)
+        self.gone = gone_programs.GonePrograms(
+            home, models, backend, self.timer
+        )
+        self._start_sweeps(home, router, backend)
         return callers.CallerParts(
             home=home,
-            router=routing.Router(
-                self.own.incarnation, self.table, self.members
+            router=router,
+            models=models,
+            services=service_calls.ServiceCaller(
+                home, services.HttpServiceBackend()
             ),
-            models=model_calls.ModelCaller(home, engines.HttpModelBackend()),
-            services=service_calls.ServiceCaller(home, backend),
+            gone=self.gone,
             forwarder=forwarders.HttpForwarder(),
         )
 
+    def _start_sweeps(
+        self,
+        home: homes.Home,
+        router: routing.Router,
+        backend: engines.HttpModelBackend,
+    ) -> None:
+        register = cache_sweeps.GoneRegister(home, router)
+        self.link.on(cache_sweeps.GoneQuery, register.answer)
+        self.sweeper = cache_sweeps.CacheSweeper(
+            self.own.incarnation, self.members, self.holder, self.link, backend
+        )
+        self._start(self.gone.run, self.sweeper.run)
+
     def _start(self, *loops) -> None:
         self._greenlets.extend(gevent.spawn(loop) for loop in loops)
 
--- /dev/null
+++ b/src/carobfork/coordination/attempts.py
@@ -0,0 +1,279 @@
+"""Attempts: send a model call to engines until one answers it whole.
+
+Another attempt is made only while no event of the answer has come. From
+then on the stream is resumed by the attempt's identifier, or lost: two
+attempts' texts are never joined. The identifier follows from the program,
+the key and the attempt's number, so a successor can resume the stream too.
+"""
+
+import contextlib
+from collections.abc import Iterator
+
+import attrs
+import gevent
+import structlog
+
+from carobfork import clock, exceptions
+from carobfork.coordination import calls, homes, orders, ports, runs
+from carobfork.state import budgets, bundles, identifiers, programs, records
+
+MAX_ATTEMPTS = 3
+MAX_RESUMES = 3
+RESUME_DELAY_MS = 100
+RECORD_TIMEOUT_MS = 30_000
+FENCE_TIMEOUT_MS = 2000
+_HTTP_OK = 200
+_IDENTIFIER_LENGTH = 32
+
+logger = structlog.get_logger(part='attempts')
+
+
+def attempt_identifier(program: str, key: str, number: int) -> str:
+    """Return the identifier under which engines know an attempt."""
+    parts = (program, key, str(number))
+    name = identifiers.digest(*(part.encode() for part in parts))
+    return name[:_IDENTIFIER_LENGTH]
+
+
+@attrs.frozen(eq=False)
+class ModelWork:
+    """A model call that has its turn.
+
+    ``reserved_tokens`` is the most that one attempt can take. ``offset`` is
+    how much of the answer its caller has, in bytes.
+    """
+
+    run: runs.ModelRun
+    program: programs.Program
+    call: calls.ModelCall
+    model: bundles.Model
+    prompt: ports.Prompt
+    reserved_tokens: int
+    offset: int
+
+
+class AttemptRunner:
+    """Run the attempts at model calls.
+
+    :param home: the programs, their slots and their journal.
+    :param backend: the model engines.
+    """
+
+    def __init__(self, home: homes.Home, backend: ports.ModelBackend) -> None:
+        """Remember whom to ask."""
+        self.failed_attempts = 0
+        self.resumed_streams = 0
+        self._home = home
+        self._backend = backend
+
+    def run(self, work: ModelWork) -> records.AnswerRecorded:
+        """Resume the call's last attempt, or make new ones.
+
+        :raises StreamLostError: the caller's part can not be continued.
+        :raises BudgetExceededError: the budget covers no attempt.
+        :raises NotRunError: no engine could be reached.
+        :raises UnknownOutcomeError: engines broke off.
+        """
+        last = work.program.dispatched.get(work.call.key)
+        if last is not None and self._resume_dispatched(work, last):
+            return self._record(work, last)
+        if work.offset:
+            raise _lost('the stream is not known any more', work.call.model)
+        first = last.attempt + 1 if last else 1
+        return self._try_workers(work, first)
+
+    def _try_workers(
+        self, work: ModelWork, first: int
+    ) -> records.AnswerRecorded:
+        tried: list[str] = []
+        sent = False
+        for number in range(first, first + MAX_ATTEMPTS):
+            try:
+                return self._attempt(work, number, tried)
+            except exceptions.ConnectionFailedError as error:
+                logger.info('An attempt failed.', error=str(error))
+                self.failed_attempts += 1
+                sent = sent or error.sent
+                last_error = error
+        kind = (
+            exceptions.UnknownOutcomeError if sent else exceptions.NotRunError
+        )
+        raise kind(
+            f'{MAX_ATTEMPTS} attempts failed: {last_error.message}',
+            step='dispatch',
+            peer=last_error.peer,
+        ) from last_error
+
+    def _attempt(
+        self, work: ModelWork, number: int, tried: list[str]
+    ) -> records.AnswerRecorded:
+        dispatched = self._dispatched(work, number)
+        prompt = attrs.evolve(work.prompt, attempt=_identify(dispatched))
+        request = self._slot_request(work, prompt.attempt, tuple(tried))
+        ledger = work.program.ledger
+        ledger.reserve(
+            dispatched.reservation, budgets.Reservation(work.reserved_tokens)
+        )
+        with contextlib.ExitStack() as undo:
+            undo.callback(ledger.release, dispatched.reservation)
+            with self._home.slots.acquire(request) as worker_name:
+                tried.append(worker_name)
+                dispatched = attrs.evolve(
+                    dispatched, target=f'{work.call.model}/{worker_name}'
+                )
+                self._home.journal.enqueue(dispatched)
+                # From here on records alone settle the reservation.
+                undo.pop_all()
+                self._stream(work, dispatched, prompt)
+        return self._record(work, dispatched)
+
+    def _stream(
+        self,
+        work: ModelWork,
+        dispatched: records.CallDispatched,
+        prompt: ports.Prompt,
+    ) -> None:
+        worker = self._worker(work, dispatched)
+        work.run.worker = worker.name
+        with self._giving_up(worker, dispatched):
+            try:
+                self._push(work.run, self._backend.stream(worker, prompt))
+            except exceptions.ConnectionFailedError as error:
+                if work.run.is_empty:
+                    raise
+                logger.info('A stream broke off.', error=str(error))
+                self._resume(work.run, worker, prompt.attempt)
+
+    def _resume_dispatched(
+        self, work: ModelWork, dispatched: records.CallDispatched
+    ) -> bool:
+        """Take up the stream that another host began, and tell whether."""
+        worker = self._worker(work, dispatched)
+        work.run.worker = worker.name
+        try:
+            with self._giving_up(worker, dispatched):
+                self._resume(work.run, worker, _identify(dispatched))
+        except exceptions.StreamLostError:
+            if work.run.is_empty:
+                return False
+            raise
+        return True
+
+    def _resume(
+        self, run: runs.ModelRun, worker: bundles.Worker, identifier: str
+    ) -> None:
+        for _ in range(MAX_RESUMES):
+            offset = len(self._backend.decode(run.raw_events()).text.encode())
+            try:
+                self._push(
+                    run, self._backend.resume(worker, identifier, offset)
+                )
+            except exceptions.ConnectionFailedError as error:
+                last_error = error
+                gevent.sleep(clock.to_seconds(RESUME_DELAY_MS))
+            else:
+                self.resumed_streams += 1
+                return
+        raise _lost(last_error.message, worker.name) from last_error
+
+    def _push(self, run: runs.ModelRun, events: Iterator[bytes]) -> None:
+        for piece in events:
+            run.push(piece)
+
+    @contextlib.contextmanager
+    def _giving_up(
+        self, worker: bundles.Worker, dispatched: records.CallDispatched
+    ) -> Iterator[None]:
+        """Cancel an attempt that is left early, at its engine."""
+        try:
+            yield
+        except exceptions.ConnectionFailedError as error:
+            self._give_up(worker, dispatched, may_run=error.sent)
+            raise
+        except BaseException:
+            self._give_up(worker, dispatched, may_run=True)
+            raise
+
+    def _give_up(
+        self,
+        worker: bundles.Worker,
+        dispatched: records.CallDispatched,
+        *,
+        may_run: bool,
+    ) -> None:
+        failure = records.AttemptFailed(
+            program=dispatched.program,
+            key=dispatched.key,
+            attempt=dispatched.attempt,
+            tokens=dispatched.reserved_tokens if may_run else 0,
+        )
+        # Only the owner of the journal may cancel: once taken over, the
+        # stream is its successor's. Without a commit the engine ends it.
+        with contextlib.suppress(exceptions.CarobforkError):
+            self._home.journal.append(failure, FENCE_TIMEOUT_MS)
+            if may_run:
+                self._backend.cancel(worker, _identify(dispatched))
+
+    def _record(
+        self, work: ModelWork, dispatched: records.CallDispatched
+    ) -> records.AnswerRecorded:
+        answer = self._backend.decode(work.run.raw_events())
+        record = records.AnswerRecorded(
+            program=dispatched.program,
+            key=dispatched.key,
+            digest=dispatched.digest,
+            target=dispatched.target,
+            status=_HTTP_OK,
+            body=answer.text.encode(),
+            content_type='text/event-stream',
+            tokens=answer.tokens,
+            messages=work.call.messages,
+        )
+        self._home.journal.append(record, RECORD_TIMEOUT_MS)
+        return record
+
+    def _dispatched(
+        self, work: ModelWork, number: int
+    ) -> records.CallDispatched:
+        return records.CallDispatched(
+            program=work.program.identifier,
+            key=work.call.key,
+            digest=work.call.digest,
+            target='',
+            attempt=number,
+            reserved_tokens=work.reserved_tokens,
+        )
+
+    def _slot_request(
+        self, work: ModelWork, identifier: str, tried: tuple[str, ...]
+    ) -> orders.SlotRequest:
+        history = work.program.history()
+        last_worker = history[-1].worker if history else ''
+        return orders.SlotRequest(
+            identifier=identifier,
+            program=work.program.identifier,
+            model=work.call.model,
+            rank=self._home.bundle.rank_position(work.program.rank),
+            attained_tokens=work.program.ledger.spent_tokens,
+            arrived_ms=0,
+            last_worker=last_worker,
+            prompt_tokens=work.prompt.estimated_tokens,
+            avoided=tried,
+        )
+
+    def _worker(
+        self, work: ModelWork, dispatched: records.CallDispatched
+    ) -> bundles.Worker:
+        return bundles.find(work.model.workers, dispatched.worker, 'worker')
+
+
+def _identify(dispatched: records.CallDispatched) -> str:
+    return attempt_identifier(
+        dispatched.program, dispatched.key, dispatched.attempt
+    )
+
+
+def _lost(message: str, peer: str) -> exceptions.StreamLostError:
+    return exceptions.StreamLostError(
+        f'{message}; ask again from offset 0', step='resume', peer=peer
+    )
--- /dev/null
+++ b/src/carobfork/coordination/cache_sweeps.py
@@ -0,0 +1,172 @@
+"""Cache sweeps: release what engines hold for programs that are gone.
+
+Release messages get lost and cache events have gaps, so neither is trusted:
+each engine's own inventory is read at an interval by one responsible host,
+which asks the homes of the programs found whether they are gone.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+import gevent
+import structlog
+
+from carobfork import clock, exceptions
+from carobfork.coordination import control, homes, messages, ports, routing
+from carobfork.state import bundles, identifiers
+
+SWEEP_INTERVAL_MS = 5000
+QUERY_TIMEOUT_MS = 2000
+QUERY_LIMIT = 1000
+"""Most programs asked about in one message."""
+
+logger = structlog.get_logger(part='cache sweeps')
+
+
+@messages.register
+@attrs.frozen
+class GoneQuery:
+    """Which of these programs are gone?"""
+
+    programs: list[str]
+
+
+@messages.register
+@attrs.frozen
+class GoneReply:
+    """These programs are gone."""
+
+    programs: list[str]
+
+
+class GoneRegister:
+    """Tell which of the programs homed here are gone.
+
+    :param home: the programs and their journal.
+    :param router: tells which programs are homed here.
+    """
+
+    def __init__(self, home: homes.Home, router: routing.Router) -> None:
+        """Remember where to look."""
+        self._home = home
+        self._router = router
+
+    def answer(self, query: GoneQuery) -> GoneReply:
+        """Return the programs that are homed here and gone."""
+        if self._home.journal.sealed:
+            return GoneReply([])
+        gone = [name for name in query.programs if self._is_gone(name)]
+        return GoneReply(gone)
+
+    def _is_gone(self, name: str) -> bool:
+        program = self._home.table.programs.get(name)
+        if program is not None:
+            return not program.is_open
+        try:
+            return self._router.resolve(name) is None
+        except exceptions.UnknownProgramError:
+            return False
+
+
+class CacheSweeper:
+    """Sweep the engines that this host is responsible for.
+
+    :param own: this host's incarnation.
+    :param hosts: the live entry hosts.
+    :param holder: its bundle lists the engines.
+    :param link: carries the queries.
+    :param backend: the engines' cache.
+    """
+
+    def __init__(
+        self,
+        own: identifiers.Incarnation,
+        hosts: routing.HostList,
+        holder: control.BundleHolder,
+        link: ports.PeerLink,
+        backend: ports.CacheBackend,
+    ) -> None:
+        """Start without sweeping."""
+        self.released = 0
+        self._own = own
+        self._hosts = hosts
+        self._holder = holder
+        self._link = link
+        self._backend = backend
+
+    def run(self) -> None:
+        """Sweep until the greenlet is killed."""
+        while True:
+            gevent.sleep(clock.to_seconds(SWEEP_INTERVAL_MS))
+            for worker in self._workers():
+                self._sweep_quietly(worker)
+
+    def sweep(self, worker: bundles.Worker) -> None:
+        """Release what an engine holds for programs that are gone.
+
+        :raises ConnectionFailedError: the engine did not answer.
+        """
+        held = self._backend.inventory(worker).programs
+        for name in self._gone(held):
+            self._backend.release(worker, name)
+            self.released += 1
+            logger.info('Cache was released.', program=name, peer=worker.name)
+
+    def is_responsible(self, worker: bundles.Worker) -> bool:
+        """Tell whether this host sweeps an engine."""
+        names = [host.incarnation.host for host in self._hosts.live()]
+        return self._own.host == max(
+            names,
+            key=lambda name: identifiers.digest(
+                name.encode(), worker.name.encode()
+            ),
+        )
+
+    def _workers(self) -> list[bundles.Worker]:
+        if not self._holder.version:
+            return []
+        return [
+            worker
+            for model in self._holder.current.models
+            for worker in model.workers
+            if self.is_responsible(worker)
+        ]
+
+    def _sweep_quietly(self, worker: bundles.Worker) -> None:
+        try:
+            self.sweep(worker)
+        except exceptions.CarobforkError as error:
+            logger.info('A sweep failed.', peer=worker.name, error=str(error))
+
+    def _gone(self, names: Iterable[str]) -> set[str]:
+        gone: set[str] = set()
+        for host, homed in self._by_home(names).items():
+            for start in range(0, len(homed), QUERY_LIMIT):
+                query = GoneQuery(homed[start : start + QUERY_LIMIT])
+                gone.update(self._ask(host, query).programs)
+        return gone
+
+    def _by_home(
+        self, names: Iterable[str]
+    ) -> dict[routing.EntryHost, list[str]]:
+        grouped: dict[routing.EntryHost, list[str]] = {}
+        for name in names:
+            for host in self._homes_of(name):
+                grouped.setdefault(host, []).append(name)
+        return grouped
+
+    def _homes_of(self, name: str) -> list[routing.EntryHost]:
+        try:
+            home = identifiers.home_of(name)
+        except exceptions.UnknownProgramError:
+            return []
+        return [host for host in self._hosts.live() if host.is_home_of(home)]
+
+    def _ask(self, host: routing.EntryHost, query: GoneQuery) -> GoneReply:
+        try:
+            return self._link.request(
+                host.peer_address, query, QUERY_TIMEOUT_MS
+            )
+        except exceptions.CarobforkError as error:
+            logger.info('A home did not answer.', error=str(error))
+            return GoneReply([])
--- a/src/carobfork/coordination/calls.py
+++ b/src/carobfork/coordination/calls.py
@@ -22,6 +22,8 @@
     messages: bytes
     options: bytes
     max_tokens: int
+    after: str = ''
+    """Key of the call that must come first, or nothing."""
 
     @property
     def digest(self) -> str:
@@ -43,6 +45,8 @@
     path: str
     body: bytes
     content_type: str
+    after: str = ''
+    """Key of the call that must come first, or nothing."""
 
     @property
     def digest(self) -> str:
@@ -65,8 +69,13 @@
 def require_open(program: programs.Program) -> None:
     """Check that a program takes calls.
 
-    :raises ProgramClosedError: it has ended.
+    :raises BudgetExceededError: it ended because its time is spent.
+    :raises ProgramClosedError: it has ended for another reason.
     """
+    if program.closed_reason == programs.OUT_OF_TIME:
+        raise exceptions.BudgetExceededError(
+            f'the program ended: {programs.OUT_OF_TIME}', step='admit'
+        )
     if program.closed_reason:
         raise exceptions.ProgramClosedError(
             f'the program ended: {program.closed_reason}', step='admit'
--- a/src/carobfork/coordination/dispatchers.py
+++ b/src/carobfork/coordination/dispatchers.py
@@ -77,10 +77,18 @@
             self.waiting.values(),
             key=lambda waiting: self._order(waiting, now_ms),
         )
-        load = self._placement(request, free)
+        load = self._placement(request, _preferred(request, free))
         load.busy += 1
         load.granted += 1
         grant = Grant(request, load.name)
         self.granted[request.identifier] = grant
         del self.waiting[request.identifier]  # noqa: WPS420
         return grant
+
+
+def _preferred(
+    request: orders.SlotRequest, free: list[placements.WorkerLoad]
+) -> list[placements.WorkerLoad]:
+    """Return the workers at which a call has not failed, if any."""
+    fresh = [load for load in free if load.name not in request.avoided]
+    return fresh or free
--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -4,12 +4,13 @@
 from collections.abc import Iterator
 
 import attrs
-from gevent import lock
 
-from carobfork.coordination import calls, control, journals, slots
-from carobfork.state import bundles, identifiers, programs, records
+from carobfork.coordination import calls, control, journals, slots, turns
+from carobfork.state import budgets, bundles, identifiers, programs, records
 
 OPEN_TIMEOUT_MS = 10_000
+_CALL_UNDER_WAY = 'call under way'
+"""A program has at most one service call under way."""
 
 
 @attrs.frozen
@@ -41,64 +42,116 @@
         self.table = table
         self._holder = holder
         self.slots = broker
-        self._turns: dict[str, lock.BoundedSemaphore] = {}
+        self.turns = turns.Turns()
 
     @property
     def bundle(self) -> bundles.Bundle:
         """The bundle in force."""
         return self._holder.current
 
-    def open_program(self, kind_name: str, parent: str = '') -> OpenedProgram:
+    def open_program(self, kind_name: str) -> OpenedProgram:
         """Open a program and record it.
 
         :param kind_name: a program kind of the bundle.
-        :param parent: the program whose sub-agent this is, or nothing.
         """
         kind = bundles.find(self.bundle.programs, kind_name, 'program')
-        opened = OpenedProgram(
-            program=identifiers.new_program_id(self.journal.incarnation),
-            token=identifiers.new_token(),
-        )
-        record = records.ProgramOpened(
-            program=opened.program,
-            kind=kind.name,
-            rank=kind.rank,
-            budget=kind.budget,
-            token_digest=identifiers.digest(opened.token.encode()),
-            parent=parent,
-        )
-        self.journal.append(record, OPEN_TIMEOUT_MS)
-        return opened
+        return self._record_opening(kind, kind.budget, parent='')
 
-    def close_program(self, identifier: str, token: str, reason: str) -> None:
-        """End a program; it takes no further calls."""
-        self.authorise(identifier, token)
-        self.journal.append(
-            records.ProgramClosed(identifier, reason), OPEN_TIMEOUT_MS
-        )
+    def open_sub_agent(
+        self,
+        parent: programs.Program,
+        kind_name: str,
+        share: bundles.Budget,
+    ) -> OpenedProgram:
+        """Open a sub-agent, whose budget is carved out of its parent's.
+
+        :param kind_name: a program kind of the bundle.
+        :param share: what the sub-agent may spend at most.
+        :raises BudgetExceededError: the parent's budget does not cover it.
+        """
+        calls.require_open(parent)
+        kind = bundles.find(self.bundle.programs, kind_name, 'program')
+        opening = f'opening {identifiers.new_token()}'
+        reservation = budgets.Reservation(share.tokens, share.calls)
+        parent.ledger.reserve(opening, reservation)
+        try:
+            return self._record_opening(kind, share, parent.identifier)
+        finally:
+            # Once recorded, the share is held under the sub-agent's name.
+            parent.ledger.release(opening)
+
+    def end_tree(self, identifier: str, reason: str) -> None:
+        """Record the end of a program and of all its sub-agents.
+
+        :raises PlatformError: not recorded in time; it still will be.
+        """
+        ended = [
+            self.journal.enqueue(
+                records.ProgramClosed(program.identifier, reason)
+            )
+            for program in self.table.tree(identifier)
+            if program.is_open
+        ]
+        for entry in ended[-1:]:
+            self.journal.wait(entry, OPEN_TIMEOUT_MS)
 
     def authorise(self, identifier: str, token: str) -> programs.Program:
         """Return a program if the token opens it."""
         program = self.table.find(identifier)
         calls.authorise(program, token)
+        self.note_activity(program)
         return program
 
+    def note_activity(self, program: programs.Program) -> None:
+        """Note that a program, and so each of its parents, is in use."""
+        while program is not None:
+            program.idle_ms = 0
+            program = self.table.programs.get(program.parent)
+
     def turn(
-        self, program: programs.Program
+        self,
+        program: programs.Program,
+        call: calls.ModelCall | calls.ServiceCall,
     ) -> contextlib.AbstractContextManager:
         """Hold the program's turn: its calls run one at a time, in order."""
-        return self._turns.setdefault(
-            program.identifier, lock.BoundedSemaphore(1)
-        )
+        return self.turns.hold(program, call.key, call.after)
 
     @contextlib.contextmanager
     def reservation(
-        self, program: programs.Program, tokens: int
+        self,
+        program: programs.Program,
+        tokens: int,
+        identifier: str = _CALL_UNDER_WAY,
     ) -> Iterator[None]:
         """Reserve one call and a number of tokens while a call runs."""
         calls.require_open(program)
-        program.ledger.reserve(tokens)
+        program.ledger.reserve(identifier, budgets.Reservation(tokens))
         try:
             yield
         finally:
-            program.ledger.release(tokens)
+            program.ledger.release(identifier)
+
+    def _record_opening(
+        self, kind: bundles.ProgramKind, budget: bundles.Budget, parent: str
+    ) -> OpenedProgram:
+        opened = OpenedProgram(
+            program=identifiers.new_program_id(self.journal.incarnation),
+            token=identifiers.new_token(),
+        )
+        record = records.ProgramOpened(
+            program=opened.program,
+            kind=kind.name,
+            rank=kind.rank,
+            budget=budget,
+            token_digest=identifiers.digest(opened.token.encode()),
+            parent=parent,
+        )
+        self.journal.append(record, OPEN_TIMEOUT_MS)
+        self._end_orphan(parent, opened.program)
+        return opened
+
+    def _end_orphan(self, parent: str, identifier: str) -> None:
+        """End a sub-agent whose parent ended while it was being opened."""
+        if parent and not self.table.find(parent).is_open:
+            self.end_tree(identifier, 'its parent ended')
+            calls.require_open(self.table.find(identifier))
--- a/src/carobfork/coordination/journals.py
+++ b/src/carobfork/coordination/journals.py
@@ -71,7 +71,14 @@
         :raises SealedError: another host owns these programs now.
         :raises PlatformError: not committed in time; it still may be.
         """
-        entry = self.enqueue(record)
+        self.wait(self.enqueue(record), timeout_ms)
+
+    def wait(self, entry: _Entry, timeout_ms: int | None) -> None:
+        """Wait until a record is committed.
+
+        :raises SealedError: another host owns these programs now.
+        :raises PlatformError: not committed in time; it still may be.
+        """
         seconds = None if timeout_ms is None else clock.to_seconds(timeout_ms)
         try:
             entry.committed.get(timeout=seconds)
--- a/src/carobfork/coordination/model_calls.py
+++ b/src/carobfork/coordination/model_calls.py
@@ -1,18 +1,15 @@
 """Model calls: ordered, budgeted, streamed and recorded."""
 
-import secrets
-
 import gevent
 import structlog
 
-from carobfork import exceptions
-from carobfork.coordination import calls, homes, orders, ports, runs
+from carobfork import clock, exceptions
+from carobfork.coordination import attempts, calls, homes, ports, runs
 from carobfork.state import bundles, programs, records
 
-RECORD_TIMEOUT_MS = 30_000
-MAX_ATTEMPTS = 3
-_BYTES_PER_TOKEN = 4
-_HTTP_OK = 200
+READER_GRACE_MS = 10_000
+_TEMPLATE_BYTES = 64
+"""Room for what a chat template adds to a prompt."""
 
 logger = structlog.get_logger(part='model calls')
 
@@ -22,17 +19,27 @@
 
     :param home: the programs and their journal.
     :param backend: the model engines.
+    :param timer: tells for how long a run has had no reader.
     """
 
-    def __init__(self, home: homes.Home, backend: ports.ModelBackend) -> None:
+    def __init__(
+        self,
+        home: homes.Home,
+        backend: ports.ModelBackend,
+        timer: clock.Clock,
+    ) -> None:
         """Start without calls under way."""
         self.runs: dict[tuple[str, str], runs.ModelRun] = {}
+        self.runner = attempts.AttemptRunner(home, backend)
+        self._greenlets: dict[tuple[str, str], gevent.Greenlet] = {}
         self._home = home
         self._backend = backend
+        self._timer = timer
 
-    def start(self, call: calls.ModelCall) -> runs.ModelRun:
+    def start(self, call: calls.ModelCall, offset: int = 0) -> runs.ModelRun:
         """Start a call, join it under way, or return its recorded answer.
 
+        :param offset: how much of the answer the caller has, in bytes.
         :raises BadRequestError: the call is refused, nothing ran.
         """
         program = self._home.authorise(call.program, call.token)
@@ -40,12 +47,34 @@
         if run is not None:
             return run
         calls.require_open(program)
-        self._model(call.model)
-        run = runs.ModelRun(call.digest)
+        model = bundles.find(self._home.bundle.models, call.model, 'model')
+        run = runs.ModelRun(call.digest, self._timer)
         self.runs[call.program, call.key] = run
-        gevent.spawn(self._execute, run, program, call)
+        self._greenlets[call.program, call.key] = gevent.spawn(
+            self._execute, run, program, call, model, offset
+        )
         return run
 
+    def cancel(self, program: str, reason: str) -> None:
+        """Cancel all calls of a program."""
+        for key in list(self.runs):
+            if key[0] == program:
+                self.cancel_run(key, reason)
+
+    def cancel_unread(self) -> None:
+        """Cancel the calls that nobody has read for the grace time."""
+        for key, run in list(self.runs.items()):
+            if run.unread_ms > READER_GRACE_MS:
+                self.cancel_run(key, 'its caller is gone')
+
+    def cancel_run(self, key: tuple[str, str], reason: str) -> None:
+        """Cancel one call, given by program and key."""
+        error = exceptions.CancelledError(
+            f'the call was cancelled: {reason}', step='cancel'
+        )
+        self.runs.pop(key).fail(error)
+        self._greenlets.pop(key).kill(error, block=False)
+
     def _find(
         self, program: programs.Program, call: calls.ModelCall
     ) -> runs.ModelRun | None:
@@ -56,7 +85,7 @@
         answer = calls.recorded_answer(program, call.key, call.digest)
         if answer is None:
             return None
-        run = runs.ModelRun(call.digest)
+        run = runs.ModelRun(call.digest, self._timer)
         run.finish(answer)
         return run
 
@@ -65,91 +94,74 @@
         run: runs.ModelRun,
         program: programs.Program,
         call: calls.ModelCall,
+        model: bundles.Model,
+        offset: int,
     ) -> None:
         try:
-            run.finish(self._run_in_order(run, program, call))
+            with self._home.turn(program, call):
+                calls.require_open(program)
+                work = self._prepare(run, program, call, model, offset)
+                run.finish(self.runner.run(work))
         except exceptions.CarobforkError as error:
             logger.info('A call failed.', key=call.key, error=str(error))
             run.fail(error)
         finally:
-            self.runs.pop((call.program, call.key), None)
+            self._forget((call.program, call.key), run)
 
-    def _run_in_order(
-        self,
-        run: runs.ModelRun,
-        program: programs.Program,
-        call: calls.ModelCall,
-    ) -> records.AnswerRecorded:
-        with self._home.turn(program):
-            prompt = self._prompt(program, call)
-            ceiling = len(prompt.messages) // _BYTES_PER_TOKEN
-            ceiling += call.max_tokens
-            with self._home.reservation(program, ceiling):
-                return self._attempt(run, program, call, prompt)
-
-    def _attempt(
+    def _forget(self, key: tuple[str, str], run: runs.ModelRun) -> None:
+        # A cancelled run may have been replaced under its key.
+        if self.runs.get(key) is run:
+            self.runs.pop(key)
+            self._greenlets.pop(key)
+
+    def _prepare(
         self,
         run: runs.ModelRun,
         program: programs.Program,
         call: calls.ModelCall,
-        prompt: ports.Prompt,
-    ) -> records.AnswerRecorded:
-        request = self._slot_request(program, call, prompt)
-        with self._home.slots.acquire(request) as worker_name:
-            run.worker = worker_name
-            model = self._model(call.model)
-            worker = bundles.find(model.workers, worker_name, 'worker')
-            for events in self._backend.stream(worker, prompt):
-                run.push(events)
-        answer = self._backend.decode(run.raw_events())
-        record = records.AnswerRecorded(
-            program=call.program,
-            key=call.key,
-            digest=call.digest,
-            target=f'{call.model}/{worker_name}',
-            status=_HTTP_OK,
-            body=answer.text.encode(),
-            content_type='text/event-stream',
-            tokens=answer.tokens,
-            messages=call.messages,
+        model: bundles.Model,
+        offset: int,
+    ) -> attempts.ModelWork:
+        history = program.history()
+        return attempts.ModelWork(
+            run=run,
+            program=program,
+            call=call,
+            model=model,
+            prompt=self._prompt(program, call, history),
+            reserved_tokens=_most_tokens(call, history),
+            offset=offset,
         )
-        self._home.journal.append(record, RECORD_TIMEOUT_MS)
-        return record
 
     def _prompt(
-        self, program: programs.Program, call: calls.ModelCall
+        self,
+        program: programs.Program,
+        call: calls.ModelCall,
+        history: list[records.AnswerRecorded],
     ) -> ports.Prompt:
         turns = [
             self._backend.turn(answer.messages, answer.body)
-            for answer in program.history()
+            for answer in history
         ]
         return ports.Prompt(
             model=call.model,
             program=call.program,
-            attempt=secrets.token_hex(8),
+            attempt='',
             messages=b','.join([*turns, call.messages]),
             options=call.options,
             rank=program.rank,
         )
 
-    def _slot_request(
-        self,
-        program: programs.Program,
-        call: calls.ModelCall,
-        prompt: ports.Prompt,
-    ) -> orders.SlotRequest:
-        history = program.history()
-        last_worker = history[-1].worker if history else ''
-        return orders.SlotRequest(
-            identifier=prompt.attempt,
-            program=call.program,
-            model=call.model,
-            rank=self._home.bundle.rank_position(program.rank),
-            attained_tokens=program.ledger.spent_tokens,
-            arrived_ms=0,
-            last_worker=last_worker,
-            prompt_tokens=len(prompt.messages) // _BYTES_PER_TOKEN,
-        )
 
-    def _model(self, name: str) -> bundles.Model:
-        return bundles.find(self._home.bundle.models, name, 'model')
+def _most_tokens(
+    call: calls.ModelCall, history: list[records.AnswerRecorded]
+) -> int:
+    """Return the most tokens that a call can take.
+
+    The last call's tokens cover the history before its answer; no text has
+    more tokens than bytes.
+    """
+    tokens = len(call.messages) + _TEMPLATE_BYTES + call.max_tokens
+    if history:
+        tokens += history[-1].tokens + len(history[-1].body) + _TEMPLATE_BYTES
+    return tokens
--- a/src/carobfork/coordination/orders.py
+++ b/src/carobfork/coordination/orders.py
@@ -27,6 +27,8 @@
     last_worker: str = ''
     """Where the program's prefix was last cached."""
     prompt_tokens: int = 0
+    avoided: tuple[str, ...] = ()
+    """Workers at which the call failed, to be avoided where others are."""
 
 
 OrderPolicy = Callable[[SlotRequest, float], tuple]
--- a/src/carobfork/coordination/ports.py
+++ b/src/carobfork/coordination/ports.py
@@ -10,6 +10,8 @@
 
 from carobfork.state import bundles, records
 
+_BYTES_PER_TOKEN = 4
+
 
 @attrs.frozen
 class StoredObject:
@@ -100,6 +102,11 @@
     options: bytes
     rank: str
 
+    @property
+    def estimated_tokens(self) -> int:
+        """About how many tokens the messages are."""
+        return len(self.messages) // _BYTES_PER_TOKEN
+
 
 @attrs.frozen
 class ModelAnswer:
@@ -120,11 +127,27 @@
     def stream(self, worker: bundles.Worker, prompt: Prompt) -> Iterator[bytes]:
         """Yield whole server-sent events as they come.
 
-        Closing the iterator cancels the stream at the engine.
+        The stream goes on at the engine for a while after the iterator is
+        closed; ``cancel`` ends it.
+
+        :raises ConnectionFailedError: the engine broke off.
+        """
+
+    def resume(
+        self, worker: bundles.Worker, attempt: str, offset: int
+    ) -> Iterator[bytes]:
+        """Yield the events of a stream from a text offset in bytes.
 
+        :raises StreamLostError: the engine does not know the stream.
         :raises ConnectionFailedError: the engine broke off.
         """
 
+    def cancel(self, worker: bundles.Worker, attempt: str) -> None:
+        """End a stream.
+
+        :raises ConnectionFailedError: the engine did not answer.
+        """
+
     def decode(self, events: bytes) -> ModelAnswer:
         """Return the answer that the events spell."""
 
@@ -132,6 +155,35 @@
         """Return a turn's messages with the model's answer after them."""
 
 
+@attrs.frozen
+class Inventory:
+    """What a model engine holds for each program.
+
+    ``blocks`` counts cached blocks, ``streams`` the streams under way.
+    """
+
+    blocks: dict[str, int]
+    streams: dict[str, int]
+
+    @property
+    def programs(self) -> set[str]:
+        """The programs for which anything is held."""
+        return {*self.blocks, *self.streams}
+
+
+class CacheBackend(Protocol):
+    """The cache of model engines.
+
+    Each method raises ``ConnectionFailedError`` without an answer.
+    """
+
+    def inventory(self, worker: bundles.Worker) -> Inventory:
+        """Return what an engine holds."""
+
+    def release(self, worker: bundles.Worker, program: str) -> None:
+        """Cancel a program's streams and drop its cached blocks."""
+
+
 @attrs.frozen
 class ServiceRequest:
     """A call to a plain service, passed through unchanged."""
--- a/src/carobfork/coordination/runs.py
+++ b/src/carobfork/coordination/runs.py
@@ -4,6 +4,7 @@
 
 from gevent import event
 
+from carobfork import clock
 from carobfork.state import records
 
 
@@ -11,25 +12,37 @@
     """Buffer one model call's events for the callers that read them.
 
     The engine's stream fills the buffer at its own pace, so a slow reader
-    stalls neither the engine nor other readers. The program's budget bounds
+    stalls neither the engine nor other readers. The call's most tokens bound
     the buffer.
+
+    :param digest: what a repeated call must match.
+    :param timer: tells for how long nobody has read.
     """
 
-    def __init__(self, digest: str) -> None:
+    def __init__(self, digest: str, timer: clock.Clock) -> None:
         """Start without events."""
         self.digest = digest
         self.answer: records.AnswerRecorded | None = None
         self.worker = ''
-        self.followers = 0
+        self.readers = 0
+        self._timer = timer
+        self._unread_since_ms = timer.now_ms()
         self._events: list[bytes] = []
         self._error: Exception | None = None
         self._finished = False
         self._changed = event.Event()
 
     @property
-    def finished(self) -> bool:
-        """Whether the call has ended, well or not."""
-        return self._finished
+    def is_empty(self) -> bool:
+        """Whether no event has come yet."""
+        return not self._events
+
+    @property
+    def unread_ms(self) -> float:
+        """For how long the run has had no reader."""
+        if self.readers:
+            return 0
+        return self._timer.now_ms() - self._unread_since_ms
 
     def push(self, events: bytes) -> None:
         """Add whole events."""
@@ -58,7 +71,7 @@
 
         :raises CarobforkError: what the run failed with.
         """
-        self.followers += 1
+        self.readers += 1
         position = 0
         try:
             while position < len(self._events) or not self._finished:
@@ -68,7 +81,8 @@
                 position += len(fresh)
                 yield b''.join(fresh)
         finally:
-            self.followers -= 1
+            self.readers -= 1
+            self._unread_since_ms = self._timer.now_ms()
         if self._error is not None:
             raise self._error
 
--- a/src/carobfork/coordination/service_calls.py
+++ b/src/carobfork/coordination/service_calls.py
@@ -87,7 +87,7 @@
         call: calls.ServiceCall,
         operation: bundles.Operation,
     ) -> records.AnswerRecorded:
-        with self._home.turn(program):
+        with self._home.turn(program, call):
             with self._home.reservation(program, tokens=0):
                 if not operation.repeatable:
                     self._record_intent(call)
--- a/src/carobfork/exceptions.py
+++ b/src/carobfork/exceptions.py
@@ -105,6 +105,13 @@
     http_status = 402
 
 
+class OutOfOrderError(BadRequestError):
+    """The call that this one comes after was not seen."""
+
+    code = 'out_of_order'
+    http_status = 409
+
+
 class NotRunError(CarobforkError):
     """The call was refused before anything left this system."""
 
@@ -134,6 +141,20 @@
     http_status = 504
 
 
+class StreamLostError(UnknownOutcomeError):
+    """The stream cannot go on at this offset; ask again from offset 0."""
+
+    code = 'stream_lost'
+    http_status = 409
+
+
+class CancelledError(UnknownOutcomeError):
+    """The call was cancelled because its program is gone."""
+
+    code = 'cancelled'
+    http_status = 410
+
+
 class CallFailedError(CarobforkError):
     """The call ran and its backend server reported a failure."""
 
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -13,6 +13,7 @@
 from carobfork import exceptions
 from carobfork.coordination import (
     calls,
+    gone_programs,
     homes,
     model_calls,
     routing,
@@ -22,6 +23,7 @@
 from carobfork.state import bundles
 
 DEFAULT_MAX_TOKENS = 1024
+MAX_COUNT = 1_000_000_000
 EVENT_STREAM_TYPE = 'text/event-stream'
 _HTTP_CREATED = 201
 _READ = 'read request'
@@ -51,6 +53,7 @@
     router: routing.Router
     models: model_calls.ModelCaller
     services: service_calls.ServiceCaller
+    gone: gone_programs.GonePrograms
     forwarder: Forwarder
 
 
@@ -121,7 +124,7 @@
             raise exceptions.UnknownProgramError(
                 'the program is not homed here', step='forward'
             )
-        names = (headers.PROGRAM, headers.TOKEN, headers.CALL, 'Content-Type')
+        names = (*headers.PASSED_ON, 'Content-Type')
         fields = {
             name: request.headers[name]
             for name in names
@@ -146,23 +149,41 @@
     def _open(self, request: Request) -> Response:
         body = _json_object(request)
         kind = _text_field(body, 'kind')
-        opened = self._parts.home.open_program(kind)
+        if headers.PROGRAM in request.headers:
+            opened = self._open_sub_agent(request, body, kind)
+        else:
+            opened = self._parts.home.open_program(kind)
         return responses.json_response(
             attrs.asdict(opened), status=_HTTP_CREATED
         )
 
+    def _open_sub_agent(
+        self, request: Request, body: dict, kind: str
+    ) -> homes.OpenedProgram:
+        parent = self._parts.home.authorise(
+            request.headers[headers.PROGRAM],
+            _required_header(request, headers.TOKEN),
+        )
+        share = bundles.Budget(
+            tokens=_count_field(body, 'tokens'),
+            calls=_count_field(body, 'calls'),
+            time_ms=_count_field(body, 'time_ms'),
+        )
+        return self._parts.home.open_sub_agent(parent, kind, share)
+
     def _close(self, request: Request, program: str) -> Response:
         token = _required_header(request, headers.TOKEN)
-        self._parts.home.close_program(program, token, 'closed by its caller')
+        self._parts.home.authorise(program, token)
+        self._parts.gone.end(program, 'closed by its caller')
         return responses.json_response({'program': program})
 
     def _chat(self, request: Request) -> Response:
-        run = self._parts.models.start(_model_call(request))
+        offset = _offset(request)
+        run = self._parts.models.start(_model_call(request), offset)
+        events = run.follow()
         if run.answer is not None:
-            text = run.answer.body.decode()
-            events = iter([sse.encode_text(text), sse.DONE])
-            return _event_stream(events, run.worker)
-        followed = run.follow()
+            events = iter([sse.encode_text(run.answer.body.decode())])
+        followed = sse.skip_text(events, offset)
         # Waiting for the first event lets a refusal be a plain HTTP error.
         first = next(followed, b'')
         return _event_stream(_closing_with_done(first, followed), run.worker)
@@ -177,6 +198,7 @@
             path=f'/{path}',
             body=request.get_data(),
             content_type=request.content_type or responses.JSON_TYPE,
+            after=request.headers.get(headers.AFTER, ''),
         )
         answer = self._parts.services.run(call)
         outcome = exceptions.Outcome.done
@@ -226,7 +248,8 @@
         )
     model = _text_field(body, 'model')
     encoded = b','.join(json.dumps(message).encode() for message in messages)
-    max_tokens = body.setdefault('max_tokens', DEFAULT_MAX_TOKENS)
+    body.setdefault('max_tokens', DEFAULT_MAX_TOKENS)
+    max_tokens = _count_field(body, 'max_tokens')
     return calls.ModelCall(
         program=_required_header(request, headers.PROGRAM),
         token=_required_header(request, headers.TOKEN),
@@ -235,6 +258,7 @@
         messages=encoded,
         options=json.dumps(body, sort_keys=True).encode(),
         max_tokens=max_tokens,
+        after=request.headers.get(headers.AFTER, ''),
     )
 
 
@@ -261,6 +285,25 @@
     return text
 
 
+def _count_field(body: dict, name: str) -> int:
+    count = body.get(name)
+    known = isinstance(count, int) and not isinstance(count, bool)
+    if not known or not 0 < count <= MAX_COUNT:
+        raise exceptions.BadRequestError(
+            f'"{name}" must be an integer from 1 to {MAX_COUNT}', step=_READ
+        )
+    return count
+
+
+def _offset(request: Request) -> int:
+    text = request.headers.get(headers.OFFSET, '0')
+    if not text.isdecimal():
+        raise exceptions.BadRequestError(
+            f'header {headers.OFFSET} must be a number of bytes', step=_READ
+        )
+    return int(text)
+
+
 def _required_header(request: Request, name: str) -> str:
     text = request.headers.get(name, '')
     if not text:
--- a/src/carobfork/protocol/headers.py
+++ b/src/carobfork/protocol/headers.py
@@ -6,3 +6,6 @@
 OUTCOME = 'Carobfork-Outcome'
 FORWARDED = 'Carobfork-Forwarded'
 WORKER = 'Carobfork-Worker'
+OFFSET = 'Carobfork-Offset'
+AFTER = 'Carobfork-After'
+PASSED_ON = (PROGRAM, TOKEN, CALL, OFFSET, AFTER)
--- a/src/carobfork/protocol/sse.py
+++ b/src/carobfork/protocol/sse.py
@@ -4,8 +4,9 @@
 """
 
 import json
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
+from carobfork import exceptions
 from carobfork.coordination import ports
 
 SEPARATOR = b'\n\n'
@@ -18,6 +19,7 @@
 
     def __init__(self) -> None:
         """Start with nothing left over."""
+        self.closed = False
         self._rest = b''
 
     def feed(self, piece: bytes) -> bytes:
@@ -28,7 +30,11 @@
             self._rest = pending
             return b''
         self._rest = pending[end:]
-        return pending[:end].removesuffix(DONE)
+        events = pending[:end]
+        if events.endswith(DONE):
+            self.closed = True
+            return events.removesuffix(DONE)
+        return events
 
 
 def encode_prompt(prompt: ports.Prompt) -> bytes:
@@ -63,6 +69,50 @@
     return b''.join([PREFIX, json.dumps(chunk).encode(), SEPARATOR])
 
 
+def skip_text(pieces: Iterable[bytes], offset: int) -> Iterator[bytes]:
+    """Yield events without the first ``offset`` bytes of their text.
+
+    Past the offset, pieces are passed on unparsed.
+
+    :raises BadRequestError: the offset cuts a character.
+    """
+    left = offset
+    for piece in pieces:
+        if left > 0:
+            piece, left = _skip_in_piece(piece, left)
+        if piece:
+            yield piece
+
+
+def _skip_in_piece(piece: bytes, offset: int) -> tuple[bytes, int]:
+    """Return the rest of a piece and the offset left after it."""
+    kept = []
+    left = offset
+    for event in piece.split(SEPARATOR):
+        if event.startswith(PREFIX):
+            rest, left = _skip_in_event(event, left)
+            kept.append(rest)
+    return b''.join(kept), left
+
+
+def _skip_in_event(event: bytes, offset: int) -> tuple[bytes, int]:
+    text = _text_of(json.loads(event.removeprefix(PREFIX))).encode()
+    if not text or not offset:
+        return b''.join([event, SEPARATOR]), offset
+    rest = text[offset:]
+    kept = encode_text(_decode(rest)) if rest else b''
+    return kept, max(offset - len(text), 0)
+
+
+def _decode(text: bytes) -> str:
+    try:
+        return text.decode()
+    except UnicodeDecodeError as error:
+        raise exceptions.BadRequestError(
+            'the offset cuts a character', step='resume'
+        ) from error
+
+
 def texts(events: bytes) -> Iterator[str | dict]:
     """Yield the text of each event, or the error that an event holds."""
     for event in events.split(SEPARATOR):
--- a/src/carobfork/sessions.py
+++ b/src/carobfork/sessions.py
@@ -4,21 +4,21 @@
 it is valid, and retries only calls that were refused as not run.
 """
 
+import contextlib
 import json
 import random
 import secrets
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 import attrs
 import gevent
 
-from carobfork import clock, exceptions
-from carobfork.protocol import headers, sse
+from carobfork import answer_streams, clock, exceptions, replies
+from carobfork.protocol import headers
 from carobfork.state import bundles
 from carobfork.transport import connections
 
 _OK = 200
-_OK_LIMIT = 400
 
 
 @attrs.frozen
@@ -26,28 +26,22 @@
     """How a session behaves.
 
     :param attempts: how often a call refused as not run is sent in all.
+    :param stream_attempts: how often a model call is sent in all without
+        bringing any text; it is safe to send again under its key.
     :param retry_delay_ms: pause before a retry, doubled each time.
+    :param max_retry_delay_ms: longest pause before a retry.
     :param timeout_ms: longest silence of an entry host.
     :param pinned: use only the given addresses and ask for no others.
     """
 
     attempts: int = 4
+    stream_attempts: int = 16
     retry_delay_ms: int = 100
+    max_retry_delay_ms: int = 2000
     timeout_ms: int = 60_000
     pinned: bool = False
 
 
-@attrs.frozen
-class Reply:
-    """A service's answer."""
-
-    status: int
-    body: bytes
-    outcome: exceptions.Outcome
-    worker: str = ''
-    """The backend server that answered."""
-
-
 class Session:
     """Run programs through a set of entry hosts.
 
@@ -69,8 +63,14 @@
         :param kind: a program kind that the bundle lists.
         :raises CarobforkError: no entry host opened it.
         """
-        body = json.dumps({'kind': kind}).encode()
-        reply = self.exchange('POST', '/v1/programs', body, {})
+        return self.open_program({'kind': kind}, {})
+
+    def open_program(
+        self, request: Mapping[str, str | int], fields: Mapping[str, str]
+    ) -> 'Program':
+        """Open a program, or a sub-agent of the one that headers name."""
+        body = json.dumps(request).encode()
+        reply = self.exchange('POST', '/v1/programs', body, fields)
         opened = json.loads(reply.body)
         return Program(self, opened['program'], opened['token'])
 
@@ -87,12 +87,12 @@
 
     def exchange(
         self, method: str, path: str, body: bytes, fields: Mapping[str, str]
-    ) -> Reply:
+    ) -> replies.Reply:
         """Send a request and return the whole response.
 
         :raises CarobforkError: as the response or the connection tells.
         """
-        for delay_ms in self.delays_ms():
+        for delay_ms in self.delays_ms(self.options.attempts):
             try:
                 return self._exchange_once(method, path, body, fields)
             except exceptions.NotRunError as error:
@@ -100,12 +100,20 @@
             gevent.sleep(clock.to_seconds(delay_ms))
         raise last_error
 
-    def delays_ms(self) -> Iterator[float]:
+    def delays_ms(self, attempts: int) -> Iterator[float]:
         """Yield the pause after each attempt, in ms, with jitter."""
         delay_ms = self.options.retry_delay_ms
-        for _ in range(self.options.attempts):
+        for _ in range(attempts):
             yield delay_ms * random.uniform(0.5, 1)  # noqa: WPS432
-            delay_ms *= 2
+            delay_ms = min(delay_ms * 2, self.options.max_retry_delay_ms)
+
+    def stream_delays_ms(self) -> Iterator[float]:
+        """Yield the pause after each attempt that brought no text, in ms."""
+        return self.delays_ms(self.options.stream_attempts)
+
+    def forget_addresses(self) -> None:
+        """Ask for the entry hosts again before the next request."""
+        self._addresses = []
 
     def connect(
         self, method: str, path: str, body: bytes, fields: Mapping[str, str]
@@ -120,13 +128,13 @@
 
     def _exchange_once(
         self, method: str, path: str, body: bytes, fields: Mapping[str, str]
-    ) -> Reply:
+    ) -> replies.Reply:
         try:
             with self.connect(method, path, body, fields) as exchange:
-                return read_reply(exchange)
+                return replies.read_reply(exchange)
         except exceptions.ConnectionFailedError as error:
-            self._addresses = []
-            raise lost_connection(error) from error
+            self.forget_addresses()
+            raise replies.lost_connection(error) from error
 
     def _ask_addresses(self) -> dict:
         known = [*self._addresses, *self._seeds]
@@ -157,6 +165,7 @@
         self.identifier = identifier
         self.token = token
         self.worker = ''
+        self.last_key = ''
         self._session = session
 
     def __enter__(self) -> 'Program':
@@ -168,14 +177,26 @@
         self.close()
 
     def chat(
-        self, model: str, text: str, *, key: str = '', max_tokens: int = 256
+        self,
+        model: str,
+        text: str,
+        *,
+        key: str = '',
+        max_tokens: int = 256,
+        on_restart: Callable[[], None] | None = None,
     ) -> Iterator[str]:
         """Ask a model and yield its answer as it comes.
 
+        A broken stream is resumed where it broke.
+
         :param model: a model that the bundle lists.
         :param text: the new message; the history is kept by the system.
         :param key: call key; the same key never runs as another call.
         :param max_tokens: most tokens to generate.
+        :param on_restart: called before the answer starts over, because its
+            stream was lost; what was yielded before is then void. Without
+            it a lost stream is raised.
+        :raises StreamLostError: ask again under the same key.
         :raises CarobforkError: as the response tells.
         """
         request = {
@@ -185,22 +206,45 @@
             'stream': True,
         }
         body = json.dumps(request).encode()
-        fields = self._fields(key or secrets.token_hex(8))
-        with self._session.connect(
-            'POST', '/v1/chat/completions', body, fields
-        ) as exchange:
-            if exchange.status >= _OK_LIMIT:
-                raise decode_error(exchange.read())
-            self.worker = exchange.header(headers.WORKER)
-            yield from _texts(exchange)
-
-    def ask(self, model: str, text: str, **options) -> Reply:
+        with self._in_order(key or secrets.token_hex(8)) as fields:
+            answer = answer_streams.AnswerStream(
+                self._session, body, fields, on_restart
+            )
+            for piece in answer.texts():
+                self.worker = answer.worker
+                yield piece
+            self.worker = answer.worker
+
+    def ask(self, model: str, text: str, **options) -> replies.Reply:
         """Ask a model and return its whole answer.
 
-        Takes the options of ``chat`` and raises what it raises.
+        Takes the options of ``chat`` and raises what it raises; an answer
+        that starts over is read anew.
+        """
+        pieces: list[str] = []
+        options['on_restart'] = pieces.clear
+        for piece in self.chat(model, text, **options):
+            pieces.append(piece)
+        answer = ''.join(pieces).encode()
+        return replies.Reply(_OK, answer, exceptions.Outcome.done, self.worker)
+
+    def open_sub_agent(
+        self, kind: str, *, tokens: int, calls: int, time_ms: int
+    ) -> 'Program':
+        """Open a sub-agent on a share of this program's budget.
+
+        The sub-agent runs beside this program and ends with it.
+
+        :param kind: a program kind that the bundle lists.
+        :raises BudgetExceededError: the budget does not cover the share.
         """
-        answer = ''.join(self.chat(model, text, **options))
-        return Reply(_OK, answer.encode(), exceptions.Outcome.done, self.worker)
+        request = {
+            'kind': kind,
+            'tokens': tokens,
+            'calls': calls,
+            'time_ms': time_ms,
+        }
+        return self._session.open_program(request, self._fields(''))
 
     def call(
         self,
@@ -210,7 +254,7 @@
         *,
         key: str = '',
         method: str = 'POST',
-    ) -> Reply:
+    ) -> replies.Reply:
         """Call a plain service.
 
         :param service: a service that the bundle lists.
@@ -219,17 +263,33 @@
         :param key: call key; a repeated key gets the recorded answer.
         :raises CarobforkError: as the response tells.
         """
-        fields = self._fields(key or secrets.token_hex(8))
-        fields['Content-Type'] = 'application/json'
-        return self._session.exchange(
-            method, f'/v1/services/{service}{path}', body, fields
-        )
+        with self._in_order(key or secrets.token_hex(8)) as fields:
+            fields['Content-Type'] = 'application/json'
+            return self._session.exchange(
+                method, f'/v1/services/{service}{path}', body, fields
+            )
 
     def close(self) -> None:
         """End the program; it takes no further calls."""
         path = f'/v1/programs/{self.identifier}'
         self._session.exchange('DELETE', path, b'', self._fields(''))
 
+    @contextlib.contextmanager
+    def _in_order(self, key: str) -> Iterator[dict[str, str]]:
+        """Name the call that this one comes after, if it is a new one."""
+        fields = self._fields(key)
+        after = self.last_key
+        if after and after != key:
+            fields[headers.AFTER] = after
+        self.last_key = key
+        try:
+            yield fields
+        except BaseException:
+            # A call that was refused will never come first.
+            if self.last_key == key:
+                self.last_key = after
+            raise
+
     def _fields(self, key: str) -> dict[str, str]:
         return {
             headers.PROGRAM: self.identifier,
@@ -238,59 +298,6 @@
         }
 
 
-def read_reply(exchange: connections.Exchange) -> Reply:
-    """Return a whole response.
-
-    :raises CarobforkError: the response is one of this system's errors.
-    """
-    body = exchange.read()
-    outcome = outcome_of(exchange)
-    ours = outcome in {exceptions.Outcome.not_run, exceptions.Outcome.unknown}
-    if exchange.status >= _OK_LIMIT and ours:
-        raise decode_error(body)
-    worker = exchange.header(headers.WORKER)
-    return Reply(exchange.status, body, outcome, worker)
-
-
-def outcome_of(exchange: connections.Exchange) -> exceptions.Outcome:
-    """Return the outcome class that a response tells."""
-    return exceptions.Outcome(
-        exchange.header(headers.OUTCOME) or exceptions.Outcome.done
-    )
-
-
-def decode_error(body: bytes) -> exceptions.CarobforkError:
-    """Return the error that a response's body describes."""
-    try:
-        fields = json.loads(body)['error']
-    except (ValueError, LookupError):
-        return exceptions.CarobforkError('the answer is not an error of ours')
-    return error_from_fields(fields)
-
-
-def error_from_fields(fields: dict) -> exceptions.CarobforkError:
-    """Return the error that public fields describe."""
-    error = exceptions.from_code(
-        fields['code'],
-        fields['message'],
-        step=fields['step'],
-        peer=fields['peer'],
-        retry_after_ms=fields['retry_after_ms'],
-    )
-    error.outcome = exceptions.Outcome(fields['outcome'])
-    return error
-
-
-def lost_connection(
-    error: exceptions.ConnectionFailedError,
-) -> exceptions.CarobforkError:
-    """Return what a failed connection to an entry host means."""
-    kind = (
-        exceptions.UnknownOutcomeError if error.sent else exceptions.NotRunError
-    )
-    return kind(error.message, step=error.step, peer=error.peer)
-
-
 def parse_address(text: str) -> bundles.Address:
     """Parse ``ip:port``.
 
@@ -302,12 +309,3 @@
             f'"{text}" is not of the form ip:port', step='parse'
         )
     return bundles.Address(ip, int(port))
-
-
-def _texts(exchange: connections.Exchange) -> Iterator[str]:
-    splitter = sse.EventSplitter()
-    for piece in exchange.pieces():
-        for text in sse.texts(splitter.feed(piece)):
-            if isinstance(text, dict):
-                raise error_from_fields(text)
-            yield text
--- a/src/carobfork/state/bundles.py
+++ b/src/carobfork/state/bundles.py
@@ -10,6 +10,8 @@
 
 from carobfork import exceptions
 
+IDLE_LIMIT_MS = 1_800_000
+
 
 @attrs.frozen
 class Address:
@@ -50,6 +52,8 @@
     name: str
     rank: str
     budget: Budget
+    idle_limit_ms: int = IDLE_LIMIT_MS
+    """Longest silence of a program's caller before the program is ended."""
 
 
 @attrs.frozen
--- a/src/carobfork/state/programs.py
+++ b/src/carobfork/state/programs.py
@@ -8,6 +8,9 @@
 from carobfork import exceptions
 from carobfork.state import budgets, records
 
+OUT_OF_TIME = 'its time budget is spent'
+IDLE = 'its caller stayed away'
+
 
 class CallPhase(enum.StrEnum):
     """How far a call has come."""
@@ -38,7 +41,20 @@
     token_digest: str
     parent: str = ''
     calls: dict[str, Call] = attrs.Factory(dict)
+    dispatched: dict[str, records.CallDispatched] = attrs.Factory(dict)
+    """The last attempt at each model call that is not answered."""
+    workers: set[str] = attrs.Factory(set)
+    """Model engines that may hold cache of this program, ``model/worker``."""
+    children: list[str] = attrs.Factory(list)
+    """Identifiers of the program's sub-agents."""
     closed_reason: str = ''
+    idle_ms: float = 0
+    """For how long neither it nor a sub-agent was asked for anything."""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the program takes calls."""
+        return not self.closed_reason
 
     def history(self) -> list[records.AnswerRecorded]:
         """Return the model calls' answers in the order they were made."""
@@ -64,6 +80,14 @@
             )
         return self.programs[identifier]
 
+    def tree(self, identifier: str) -> list[Program]:
+        """Return a program and all of its sub-agents, leaves first."""
+        root = self.find(identifier)
+        below = [
+            program for child in root.children for program in self.tree(child)
+        ]
+        return [*below, root]
+
     @functools.singledispatchmethod
     def apply(self, record: records.Record) -> None:
         """Bring the table up to date with one record."""
@@ -78,10 +102,22 @@
             token_digest=record.token_digest,
             parent=record.parent,
         )
+        parent = self.programs.get(record.parent)
+        if parent is not None:
+            share = budgets.Reservation(
+                record.budget.tokens, record.budget.calls
+            )
+            parent.children.append(record.program)
+            identifier = budgets.share_reservation(record.program)
+            parent.ledger.restore(identifier, share)
 
     @apply.register
     def _intended(self, record: records.IntentRecorded) -> None:
-        self.find(record.program).calls[record.key] = Call(
+        program = self.find(record.program)
+        program.ledger.restore(
+            budgets.call_reservation(record.key), budgets.Reservation(tokens=0)
+        )
+        program.calls[record.key] = Call(
             key=record.key,
             digest=record.digest,
             target=record.target,
@@ -91,7 +127,11 @@
     @apply.register
     def _answered(self, record: records.AnswerRecorded) -> None:
         program = self.find(record.program)
-        program.ledger.spend(record.tokens)
+        identifier = budgets.call_reservation(record.key)
+        dispatched = program.dispatched.pop(record.key, None)
+        if dispatched is not None:
+            identifier = dispatched.reservation
+        program.ledger.settle(identifier, record.tokens)
         program.calls[record.key] = Call(
             key=record.key,
             digest=record.digest,
@@ -102,8 +142,44 @@
 
     @apply.register
     def _withdrawn(self, record: records.IntentWithdrawn) -> None:
-        self.find(record.program).calls.pop(record.key, None)
+        program = self.find(record.program)
+        program.calls.pop(record.key, None)
+        program.ledger.release(budgets.call_reservation(record.key))
+
+    @apply.register
+    def _dispatched(self, record: records.CallDispatched) -> None:
+        program = self.find(record.program)
+        program.ledger.restore(
+            record.reservation, budgets.Reservation(record.reserved_tokens)
+        )
+        program.dispatched[record.key] = record
+        program.workers.add(record.target)
+
+    @apply.register
+    def _failed(self, record: records.AttemptFailed) -> None:
+        ledger = self.find(record.program).ledger
+        ledger.settle(record.reservation, record.tokens, calls=0)
+
+    @apply.register
+    def _aged(self, record: records.TimeSpent) -> None:
+        for identifier, spent_ms in record.spent_ms.items():
+            program = self.programs.get(identifier)
+            if program is not None:
+                ledger = program.ledger
+                ledger.spent_time_ms = max(ledger.spent_time_ms, spent_ms)
 
     @apply.register
     def _closed(self, record: records.ProgramClosed) -> None:
-        self.find(record.program).closed_reason = record.reason
+        program = self.find(record.program)
+        if program.closed_reason:
+            return
+        program.closed_reason = record.reason
+        parent = self.programs.get(program.parent)
+        if parent is not None:
+            # What the sub-agent may still spend was reserved from its share.
+            ledger = program.ledger
+            parent.ledger.settle(
+                budgets.share_reservation(program.identifier),
+                ledger.spent_tokens + ledger.reserved_tokens,
+                ledger.spent_calls + ledger.reserved_calls,
+            )
--- a/src/carobfork_standins/batching.py
+++ b/src/carobfork_standins/batching.py
@@ -1,10 +1,9 @@
-"""Batching: continuous batching and a prefix cache, simulated in real time.
+"""Batching: continuous batching, simulated in real time.
 
 All sequences of a batch advance by one token a step; a step takes longer
 the more sequences there are. Prompts are prefilled in chunks between steps.
 """
 
-import collections
 import hashlib
 
 import attrs
@@ -12,72 +11,39 @@
 from gevent import event
 
 from carobfork import clock
+from carobfork_standins import caches
 
-BLOCK_BYTES = 64
-BLOCK_TOKENS = 16
 _WORDS = ('linen', 'rail', 'hem', 'pier', 'ring', 'buoy', 'width', 'shore')
+_TAIL_BYTES = 32
 
 
 @attrs.frozen
 class Pace:
-    """How fast an engine is."""
+    """How fast an engine is.
+
+    :param linger_ms: how long a stream without a reader can be resumed.
+    """
 
     step_ms: float = 4
     step_per_sequence_ms: float = 0.5
     prefill_tokens_per_ms: float = 20
     cache_blocks: int = 4000
-
-
-class PrefixCache:
-    """Keep the most recently used prompt blocks.
-
-    :param capacity: most blocks held.
-    """
-
-    def __init__(self, capacity: int) -> None:
-        """Start empty."""
-        self.owners: collections.OrderedDict[bytes, str] = (
-            collections.OrderedDict()
-        )
-        self._capacity = capacity
-
-    def lookup(self, blocks: list[bytes]) -> int:
-        """Return how many leading blocks are held, and mark them used."""
-        count = 0
-        for block in blocks:
-            if block not in self.owners:
-                break
-            self.owners.move_to_end(block)
-            count += 1
-        return count
-
-    def insert(self, blocks: list[bytes], owner: str) -> None:
-        """Hold blocks for an owner, dropping the least recently used."""
-        for block in blocks:
-            self.owners[block] = owner
-            self.owners.move_to_end(block)
-        while len(self.owners) > self._capacity:
-            self.owners.popitem(last=False)
-
-    def release(self, owner: str) -> int:
-        """Drop an owner's blocks and return how many there were."""
-        released = [key for key, held in self.owners.items() if held == owner]
-        for block in released:
-            self.owners.pop(block)
-        return len(released)
+    linger_ms: float = 15_000
 
 
 @attrs.define(eq=False)
 class Sequence:
     """One request in the batch.
 
-    ``produced`` holds the answer's tokens so far.
+    ``produced`` holds the answer's tokens so far, ``salt`` sets the answers
+    of several attempts apart.
     """
 
     identifier: str
     owner: str
     prompt: bytes
     max_tokens: int
+    salt: str = ''
     prefill_left: int = 0
     cached_tokens: int = 0
     produced: list[str] = attrs.Factory(list)
@@ -89,6 +55,30 @@
         """Whether all tokens were produced."""
         return self.cancelled or len(self.produced) >= self.max_tokens
 
+    def cancel(self) -> None:
+        """End the sequence before its time."""
+        self.cancelled = True
+        self.progress.set()
+
+    def produce(self) -> None:
+        """Add one token."""
+        tail = self.prompt[-_TAIL_BYTES:]
+        seed = f'{self.salt}{len(self.produced)}'.encode() + tail
+        word = _WORDS[hashlib.md5(seed).digest()[0] % len(_WORDS)]
+        self.produced.append(f'{word} ')
+        self.progress.set()
+
+    def usage(self) -> dict:
+        """Return the usage that a closing event reports."""
+        blocks = caches.prompt_blocks(self.prompt)
+        prompt_tokens = len(blocks) * caches.BLOCK_TOKENS
+        return {
+            'prompt_tokens': prompt_tokens,
+            'completion_tokens': len(self.produced),
+            'total_tokens': prompt_tokens + len(self.produced),
+            'prompt_tokens_details': {'cached_tokens': self.cached_tokens},
+        }
+
 
 class Batch:
     """Advance all sequences together.
@@ -98,19 +88,20 @@
 
     def __init__(self, pace: Pace) -> None:
         """Start without sequences."""
-        self.cache = PrefixCache(pace.cache_blocks)
+        self.cache = caches.PrefixCache(pace.cache_blocks)
         self.sequences: list[Sequence] = []
         self.prefilled_tokens = 0
         self.produced_tokens = 0
+        self.stalled = False
         self._pace = pace
         self._arrived = event.Event()
 
     def add(self, sequence: Sequence) -> None:
         """Admit a sequence at once."""
-        blocks = prompt_blocks(sequence.prompt)
+        blocks = caches.prompt_blocks(sequence.prompt)
         cached = self.cache.lookup(blocks)
-        sequence.cached_tokens = cached * BLOCK_TOKENS
-        sequence.prefill_left = (len(blocks) - cached) * BLOCK_TOKENS
+        sequence.cached_tokens = cached * caches.BLOCK_TOKENS
+        sequence.prefill_left = (len(blocks) - cached) * caches.BLOCK_TOKENS
         self.prefilled_tokens += sequence.prefill_left
         self.cache.insert(blocks, sequence.owner)
         self.sequences.append(sequence)
@@ -128,6 +119,8 @@
         """Advance all sequences by one token; return the time it takes."""
         spent_ms = self._pace.step_ms
         for sequence in self.sequences:
+            if self.stalled or sequence.cancelled:
+                continue
             if sequence.prefill_left:
                 spent_ms += (
                     sequence.prefill_left / self._pace.prefill_tokens_per_ms
@@ -135,27 +128,9 @@
                 sequence.prefill_left = 0
             else:
                 spent_ms += self._pace.step_per_sequence_ms
-                self._produce(sequence)
+                sequence.produce()
+                self.produced_tokens += 1
         self.sequences = [
             sequence for sequence in self.sequences if not sequence.finished
         ]
         return spent_ms
-
-    def _produce(self, sequence: Sequence) -> None:
-        seed = f'{len(sequence.produced)}'.encode() + sequence.prompt[-32:]
-        word = _WORDS[hashlib.md5(seed).digest()[0] % len(_WORDS)]
-        sequence.produced.append(f'{word} ')
-        self.produced_tokens += 1
-        sequence.progress.set()
-
-
-def prompt_blocks(prompt: bytes) -> list[bytes]:
-    """Return the chained digests of a prompt's whole blocks."""
-    digests = []
-    digest = b''
-    whole = len(prompt) - len(prompt) % BLOCK_BYTES
-    for start in range(0, whole, BLOCK_BYTES):
-        block = prompt[start : start + BLOCK_BYTES]
-        digest = hashlib.md5(digest + block).digest()
-        digests.append(digest)
-    return digests
--- a/src/carobfork_standins/demo.py
+++ b/src/carobfork_standins/demo.py
@@ -10,7 +10,7 @@
 import time  # noqa: E402
 from collections.abc import Callable  # noqa: E402
 
-from carobfork import clock, sessions  # noqa: E402
+from carobfork import clock, replies  # noqa: E402
 from carobfork_standins import labs, layouts  # noqa: E402
 
 _ROW = (
@@ -28,7 +28,7 @@
         self._rank = rank
         self._entry = entry
 
-    def add(self, call: str, run: Callable[[], sessions.Reply]) -> None:
+    def add(self, call: str, run: Callable[[], replies.Reply]) -> None:
         """Run a call and print its line."""
         started = time.monotonic()
         reply = run()
--- a/src/carobfork_standins/layouts.py
+++ b/src/carobfork_standins/layouts.py
@@ -58,7 +58,9 @@
         for worker in self.workers():
             yield (
                 worker.name,
-                engine.EngineSettings(worker.name, worker.address, self.pace),
+                engine.EngineSettings(
+                    worker.name, worker.address, self.pace, worker.fencing
+                ),
             )
         for server in self.servers():
             yield (
