Prove streams, order, budgets and gone programs by scenarios

Cause of one failure found on the way: a call that arrived between the end of its program and the commit of that end was cancelled as unknown; the home now refuses it as not run from the moment it begins the end.

--- a/src/carobfork/coordination/calls.py
+++ b/src/carobfork/coordination/calls.py
@@ -72,13 +72,14 @@
     :raises BudgetExceededError: it ended because its time is spent.
     :raises ProgramClosedError: it has ended for another reason.
     """
-    if program.closed_reason == programs.OUT_OF_TIME:
+    reason = program.closed_reason or program.ending_reason
+    if reason == programs.OUT_OF_TIME:
         raise exceptions.BudgetExceededError(
-            f'the program ended: {programs.OUT_OF_TIME}', step='admit'
+            f'the program ended: {reason}', step='admit'
         )
-    if program.closed_reason:
+    if reason:
         raise exceptions.ProgramClosedError(
-            f'the program ended: {program.closed_reason}', step='admit'
+            f'the program ended: {reason}', step='admit'
         )
 
 
--- a/src/carobfork/coordination/gone_programs.py
+++ b/src/carobfork/coordination/gone_programs.py
@@ -53,10 +53,10 @@
         :raises PlatformError: not recorded in time; it still will be.
         """
         tree = self._home.table.tree(identifier)
-        self._cancel(tree, reason)
-        self._home.end_tree(identifier, reason)
-        # A call may have started before the end was committed.
-        self._cancel(tree, reason)
+        ends = self._home.begin_end(identifier, reason)
+        for program in tree:
+            self._models.cancel(program.identifier, reason)
+        self._home.await_end(ends)
         self.ended += len(tree)
         gevent.spawn(self._release, tree)
 
@@ -122,10 +122,6 @@
             except exceptions.CarobforkError as error:
                 logger.warning('Time was not recorded.', error=str(error))
 
-    def _cancel(self, tree: list[programs.Program], reason: str) -> None:
-        for program in tree:
-            self._models.cancel(program.identifier, reason)
-
     def _release(self, tree: list[programs.Program]) -> None:
         for program in tree:
             for target in sorted(program.workers):
--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -80,20 +80,24 @@
             # Once recorded, the share is held under the sub-agent's name.
             parent.ledger.release(opening)
 
-    def end_tree(self, identifier: str, reason: str) -> None:
-        """Record the end of a program and of all its sub-agents.
+    def begin_end(self, identifier: str, reason: str) -> list[journals.Entry]:
+        """Refuse further calls of a program and its sub-agents.
 
-        :raises PlatformError: not recorded in time; it still will be.
+        Return the records of their ends, to be waited for.
         """
-        ended = [
-            self.journal.enqueue(
-                records.ProgramClosed(program.identifier, reason)
-            )
+        return [
+            self._enqueue_end(program, reason)
             for program in self.table.tree(identifier)
             if program.is_open
         ]
-        for entry in ended[-1:]:
-            self.journal.wait(entry, OPEN_TIMEOUT_MS)
+
+    def await_end(self, ends: list[journals.Entry]) -> None:
+        """Wait until the ends of programs are recorded.
+
+        :raises PlatformError: not recorded in time; they still will be.
+        """
+        for end in ends:
+            self.journal.wait(end, OPEN_TIMEOUT_MS)
 
     def authorise(self, identifier: str, token: str) -> programs.Program:
         """Return a program if the token opens it."""
@@ -150,8 +154,17 @@
         self._end_orphan(parent, opened.program)
         return opened
 
+    def _enqueue_end(
+        self, program: programs.Program, reason: str
+    ) -> journals.Entry:
+        entry = self.journal.enqueue(
+            records.ProgramClosed(program.identifier, reason)
+        )
+        program.ending_reason = reason
+        return entry
+
     def _end_orphan(self, parent: str, identifier: str) -> None:
         """End a sub-agent whose parent ended while it was being opened."""
         if parent and not self.table.find(parent).is_open:
-            self.end_tree(identifier, 'its parent ended')
+            self.begin_end(identifier, 'its parent ended')
             calls.require_open(self.table.find(identifier))
--- a/src/carobfork/coordination/turns.py
+++ b/src/carobfork/coordination/turns.py
@@ -18,7 +18,7 @@
 
 WAITING_LIMIT = 64
 """Most calls of one program that wait for their turn."""
-PREDECESSOR_TIMEOUT_MS = 5000
+PREDECESSOR_TIMEOUT_MS = 1500
 _STEP = 'order'
 
 
--- a/src/carobfork/exceptions.py
+++ b/src/carobfork/exceptions.py
@@ -105,13 +105,6 @@
     http_status = 402
 
 
-class OutOfOrderError(BadRequestError):
-    """The call that this one comes after was not seen."""
-
-    code = 'out_of_order'
-    http_status = 409
-
-
 class NotRunError(CarobforkError):
     """The call was refused before anything left this system."""
 
@@ -120,6 +113,13 @@
     http_status = 503
 
 
+class OutOfOrderError(NotRunError):
+    """The call that this one comes after has not arrived."""
+
+    code = 'out_of_order'
+    http_status = 409
+
+
 class OverloadedError(NotRunError):
     """The call was refused because its rank's queue is full."""
 
--- a/src/carobfork/protocol/sse.py
+++ b/src/carobfork/protocol/sse.py
@@ -74,7 +74,8 @@
 
     Past the offset, pieces are passed on unparsed.
 
-    :raises BadRequestError: the offset cuts a character.
+    :raises BadRequestError: the offset cuts a character, or lies behind the
+        end of the text.
     """
     left = offset
     for piece in pieces:
@@ -82,6 +83,10 @@
             piece, left = _skip_in_piece(piece, left)
         if piece:
             yield piece
+    if left > 0:
+        raise exceptions.BadRequestError(
+            'the offset lies behind the end of the answer', step='resume'
+        )
 
 
 def _skip_in_piece(piece: bytes, offset: int) -> tuple[bytes, int]:
--- a/src/carobfork/state/programs.py
+++ b/src/carobfork/state/programs.py
@@ -48,6 +48,8 @@
     children: list[str] = attrs.Factory(list)
     """Identifiers of the program's sub-agents."""
     closed_reason: str = ''
+    ending_reason: str = ''
+    """Why its home is about to record its end; not itself recorded."""
     idle_ms: float = 0
     """For how long neither it nor a sub-agent was asked for anything."""
 
--- a/src/carobfork_standins/batching.py
+++ b/src/carobfork_standins/batching.py
@@ -4,6 +4,7 @@
 the more sequences there are. Prompts are prefilled in chunks between steps.
 """
 
+import collections
 import hashlib
 
 import attrs
@@ -92,6 +93,8 @@
         self.sequences: list[Sequence] = []
         self.prefilled_tokens = 0
         self.produced_tokens = 0
+        self.billed: collections.Counter[str] = collections.Counter()
+        """Tokens of prompts and answers by program, cached ones included."""
         self.stalled = False
         self._pace = pace
         self._arrived = event.Event()
@@ -100,6 +103,7 @@
         """Admit a sequence at once."""
         blocks = caches.prompt_blocks(sequence.prompt)
         cached = self.cache.lookup(blocks)
+        self.billed[sequence.owner] += len(blocks) * caches.BLOCK_TOKENS
         sequence.cached_tokens = cached * caches.BLOCK_TOKENS
         sequence.prefill_left = (len(blocks) - cached) * caches.BLOCK_TOKENS
         self.prefilled_tokens += sequence.prefill_left
@@ -130,6 +134,7 @@
                 spent_ms += self._pace.step_per_sequence_ms
                 sequence.produce()
                 self.produced_tokens += 1
+                self.billed[sequence.owner] += 1
         self.sequences = [
             sequence for sequence in self.sequences if not sequence.finished
         ]
--- a/src/carobfork_standins/engine.py
+++ b/src/carobfork_standins/engine.py
@@ -19,6 +19,7 @@
 _CACHE = '/cache/<owner>'
 _BAD_REQUEST = 400
 _CONFLICT = 409
+_READ = ('GET',)
 
 
 @attrs.frozen
@@ -79,16 +80,17 @@
         stream = f'{_COMPLETIONS}/<identifier>'
         return [
             Rule(_COMPLETIONS, methods=['POST'], endpoint=self._chat),
-            Rule(stream, methods=['GET'], endpoint=self._resume),
+            Rule(stream, methods=_READ, endpoint=self._resume),
             Rule(stream, methods=['DELETE'], endpoint=self._cancel),
-            Rule('/load', methods=['GET'], endpoint=self._load),
+            Rule('/load', methods=_READ, endpoint=self._load),
+            Rule('/usage', methods=_READ, endpoint=self._usage),
             Rule(_CACHE, methods=['DELETE'], endpoint=self._release),
-            Rule(_CACHE, methods=['GET'], endpoint=self._export),
+            Rule(_CACHE, methods=_READ, endpoint=self._export),
             Rule(_CACHE, methods=['PUT'], endpoint=self._import),
-            Rule('/inventory', methods=['GET'], endpoint=self._inventory),
-            Rule('/events', methods=['GET'], endpoint=self._events),
+            Rule('/inventory', methods=_READ, endpoint=self._inventory),
+            Rule('/events', methods=_READ, endpoint=self._events),
             Rule('/gone', methods=['PUT'], endpoint=self._set_gone),
-            Rule('/orders', methods=['GET'], endpoint=self._show_orders),
+            Rule('/orders', methods=_READ, endpoint=self._show_orders),
             Rule('/orders', methods=['POST'], endpoint=self._order),
             Rule('/faults', methods=['PUT'], endpoint=self._set_faults),
         ]
@@ -140,6 +142,9 @@
             }
         return web.json_response(self._report)
 
+    def _usage(self, request: Request) -> Response:
+        return web.json_response(dict(self._batch.billed))
+
     def _release(self, request: Request, owner: str) -> Response:
         if self._faults.lose_releases:
             self._faults.lose_releases -= 1
--- a/src/carobfork_standins/labs.py
+++ b/src/carobfork_standins/labs.py
@@ -147,8 +147,11 @@
         self.processes[name].send(signal.SIGCONT)
 
     def session(self, entry: str = '', **options) -> sessions.Session:
-        """Return a caller's session by one or all entry hosts."""
-        names = [entry] if entry else self.layout.entry_names
+        """Return a caller's session by all entry hosts, or those named.
+
+        :param entry: names separated by commas; no others are used then.
+        """
+        names = entry.split(',') if entry else self.layout.entry_names
         addresses = [str(self.processes[name].address) for name in names]
         return sessions.Session(addresses, pinned=bool(entry), **options)
 
--- a/src/carobfork_standins/scenarios/verbs.py
+++ b/src/carobfork_standins/scenarios/verbs.py
@@ -25,6 +25,7 @@
     """Ask the model: ``chat NAME key=k1 text="..." tokens=8``."""
     options = step.options
     program = stage.program(step.words[0], options.get('entry', ''))
+    program.last_key = options.get('after', program.last_key)
     reply = program.ask(
         options.get('model', layouts.MODEL),
         options['text'],
@@ -39,6 +40,7 @@
     """Call a service: ``call NAME key=k2 path=/deposit body="..."``."""
     options = step.options
     program = stage.program(step.words[0], options.get('entry', ''))
+    program.last_key = options.get('after', program.last_key)
     reply = program.call(
         options.get('service', layouts.SERVICE),
         options['path'],
