--- a/src/carobfork/coordination/attempts.py
+++ b/src/carobfork/coordination/attempts.py
@@ -14,8 +14,22 @@
 import structlog
 
 from carobfork import clock, exceptions
-from carobfork.coordination import calls, homes, orders, ports, runs
-from carobfork.state import budgets, bundles, identifiers, programs, records
+from carobfork.coordination import (
+    calls,
+    homes,
+    journals,
+    orders,
+    ports,
+    runs,
+)
+from carobfork.state import (
+    budgets,
+    bundles,
+    identifiers,
+    programs,
+    records,
+    spending,
+)
 
 MAX_ATTEMPTS = 3
 MAX_RESUMES = 3
@@ -121,7 +135,7 @@
                 dispatched = attrs.evolve(
                     dispatched, target=f'{work.call.model}/{worker_name}'
                 )
-                self._home.journal.enqueue(dispatched)
+                self._home.note(work.program, dispatched)
                 # From here on records alone settle the reservation.
                 undo.pop_all()
                 self._stream(work, dispatched, prompt)
@@ -130,12 +144,12 @@
     def _stream(
         self,
         work: ModelWork,
-        dispatched: records.CallDispatched,
+        dispatched: spending.CallDispatched,
         prompt: ports.Prompt,
     ) -> None:
         worker = self._worker(work, dispatched)
         work.run.worker = worker.name
-        with self._giving_up(worker, dispatched):
+        with self._giving_up(work.program, worker, dispatched):
             try:
                 self._push(work.run, self._backend.stream(worker, prompt))
             except exceptions.ConnectionFailedError as error:
@@ -145,13 +159,13 @@
                 self._resume(work.run, worker, prompt.attempt)
 
     def _resume_dispatched(
-        self, work: ModelWork, dispatched: records.CallDispatched
+        self, work: ModelWork, dispatched: spending.CallDispatched
     ) -> bool:
         """Take up the stream that another host began, and tell whether."""
         worker = self._worker(work, dispatched)
         work.run.worker = worker.name
         try:
-            with self._giving_up(worker, dispatched):
+            with self._giving_up(work.program, worker, dispatched):
                 self._resume(work.run, worker, _identify(dispatched))
         except exceptions.StreamLostError:
             if work.run.is_empty:
@@ -182,26 +196,30 @@
 
     @contextlib.contextmanager
     def _giving_up(
-        self, worker: bundles.Worker, dispatched: records.CallDispatched
+        self,
+        program: programs.Program,
+        worker: bundles.Worker,
+        dispatched: spending.CallDispatched,
     ) -> Iterator[None]:
         """Cancel an attempt that is left early, at its engine."""
         try:
             yield
         except exceptions.ConnectionFailedError as error:
-            self._give_up(worker, dispatched, may_run=error.sent)
+            self._give_up(program, worker, dispatched, may_run=error.sent)
             raise
         except BaseException:
-            self._give_up(worker, dispatched, may_run=True)
+            self._give_up(program, worker, dispatched, may_run=True)
             raise
 
     def _give_up(
         self,
+        program: programs.Program,
         worker: bundles.Worker,
-        dispatched: records.CallDispatched,
+        dispatched: spending.CallDispatched,
         *,
         may_run: bool,
     ) -> None:
-        failure = records.AttemptFailed(
+        failure = spending.AttemptFailed(
             program=dispatched.program,
             key=dispatched.key,
             attempt=dispatched.attempt,
@@ -210,12 +228,13 @@
         # Only the owner of the journal may cancel: once taken over, the
         # stream is its successor's. Without a commit the engine ends it.
         with contextlib.suppress(exceptions.CarobforkError):
-            self._home.journal.append(failure, FENCE_TIMEOUT_MS)
+            noted = self._home.note(program, failure)
+            journals.wait_for(noted.committed, FENCE_TIMEOUT_MS)
             if may_run:
                 self._backend.cancel(worker, _identify(dispatched))
 
     def _record(
-        self, work: ModelWork, dispatched: records.CallDispatched
+        self, work: ModelWork, dispatched: spending.CallDispatched
     ) -> records.AnswerRecorded:
         answer = self._backend.decode(work.run.raw_events())
         record = records.AnswerRecorded(
@@ -229,13 +248,17 @@
             tokens=answer.tokens,
             messages=work.call.messages,
         )
-        self._home.journal.append(record, RECORD_TIMEOUT_MS)
+        try:
+            self._home.record(work.program, record, RECORD_TIMEOUT_MS)
+        except exceptions.CarobforkError as error:
+            # The engine ran it, so it must not be reported as not run.
+            raise calls.unknown_outcome(record.target) from error
         return record
 
     def _dispatched(
         self, work: ModelWork, number: int
-    ) -> records.CallDispatched:
-        return records.CallDispatched(
+    ) -> spending.CallDispatched:
+        return spending.CallDispatched(
             program=work.program.identifier,
             key=work.call.key,
             digest=work.call.digest,
@@ -262,12 +285,12 @@
         )
 
     def _worker(
-        self, work: ModelWork, dispatched: records.CallDispatched
+        self, work: ModelWork, dispatched: spending.CallDispatched
     ) -> bundles.Worker:
         return bundles.find(work.model.workers, dispatched.worker, 'worker')
 
 
-def _identify(dispatched: records.CallDispatched) -> str:
+def _identify(dispatched: spending.CallDispatched) -> str:
     return attempt_identifier(
         dispatched.program, dispatched.key, dispatched.attempt
     )
--- a/src/carobfork/coordination/cache_sweeps.py
+++ b/src/carobfork/coordination/cache_sweeps.py
@@ -71,7 +71,6 @@
 class CacheSweeper:
     """Sweep the engines that this host is responsible for.
 
-    :param own: this host's incarnation.
     :param hosts: the live entry hosts.
     :param holder: its bundle lists the engines.
     :param link: carries the queries.
@@ -80,7 +79,6 @@
 
     def __init__(
         self,
-        own: identifiers.Incarnation,
         hosts: routing.HostList,
         holder: control.BundleHolder,
         link: ports.PeerLink,
@@ -88,7 +86,6 @@
     ) -> None:
         """Start without sweeping."""
         self.released = 0
-        self._own = own
         self._hosts = hosts
         self._holder = holder
         self._link = link
@@ -115,7 +112,7 @@
     def is_responsible(self, worker: bundles.Worker) -> bool:
         """Tell whether this host sweeps an engine."""
         names = [host.incarnation.host for host in self._hosts.live()]
-        return self._own.host == max(
+        return self._hosts.own.incarnation.host == max(
             names,
             key=lambda name: identifiers.digest(
                 name.encode(), worker.name.encode()
--- a/src/carobfork/coordination/gone_programs.py
+++ b/src/carobfork/coordination/gone_programs.py
@@ -10,11 +10,12 @@
 import structlog
 
 from carobfork import clock, exceptions
-from carobfork.coordination import homes, model_calls, ports
-from carobfork.state import bundles, programs, records
+from carobfork.coordination import homes, journals, model_calls, ports
+from carobfork.state import bundles, programs, spending
 
 CHECK_INTERVAL_MS = 1000
-TIME_RECORD_INTERVAL_MS = 15_000
+END_TIMEOUT_MS = 10_000
+TIME_RECORD_INTERVAL_MS = 30_000
 _STEP = 'end program'
 
 logger = structlog.get_logger(part='gone programs')
@@ -56,9 +57,10 @@
         ends = self._home.begin_end(identifier, reason)
         for program in tree:
             self._models.cancel(program.identifier, reason)
-        self._home.await_end(ends)
+        for end in ends:
+            journals.wait_for(end.kept, END_TIMEOUT_MS)
         self.ended += len(tree)
-        gevent.spawn(self._release, tree)
+        gevent.spawn(self._release, tree, ends)
 
     def run(self) -> None:
         """Check all programs until the greenlet is killed."""
@@ -118,11 +120,17 @@
         }
         if spent_ms:
             try:
-                self._home.journal.enqueue(records.TimeSpent(spent_ms))
+                self._home.journal.enqueue(spending.TimeSpent(spent_ms))
             except exceptions.CarobforkError as error:
                 logger.warning('Time was not recorded.', error=str(error))
 
-    def _release(self, tree: list[programs.Program]) -> None:
+    def _release(
+        self, tree: list[programs.Program], ends: list[journals.Entry]
+    ) -> None:
+        for end in ends:
+            end.committed.wait()
+        if self._home.journal.sealed:
+            return
         for program in tree:
             for target in sorted(program.workers):
                 self._release_at(program.identifier, target)
--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from carobfork import exceptions
 from carobfork.coordination import calls, control, journals, slots, turns
 from carobfork.state import budgets, bundles, identifiers, programs, records
 
@@ -91,13 +92,48 @@
             if program.is_open
         ]
 
-    def await_end(self, ends: list[journals.Entry]) -> None:
-        """Wait until the ends of programs are recorded.
+    def record(
+        self,
+        program: programs.Program,
+        record: records.Record,
+        timeout_ms: int,
+    ) -> None:
+        """Record something of a program that is still homed here.
+
+        Returns once the platform or two other hosts hold the record.
 
-        :raises PlatformError: not recorded in time; they still will be.
+        :raises SealedError: another host owns the program now.
+        :raises PlatformError: not kept in time; it still may be.
         """
-        for end in ends:
-            self.journal.wait(end, OPEN_TIMEOUT_MS)
+        self.require_owned(program)
+        self.journal.keep(record, timeout_ms)
+
+    def note(
+        self, program: programs.Program, record: records.Record
+    ) -> journals.Entry:
+        """Record something of a program without waiting.
+
+        :raises SealedError: another host owns the program now.
+        :raises PlatformError: too many records wait already.
+        """
+        self.require_owned(program)
+        return self.journal.enqueue(record)
+
+    def require_owned(self, program: programs.Program) -> None:
+        """Check that a program was not taken over meanwhile.
+
+        :raises SealedError: another host owns it now.
+        """
+        if self.table.programs.get(program.identifier) is not program:
+            raise exceptions.SealedError(
+                'the program was taken over', step='record'
+            )
+
+    def start_anew(self, journal: journals.Journal) -> None:
+        """Drop all programs and go on with the journal of a new incarnation."""
+        self.table.programs.clear()
+        self.turns = turns.Turns()
+        self.journal = journal
 
     def authorise(self, identifier: str, token: str) -> programs.Program:
         """Return a program if the token opens it."""
@@ -150,7 +186,7 @@
             token_digest=identifiers.digest(opened.token.encode()),
             parent=parent,
         )
-        self.journal.append(record, OPEN_TIMEOUT_MS)
+        self.journal.keep(record, OPEN_TIMEOUT_MS)
         self._end_orphan(parent, opened.program)
         return opened
 
--- a/src/carobfork/sessions.py
+++ b/src/carobfork/sessions.py
@@ -246,6 +246,16 @@
         }
         return self._session.open_program(request, self._fields(''))
 
+    def connect(self, key: str, body: bytes) -> connections.Exchange:
+        """Return the exchange of a model call, for callers that read it.
+
+        :param key: call key.
+        :param body: the JSON body of a chat completions request.
+        """
+        return self._session.connect(
+            'POST', '/v1/chat/completions', body, self._fields(key)
+        )
+
     def call(
         self,
         service: str,
--- a/src/carobfork/state/programs.py
+++ b/src/carobfork/state/programs.py
@@ -6,7 +6,7 @@
 import attrs
 
 from carobfork import exceptions
-from carobfork.state import budgets, records
+from carobfork.state import budgets, identifiers, records, spending
 
 OUT_OF_TIME = 'its time budget is spent'
 IDLE = 'its caller stayed away'
@@ -41,7 +41,7 @@
     token_digest: str
     parent: str = ''
     calls: dict[str, Call] = attrs.Factory(dict)
-    dispatched: dict[str, records.CallDispatched] = attrs.Factory(dict)
+    dispatched: dict[str, spending.CallDispatched] = attrs.Factory(dict)
     """The last attempt at each model call that is not answered."""
     workers: set[str] = attrs.Factory(set)
     """Model engines that may hold cache of this program, ``model/worker``."""
@@ -50,6 +50,8 @@
     closed_reason: str = ''
     ending_reason: str = ''
     """Why its home is about to record its end; not itself recorded."""
+    recorded_time_ms: int = 0
+    """The age that the journal holds; a successor goes on from it."""
     idle_ms: float = 0
     """For how long neither it nor a sub-agent was asked for anything."""
 
@@ -58,6 +60,12 @@
         """Whether the program takes calls."""
         return not self.closed_reason
 
+    def is_dispatched(self, record: spending.CallDispatched) -> bool:
+        """Tell whether an attempt is the last one at its call, or reserves."""
+        if record.reservation in self.ledger.reservations:
+            return True
+        return self.dispatched.get(record.key) == record
+
     def history(self) -> list[records.AnswerRecorded]:
         """Return the model calls' answers in the order they were made."""
         answers = (call.answer for call in self.calls.values())
@@ -90,6 +98,24 @@
         ]
         return [*below, root]
 
+    def replay(self, record: records.Record) -> None:
+        """Apply a record unless its program was forgotten meanwhile."""
+        name = getattr(record, 'program', '')
+        opens = isinstance(record, records.ProgramOpened)
+        if opens or not name or name in self.programs:
+            self.apply(record)
+
+    def incarnations(self) -> set[identifiers.Incarnation]:
+        """Return the incarnations at which the programs were opened."""
+        return {identifiers.home_of(name) for name in self.programs}
+
+    def is_latest_time(self, record: spending.TimeSpent) -> bool:
+        """Tell whether a record is the last one of any program's time."""
+        return any(
+            program.recorded_time_ms == record.spent_ms.get(name)
+            for name, program in self.programs.items()
+        )
+
     @functools.singledispatchmethod
     def apply(self, record: records.Record) -> None:
         """Bring the table up to date with one record."""
@@ -149,7 +175,7 @@
         program.ledger.release(budgets.call_reservation(record.key))
 
     @apply.register
-    def _dispatched(self, record: records.CallDispatched) -> None:
+    def _dispatched(self, record: spending.CallDispatched) -> None:
         program = self.find(record.program)
         program.ledger.restore(
             record.reservation, budgets.Reservation(record.reserved_tokens)
@@ -158,16 +184,17 @@
         program.workers.add(record.target)
 
     @apply.register
-    def _failed(self, record: records.AttemptFailed) -> None:
+    def _failed(self, record: spending.AttemptFailed) -> None:
         ledger = self.find(record.program).ledger
         ledger.settle(record.reservation, record.tokens, calls=0)
 
     @apply.register
-    def _aged(self, record: records.TimeSpent) -> None:
+    def _aged(self, record: spending.TimeSpent) -> None:
         for identifier, spent_ms in record.spent_ms.items():
             program = self.programs.get(identifier)
             if program is not None:
                 ledger = program.ledger
+                program.recorded_time_ms = spent_ms
                 ledger.spent_time_ms = max(ledger.spent_time_ms, spent_ms)
 
     @apply.register
--- a/src/carobfork/state/records.py
+++ b/src/carobfork/state/records.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from carobfork.state import budgets, bundles
+from carobfork.state import bundles, identifiers, spending
 
 
 @attrs.frozen
@@ -55,83 +55,74 @@
 
 
 @attrs.frozen
-class CallDispatched:
-    """A model call is being sent; committed without anyone waiting for it.
-
-    It tells a successor where the stream is and what may have been spent.
-    """
+class IntentWithdrawn:
+    """A recorded intent was never sent and never will be."""
 
     program: str
     key: str
-    digest: str
-    target: str
-    attempt: int
-    reserved_tokens: int
-
-    @property
-    def worker(self) -> str:
-        """The model engine that was asked."""
-        return self.target.rpartition('/')[-1]
-
-    @property
-    def reservation(self) -> str:
-        """The identifier of the attempt's reservation."""
-        return budgets.attempt_reservation(self.key, self.attempt)
 
 
 @attrs.frozen
-class AttemptFailed:
-    """An attempt at a model call brought no answer, but may have cost."""
+class ProgramClosed:
+    """A program ended and takes no further calls."""
 
     program: str
-    key: str
-    attempt: int
-    tokens: int
+    reason: str
 
-    @property
-    def reservation(self) -> str:
-        """The identifier of the attempt's reservation."""
-        return budgets.attempt_reservation(self.key, self.attempt)
+
+@attrs.frozen
+class Sealed:
+    """Another host took the journal's programs over."""
+
+    successor: str
 
 
 @attrs.frozen
-class TimeSpent:
-    """How old open programs are, in ms since each was opened."""
+class Adopted:
+    """An incarnation's programs belong here if its journal's seal says so.
 
-    spent_ms: dict[str, int]
+    ``merged`` tells that its records were copied into this journal.
+    """
+
+    incarnation: identifiers.Incarnation
+    merged: bool = False
 
 
 @attrs.frozen
-class IntentWithdrawn:
-    """A recorded intent was never sent and never will be."""
+class SegmentStarted:
+    """A segment holds the records up to a number."""
 
-    program: str
-    key: str
+    last_record: int
 
 
 @attrs.frozen
-class ProgramClosed:
-    """A program ended and takes no further calls."""
+class Compacted:
+    """Chunks replace the segments up to a number."""
 
-    program: str
-    reason: str
+    last_segment: int
+    chunks: tuple[str, ...]
 
 
 @attrs.frozen
-class Sealed:
-    """Another host took the journal's programs over."""
+class OwnershipChecked:
+    """The owner found its journal still open."""
 
-    successor: str
 
+FRAMES = (SegmentStarted, Compacted, OwnershipChecked, Sealed)
+"""Records that concern the journal alone and no program."""
 
 Record = (
     ProgramOpened
     | IntentRecorded
     | AnswerRecorded
-    | CallDispatched
-    | AttemptFailed
-    | TimeSpent
+    | spending.CallDispatched
+    | spending.AttemptFailed
+    | spending.TimeSpent
     | IntentWithdrawn
     | ProgramClosed
     | Sealed
+    | Adopted
+    | SegmentStarted
+    | Compacted
+    | OwnershipChecked
 )
--- a/src/carobfork_standins/scenarios/player.py
+++ b/src/carobfork_standins/scenarios/player.py
@@ -7,6 +7,7 @@
 from carobfork_standins.scenarios import (  # noqa: F401
     language,
     program_verbs,
+    recording,
     stages,
     verbs,
 )
