--- a/src/carobfork/answer_streams.py
+++ b/src/carobfork/answer_streams.py
@@ -16,7 +16,6 @@
 
 _PATH = '/v1/chat/completions'
 _TRANSIENT = (
-    exceptions.ConnectionFailedError,
     exceptions.NotRunError,
     exceptions.PlatformError,
     exceptions.UnknownOutcomeError,
@@ -63,6 +62,7 @@
         self._fields = fields
         self._on_restart = on_restart
         self._offset = 0
+        self._may_have_run = False
 
     def texts(self) -> Iterator[str]:
         """Yield the answer's pieces, each byte once.
@@ -78,8 +78,8 @@
                     delays_ms = self._connector.stream_delays_ms()
                     yield text
                 return
-            except _TRANSIENT as error:
-                self._recover(error, next(delays_ms, None))
+            except exceptions.CarobforkError as error:
+                self._recover(self._note(error), next(delays_ms, None))
 
     def _read_once(self) -> Iterator[str]:
         fields = {**self._fields, headers.OFFSET: str(self._offset)}
@@ -97,13 +97,24 @@
                 'the stream ended early', sent=True, step='read answer'
             )
 
+    def _note(
+        self, error: exceptions.CarobforkError
+    ) -> exceptions.CarobforkError:
+        """Return an error that tells of all attempts, not only of the last."""
+        if isinstance(error, exceptions.ConnectionFailedError):
+            self._connector.forget_addresses()
+            error = replies.lost_connection(error)
+        if error.outcome is exceptions.Outcome.unknown or self._offset:
+            self._may_have_run = True
+        if self._may_have_run:
+            error.outcome = exceptions.Outcome.unknown
+        return error
+
     def _recover(
         self, error: exceptions.CarobforkError, delay_ms: float | None
     ) -> None:
-        if delay_ms is None or isinstance(error, exceptions.CancelledError):
-            raise _raisable(error)
-        if isinstance(error, exceptions.ConnectionFailedError):
-            self._connector.forget_addresses()
+        if delay_ms is None or not _is_transient(error):
+            raise error
         if isinstance(error, exceptions.StreamLostError) and self._offset:
             if self._on_restart is None:
                 raise error
@@ -120,7 +131,7 @@
             yield text
 
 
-def _raisable(error: exceptions.CarobforkError) -> exceptions.CarobforkError:
-    if isinstance(error, exceptions.ConnectionFailedError):
-        return replies.lost_connection(error)
-    return error
+def _is_transient(error: exceptions.CarobforkError) -> bool:
+    if isinstance(error, exceptions.CancelledError):
+        return False
+    return isinstance(error, _TRANSIENT)
--- a/src/carobfork_standins/scenarios/program_verbs.py
+++ b/src/carobfork_standins/scenarios/program_verbs.py
@@ -3,11 +3,11 @@
 import itertools
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import gevent
 
-from carobfork import exceptions, replies
+from carobfork import exceptions, replies, sessions
 from carobfork.protocol import headers, sse
 from carobfork_standins import layouts
 from carobfork_standins.scenarios import language, stages, verbs
@@ -44,17 +44,18 @@
         return _read_events(answer)
 
 
+@stages.verb('stream')
+def stream(stage: stages.Stage, step: language.Step) -> stages.Seen:
+    """Ask the model for an answer that may not start over: ``stream ...``."""
+    program, texts = _begin_chat(stage, step)
+    answer = ''.join(texts)
+    return stages.Seen('done', answer, worker=program.worker)
+
+
 @stages.verb('abandon')
 def abandon(stage: stages.Stage, step: language.Step) -> stages.Seen:
     """Ask the model and leave after the first words: ``abandon NAME ...``."""
-    options = step.options
-    program = stage.program(step.words[0], options.get('entry', ''))
-    texts = program.chat(
-        layouts.MODEL,
-        options['text'],
-        key=options['key'],
-        max_tokens=int(options['tokens']),
-    )
+    program, texts = _begin_chat(stage, step)
     first = next(texts)
     texts.close()
     return stages.Seen('done', first, worker=program.worker)
@@ -148,6 +149,20 @@
     return verbs.DONE
 
 
+def _begin_chat(
+    stage: stages.Stage, step: language.Step
+) -> tuple[sessions.Program, Iterator[str]]:
+    options = step.options
+    program = stage.program(step.words[0], options.get('entry', ''))
+    texts = program.chat(
+        layouts.MODEL,
+        options['text'],
+        key=options['key'],
+        max_tokens=int(options['tokens']),
+    )
+    return program, texts
+
+
 def _identify(stage: stages.Stage) -> Callable[[str], str]:
     return lambda name: stage.programs[name].identifier
 
