--- a/src/carobfork/answer_streams.py
+++ b/src/carobfork/answer_streams.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from carobfork import clock, exceptions, replies
+from carobfork import clock, exceptions, replies, retry_budgets
 from carobfork.protocol import headers, sse
 from carobfork.transport import connections
 
@@ -25,6 +25,8 @@
 class Connector(Protocol):
     """Reach the entry hosts."""
 
+    retries: retry_budgets.RetryBudget
+
     def connect(
         self, method: str, path: str, body: bytes, fields: Mapping[str, str]
     ) -> connections.Exchange:
@@ -71,6 +73,7 @@
         :raises CarobforkError: as the response tells.
         """
         delays_ms = self._connector.stream_delays_ms()
+        self._connector.retries.earn()
         while True:
             try:
                 for text in self._read_once():
@@ -115,12 +118,15 @@
     ) -> None:
         if delay_ms is None or not _is_transient(error):
             raise error
+        if isinstance(error, exceptions.NotRunError):
+            self._connector.retries.spend(error)
         if isinstance(error, exceptions.StreamLostError) and self._offset:
             if self._on_restart is None:
                 raise error
             self._on_restart()
             self._offset = 0
-        gevent.sleep(clock.to_seconds(delay_ms))
+        pause_ms = max(delay_ms, error.retry_after_ms or 0)
+        gevent.sleep(clock.to_seconds(pause_ms))
 
 
 def _decode(events: bytes) -> Iterator[str]:
--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -6,28 +6,25 @@
 import attrs
 import gevent
 
-from carobfork import clock, recording
+from carobfork import clock, recording, serving
 from carobfork.coordination import (
-    cache_sweeps,
     control,
-    gone_programs,
     homes,
+    mailboxes,
     membership,
-    model_calls,
+    ownerships,
+    peer_slots,
+    pool_hosts,
+    pool_routes,
     registrations,
     routing,
-    service_calls,
-    slots,
 )
 from carobfork.protocol import callers, documents, operators, signatures
 from carobfork.state import bundles, identifiers, programs
 from carobfork.transport import (
-    engines,
-    forwarders,
     peers,
     platforms,
     servers,
-    services,
 )
 
 
@@ -74,21 +71,26 @@
         self.members = membership.Membership(
             own, self.directory, self.link, self.holder, self.timer
         )
-        self.broker = slots.LocalSlots(self.timer)
-        self.holder.subscribe(self.broker.apply_bundle)
+        self._build_slots()
         self.recording = recording.Recording(self.store, self.table, self.timer)
         self.home = homes.Home(
             self.recording.open_journal(own.incarnation),
             self.table,
             self.holder,
             self.broker,
+            ownerships.Ownership(self.timer),
         )
         self._start(self.watch.run, self.members.run)
+        self._start(self.pool_host.run, self.broker.run)
         self._exits.enter_context(
             self.recording.keep(
                 self.home, self.registration, self.members, self.link
             )
         )
+        self.serving = serving.Serving(
+            self.home, self.members, self.holder, self.link, self.timer
+        )
+        self._start(*self.serving.loops())
         self._listen()
         return self
 
@@ -111,9 +113,10 @@
             'live_hosts': [
                 str(host.incarnation) for host in self.members.live()
             ],
-            'service_calls_under_way': self.services.under_way,
+            **self.serving.describe(),
             **self.recording.describe(),
             'peers': attrs.asdict(self.link.traffic),
+            'pools': [attrs.asdict(pool) for pool in self.pool_host.describe()],
         }
 
     def _build_link(self) -> peers.PeerLink:
@@ -128,43 +131,25 @@
             self.store, self.holder, reader, self.directory
         )
 
-    def _build_parts(self) -> callers.CallerParts:
-        home = self.home
-        self.services = service_calls.ServiceCaller(
-            home, services.HttpServiceBackend(), self.timer
-        )
-        router = routing.Router(self.table, self.members)
-        backend = engines.HttpModelBackend()
-        models = model_calls.ModelCaller(home, backend, self.timer)
-        self.gone = gone_programs.GonePrograms(
-            home, models, backend, self.timer
-        )
-        self._start_sweeps(router, backend)
-        return callers.CallerParts(
-            home=home,
-            router=router,
-            models=models,
-            services=self.services,
-            gone=self.gone,
-            forwarder=forwarders.HttpForwarder(),
-        )
-
-    def _start_sweeps(
-        self, router: routing.Router, backend: engines.HttpModelBackend
-    ) -> None:
-        register = cache_sweeps.GoneRegister(self.home, router)
-        self.link.on(cache_sweeps.GoneQuery, register.answer)
-        sweeper = cache_sweeps.CacheSweeper(
-            self.members, self.holder, self.link, backend
-        )
-        self._start(self.gone.run, sweeper.run)
+    def _build_slots(self) -> None:
+        own = self.members.own.incarnation
+        mailbox = mailboxes.Mailbox(own, self.members, self.link)
+        routes = pool_routes.PoolRoutes(own, self.members)
+        self.pool_host = pool_hosts.PoolHost(mailbox, self.timer)
+        self.broker = peer_slots.PeerSlots(mailbox, routes, self.timer)
+        for part in (self.pool_host, self.broker):
+            self.holder.subscribe(part.apply_bundle)
+            if self.holder.version:
+                part.apply_bundle(self.holder.current)
+        self.members.on_death(self.pool_host.forget_host)
+        self.members.on_death(self.broker.reroute)
 
     def _start(self, *loops) -> None:
         self._greenlets.extend(gevent.spawn(loop) for loop in loops)
 
     def _listen(self) -> None:
         operator = operators.OperatorApplication(self.describe_state)
-        caller = callers.CallerApplication(self._build_parts())
+        caller = callers.CallerApplication(self.serving.caller_parts())
         settings = self.settings
         for address, application in (
             (settings.operator_address, operator),
--- a/src/carobfork/coordination/attempts.py
+++ b/src/carobfork/coordination/attempts.py
@@ -21,6 +21,7 @@
     orders,
     ports,
     runs,
+    slots,
 )
 from carobfork.state import (
     budgets,
@@ -130,15 +131,18 @@
         )
         with contextlib.ExitStack() as undo:
             undo.callback(ledger.release, dispatched.reservation)
-            with self._home.slots.acquire(request) as worker_name:
-                tried.append(worker_name)
+            with self._home.slots.acquire(request) as slot:
+                tried.append(slot.worker)
                 dispatched = attrs.evolve(
-                    dispatched, target=f'{work.call.model}/{worker_name}'
+                    dispatched, target=f'{work.call.model}/{slot.worker}'
                 )
+                self._home.confirm_owned(work.program)
                 self._home.note(work.program, dispatched)
                 # From here on records alone settle the reservation.
                 undo.pop_all()
-                self._stream(work, dispatched, prompt)
+                self._stream(work, dispatched, prompt, slot)
+                answer = self._backend.decode(work.run.raw_events())
+                slot.settle(answer.output_tokens, answer.prefilled_tokens)
         return self._record(work, dispatched)
 
     def _stream(
@@ -146,12 +150,15 @@
         work: ModelWork,
         dispatched: spending.CallDispatched,
         prompt: ports.Prompt,
+        slot: slots.Slot,
     ) -> None:
         worker = self._worker(work, dispatched)
         work.run.worker = worker.name
         with self._giving_up(work.program, worker, dispatched):
             try:
-                self._push(work.run, self._backend.stream(worker, prompt))
+                for events in self._backend.stream(worker, prompt):
+                    slot.touch()
+                    work.run.push(events)
             except exceptions.ConnectionFailedError as error:
                 if work.run.is_empty:
                     raise
@@ -179,9 +186,8 @@
         for _ in range(MAX_RESUMES):
             offset = len(self._backend.decode(run.raw_events()).text.encode())
             try:
-                self._push(
-                    run, self._backend.resume(worker, identifier, offset)
-                )
+                for events in self._backend.resume(worker, identifier, offset):
+                    run.push(events)
             except exceptions.ConnectionFailedError as error:
                 last_error = error
                 gevent.sleep(clock.to_seconds(RESUME_DELAY_MS))
@@ -190,10 +196,6 @@
                 return
         raise _lost(last_error.message, worker.name) from last_error
 
-    def _push(self, run: runs.ModelRun, events: Iterator[bytes]) -> None:
-        for piece in events:
-            run.push(piece)
-
     @contextlib.contextmanager
     def _giving_up(
         self,
@@ -278,10 +280,11 @@
             model=work.call.model,
             rank=self._home.bundle.rank_position(work.program.rank),
             attained_tokens=work.program.ledger.spent_tokens,
-            arrived_ms=0,
             last_worker=last_worker,
             prompt_tokens=work.prompt.estimated_tokens,
             avoided=tried,
+            kind=work.program.kind,
+            started=bool(history or work.program.parent),
         )
 
     def _worker(
--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -6,7 +6,14 @@
 import attrs
 
 from carobfork import exceptions
-from carobfork.coordination import calls, control, journals, slots, turns
+from carobfork.coordination import (
+    calls,
+    control,
+    journals,
+    ownerships,
+    slots,
+    turns,
+)
 from carobfork.state import budgets, bundles, identifiers, programs, records
 
 OPEN_TIMEOUT_MS = 10_000
@@ -29,6 +36,7 @@
     :param table: the programs, kept up to date by the journal's commits.
     :param holder: holds the bundle in force.
     :param broker: where calls get their slots.
+    :param ownership: notices standstills of this process.
     """
 
     def __init__(
@@ -37,6 +45,7 @@
         table: programs.ProgramTable,
         holder: control.BundleHolder,
         broker: slots.SlotBroker,
+        ownership: ownerships.Ownership,
     ) -> None:
         """Start with the programs of the table."""
         self.journal = journal
@@ -44,6 +53,7 @@
         self._holder = holder
         self.slots = broker
         self.turns = turns.Turns()
+        self.ownership = ownership
 
     @property
     def bundle(self) -> bundles.Bundle:
@@ -86,11 +96,13 @@
 
         Return the records of their ends, to be waited for.
         """
-        return [
-            self._enqueue_end(program, reason)
-            for program in self.table.tree(identifier)
-            if program.is_open
-        ]
+        ends = []
+        for program in self.table.tree(identifier):
+            if program.is_open:
+                end = records.ProgramClosed(program.identifier, reason)
+                ends.append(self.journal.enqueue(end))
+                program.ending_reason = reason
+        return ends
 
     def record(
         self,
@@ -129,6 +141,14 @@
                 'the program was taken over', step='record'
             )
 
+    def confirm_owned(self, program: programs.Program) -> None:
+        """Check that a program may be acted for, also after a standstill.
+
+        :raises NotRunError: it may not, or this cannot be told.
+        """
+        self.ownership.confirm(self.journal)
+        self.require_owned(program)
+
     def start_anew(self, journal: journals.Journal) -> None:
         """Drop all programs and go on with the journal of a new incarnation."""
         self.table.programs.clear()
@@ -190,15 +210,6 @@
         self._end_orphan(parent, opened.program)
         return opened
 
-    def _enqueue_end(
-        self, program: programs.Program, reason: str
-    ) -> journals.Entry:
-        entry = self.journal.enqueue(
-            records.ProgramClosed(program.identifier, reason)
-        )
-        program.ending_reason = reason
-        return entry
-
     def _end_orphan(self, parent: str, identifier: str) -> None:
         """End a sub-agent whose parent ended while it was being opened."""
         if parent and not self.table.find(parent).is_open:
--- a/src/carobfork/sessions.py
+++ b/src/carobfork/sessions.py
@@ -13,7 +13,13 @@
 import attrs
 import gevent
 
-from carobfork import answer_streams, clock, exceptions, replies
+from carobfork import (
+    answer_streams,
+    clock,
+    exceptions,
+    replies,
+    retry_budgets,
+)
 from carobfork.protocol import headers
 from carobfork.state import bundles
 from carobfork.transport import connections
@@ -52,6 +58,7 @@
     def __init__(self, addresses: Sequence[str], **options) -> None:
         """Start without asking any host yet."""
         self.options = Options(**options)
+        self.retries = retry_budgets.RetryBudget()
         self._seeds = list(addresses)
         self._addresses: list[str] = []
         self._expires_ms = 0
@@ -92,12 +99,15 @@
 
         :raises CarobforkError: as the response or the connection tells.
         """
+        self.retries.earn()
         for delay_ms in self.delays_ms(self.options.attempts):
             try:
                 return self._exchange_once(method, path, body, fields)
             except exceptions.NotRunError as error:
+                self.retries.spend(error)
                 last_error = error
-            gevent.sleep(clock.to_seconds(delay_ms))
+            pause_ms = max(delay_ms, last_error.retry_after_ms or 0)
+            gevent.sleep(clock.to_seconds(pause_ms))
         raise last_error
 
     def delays_ms(self, attempts: int) -> Iterator[float]:
--- a/src/carobfork_standins/engine.py
+++ b/src/carobfork_standins/engine.py
@@ -66,6 +66,7 @@
         super().__init__(self._rules())
         self._name = settings.name
         self._faults = Faults()
+        self._prompts: dict[str, list[dict]] = {}
         self._batch = batching.Batch(settings.pace)
         self._cache = self._batch.cache
         self._waste = caches.WasteMeter(self._cache)
@@ -87,6 +88,7 @@
             Rule(_CACHE, methods=['DELETE'], endpoint=self._release),
             Rule(_CACHE, methods=_READ, endpoint=self._export),
             Rule(_CACHE, methods=['PUT'], endpoint=self._import),
+            Rule('/prompts/<owner>', methods=_READ, endpoint=self._prompt),
             Rule('/inventory', methods=_READ, endpoint=self._inventory),
             Rule('/events', methods=_READ, endpoint=self._events),
             Rule('/gone', methods=['PUT'], endpoint=self._set_gone),
@@ -101,6 +103,7 @@
             raise http_exceptions.ServiceUnavailable()
         body = json.loads(request.get_data())
         identifier = request.headers.get('X-Request-Id', '')
+        self._prompts[body.get('user', '')] = body['messages']
         sequence = batching.Sequence(
             identifier=identifier,
             owner=body.get('user', ''),
@@ -169,6 +172,10 @@
             }
         )
 
+    def _prompt(self, request: Request, owner: str) -> Response:
+        """Tell an owner's last prompt."""
+        return web.json_response({'messages': self._prompts.get(owner, [])})
+
     def _events(self, request: Request) -> Response:
         since = int(request.args.get('since', '0'))
         latest_ms = _now_ms() - self._faults.event_lag_ms
--- a/src/carobfork_standins/scenarios/player.py
+++ b/src/carobfork_standins/scenarios/player.py
@@ -8,6 +8,7 @@
     language,
     program_verbs,
     recording,
+    slot_verbs,
     stages,
     verbs,
 )
