--- a/src/carobfork/coordination/attempts.py
+++ b/src/carobfork/coordination/attempts.py
@@ -20,6 +20,7 @@
     journals,
     orders,
     ports,
+    prefixes,
     runs,
     slots,
 )
@@ -39,6 +40,7 @@
 FENCE_TIMEOUT_MS = 2000
 _HTTP_OK = 200
 _IDENTIFIER_LENGTH = 32
+_REPEATABLE = (exceptions.ConnectionFailedError, exceptions.LeavingError)
 
 logger = structlog.get_logger(part='attempts')
 
@@ -105,10 +107,10 @@
         for number in range(first, first + MAX_ATTEMPTS):
             try:
                 return self._attempt(work, number, tried)
-            except exceptions.ConnectionFailedError as error:
+            except _REPEATABLE as error:
                 logger.info('An attempt failed.', error=str(error))
                 self.failed_attempts += 1
-                sent = sent or error.sent
+                sent = sent or getattr(error, 'sent', False)
                 last_error = error
         kind = (
             exceptions.UnknownOutcomeError if sent else exceptions.NotRunError
@@ -206,6 +208,9 @@
         """Cancel an attempt that is left early, at its engine."""
         try:
             yield
+        except exceptions.LeavingError:
+            self._give_up(program, worker, dispatched, may_run=False)
+            raise
         except exceptions.ConnectionFailedError as error:
             self._give_up(program, worker, dispatched, may_run=error.sent)
             raise
@@ -273,14 +278,13 @@
         self, work: ModelWork, identifier: str, tried: tuple[str, ...]
     ) -> orders.SlotRequest:
         history = work.program.history()
-        last_worker = history[-1].worker if history else ''
         return orders.SlotRequest(
             identifier=identifier,
             program=work.program.identifier,
             model=work.call.model,
             rank=self._home.bundle.rank_position(work.program.rank),
             attained_tokens=work.program.ledger.spent_tokens,
-            last_worker=last_worker,
+            last_worker=prefixes.last_worker(self._home.table, work.program),
             prompt_tokens=work.prompt.estimated_tokens,
             avoided=tried,
             kind=work.program.kind,
--- a/src/carobfork/coordination/cache_sweeps.py
+++ b/src/carobfork/coordination/cache_sweeps.py
@@ -12,7 +12,14 @@
 import structlog
 
 from carobfork import clock, exceptions
-from carobfork.coordination import control, homes, messages, ports, routing
+from carobfork.coordination import (
+    cache_ports,
+    control,
+    homes,
+    messages,
+    ports,
+    routing,
+)
 from carobfork.state import bundles, identifiers
 
 SWEEP_INTERVAL_MS = 5000
@@ -82,7 +89,7 @@
         hosts: routing.HostList,
         holder: control.BundleHolder,
         link: ports.PeerLink,
-        backend: ports.CacheBackend,
+        backend: cache_ports.CacheBackend,
     ) -> None:
         """Start without sweeping."""
         self.released = 0
--- a/src/carobfork/coordination/gone_programs.py
+++ b/src/carobfork/coordination/gone_programs.py
@@ -10,7 +10,7 @@
 import structlog
 
 from carobfork import clock, exceptions
-from carobfork.coordination import homes, journals, model_calls, ports
+from carobfork.coordination import cache_ports, homes, journals, model_calls
 from carobfork.state import bundles, programs, spending
 
 CHECK_INTERVAL_MS = 1000
@@ -34,7 +34,7 @@
         self,
         home: homes.Home,
         models: model_calls.ModelCaller,
-        backend: ports.CacheBackend,
+        backend: cache_ports.CacheBackend,
         timer: clock.Clock,
     ) -> None:
         """Start counting time."""
--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -64,8 +64,13 @@
         """Open a program and record it.
 
         :param kind_name: a program kind of the bundle.
+        :raises OverloadedError: its first call would be refused.
         """
         kind = bundles.find(self.bundle.programs, kind_name, 'program')
+        rank = bundles.find(self.bundle.ranks, kind.rank, 'rank')
+        self.slots.check_door(
+            self.bundle.rank_position(rank.name), rank.queue_limit_ms
+        )
         return self._record_opening(kind, kind.budget, parent='')
 
     def open_sub_agent(
--- a/src/carobfork/coordination/model_calls.py
+++ b/src/carobfork/coordination/model_calls.py
@@ -3,7 +3,7 @@
 import gevent
 import structlog
 
-from carobfork import clock, exceptions
+from carobfork import clock, exceptions, logs
 from carobfork.coordination import attempts, calls, homes, ports, runs
 from carobfork.state import bundles, programs, records
 
@@ -50,7 +50,7 @@
         model = bundles.find(self._home.bundle.models, call.model, 'model')
         run = runs.ModelRun(call.digest, self._timer)
         self.runs[call.program, call.key] = run
-        self._greenlets[call.program, call.key] = gevent.spawn(
+        self._greenlets[call.program, call.key] = logs.spawn(
             self._execute, run, program, call, model, offset
         )
         return run
@@ -103,7 +103,7 @@
                 work = self._prepare(run, program, call, model, offset)
                 run.finish(self.runner.run(work))
         except exceptions.CarobforkError as error:
-            logger.info('A call failed.', key=call.key, error=str(error))
+            logger.info('A call failed.', error=str(error))
             run.fail(error)
         finally:
             self._forget((call.program, call.key), run)
--- a/src/carobfork/coordination/ports.py
+++ b/src/carobfork/coordination/ports.py
@@ -75,6 +75,13 @@
         """
 
 
+class Listener(Protocol):
+    """Where requests come in."""
+
+    def drain(self) -> None:
+        """Stop listening and wait for the requests in progress."""
+
+
 class RecordCodec(Protocol):
     """Turn records into a segment's bytes and back."""
 
@@ -164,35 +171,6 @@
         """Return a turn's messages with the model's answer after them."""
 
 
-@attrs.frozen
-class Inventory:
-    """What a model engine holds for each program.
-
-    ``blocks`` counts cached blocks, ``streams`` the streams under way.
-    """
-
-    blocks: dict[str, int]
-    streams: dict[str, int]
-
-    @property
-    def programs(self) -> set[str]:
-        """The programs for which anything is held."""
-        return {*self.blocks, *self.streams}
-
-
-class CacheBackend(Protocol):
-    """The cache of model engines.
-
-    Each method raises ``ConnectionFailedError`` without an answer.
-    """
-
-    def inventory(self, worker: bundles.Worker) -> Inventory:
-        """Return what an engine holds."""
-
-    def release(self, worker: bundles.Worker, program: str) -> None:
-        """Cancel a program's streams and drop its cached blocks."""
-
-
 @attrs.frozen
 class ServiceRequest:
     """A call to a plain service, passed through unchanged."""
@@ -207,11 +185,15 @@
 
 @attrs.frozen
 class ServiceReply:
-    """A plain service's answer."""
+    """A plain service's answer.
+
+    ``leaving`` tells that the server wants no further work.
+    """
 
     status: int
     body: bytes
     content_type: str
+    leaving: bool = False
 
 
 class ServiceBackend(Protocol):
@@ -222,5 +204,6 @@
     ) -> ServiceReply:
         """Send a request once and wait for its answer.
 
+        :raises LeavingError: the server refused since it leaves.
         :raises ConnectionFailedError: no whole answer came.
         """
--- a/src/carobfork/coordination/runs.py
+++ b/src/carobfork/coordination/runs.py
@@ -79,7 +79,9 @@
                     self._changed.wait()
                 fresh = self._events[position:]
                 position += len(fresh)
-                yield b''.join(fresh)
+                # A run that fails wakes its readers without events.
+                if fresh:
+                    yield b''.join(fresh)
         finally:
             self.readers -= 1
             self._unread_since_ms = self._timer.now_ms()
--- a/src/carobfork/coordination/takeovers.py
+++ b/src/carobfork/coordination/takeovers.py
@@ -86,6 +86,8 @@
     ) -> None:
         """Start with nothing adopted."""
         self.adopted: frozenset[identifiers.Incarnation] = frozenset()
+        self.last_span_ms = 0
+        """How long the last takeover took, from its first write on."""
         self.busy = lock.RLock()
         """Held while records move between journals."""
         self._home = home
@@ -121,7 +123,7 @@
             try:
                 self.step()
             except exceptions.CarobforkError as error:
-                logger.warning('A takeover will be retried.', error=str(error))
+                logger.warning('A step will be retried.', error=str(error))
             self._woken.clear()
             self._woken.wait(clock.to_seconds(CHECK_INTERVAL_MS))
 
@@ -133,9 +135,9 @@
             self._start_anew()
         for incarnation in self._registration.own.predecessors:
             if incarnation not in self.lost:
-                self.take(incarnation)
+                _attempt(self.take, incarnation)
         for suspect in list(self._suspects.values()):
-            self._consider(suspect)
+            _attempt(self._consider, suspect)
         self._publish()
 
     def take(self, incarnation: identifiers.Incarnation) -> bool:
@@ -145,7 +147,9 @@
         """
         with self.busy:
             if incarnation not in self._taken:
+                started_ms = self._timer.now_ms()
                 self._adopt(incarnation)
+                self.last_span_ms = self._timer.now_ms() - started_ms
             return incarnation in self._taken
 
     def hand_over(self, host: routing.EntryHost, link: ports.PeerLink) -> None:
@@ -271,3 +275,11 @@
     """Tell whether another host says that it took this one over."""
     own = members.own.incarnation
     return any(own in other.adopted for other in members.registered())
+
+
+def _attempt(action: Callable, subject: object) -> None:
+    """Do one of several things; its failure must not keep the others."""
+    try:
+        action(subject)
+    except exceptions.CarobforkError as error:
+        logger.warning('A takeover will be retried.', error=str(error))
--- a/src/carobfork/exceptions.py
+++ b/src/carobfork/exceptions.py
@@ -50,9 +50,10 @@
 
     def __str__(self) -> str:
         """Return code, message, step and peer in one line."""
-        return (
-            f'{self.code}: {self.message} (step {self.step}, peer {self.peer})'
-        )
+        where = f'step {self.step or "unknown"}'
+        if self.peer:
+            where = f'{where}, peer {self.peer}'
+        return f'{self.code}: {self.message} ({where})'
 
 
 class BadRequestError(CarobforkError):
@@ -70,6 +71,13 @@
     http_status = 413
 
 
+class RequestTimeoutError(BadRequestError):
+    """The caller took too long to send its request."""
+
+    code = 'request_timeout'
+    http_status = 408
+
+
 class ForbiddenError(BadRequestError):
     """The caller's token does not open this program."""
 
@@ -133,6 +141,12 @@
     code = 'stopping'
 
 
+class LeavingError(NotRunError):
+    """The backend server refused the call because it is leaving."""
+
+    code = 'leaving'
+
+
 class UnknownOutcomeError(CarobforkError):
     """The call may have run; its outcome is not known yet."""
 
@@ -168,6 +182,8 @@
 
     code = 'bad_settings'
     outcome = Outcome.not_run
+    problems: tuple[str, ...] = ()
+    """Each problem of the file, where there are several."""
 
 
 class PlatformError(CarobforkError):
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -1,6 +1,6 @@
 """Callers: the HTTP interface that callers use."""
 
-import json
+import functools
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
@@ -10,23 +10,30 @@
 from werkzeug import exceptions as http_exceptions
 from werkzeug.routing import Map, Rule
 
-from carobfork import exceptions
+from carobfork import exceptions, logs
 from carobfork.coordination import (
+    call_notes,
     calls,
     gone_programs,
     homes,
+    local_requests,
     model_calls,
     routing,
     service_calls,
 )
-from carobfork.protocol import headers, responses, sse
-from carobfork.state import bundles
+from carobfork.protocol import (
+    headers,
+    program_requests,
+    requests,
+    responses,
+    sse,
+)
+from carobfork.state import bundles, programs
 
-DEFAULT_MAX_TOKENS = 1024
-MAX_COUNT = 1_000_000_000
 EVENT_STREAM_TYPE = 'text/event-stream'
+MAX_HOPS = 2
+MOVE_RETRY_MS = 500
 _HTTP_CREATED = 201
-_READ = 'read request'
 
 logger = structlog.get_logger(part='callers')
 
@@ -55,6 +62,8 @@
     services: service_calls.ServiceCaller
     gone: gone_programs.GonePrograms
     forwarder: Forwarder
+    notes: call_notes.CallNotes
+    requests: local_requests.LocalRequests
 
 
 class CallerApplication:
@@ -85,26 +94,39 @@
                 Rule(
                     '/v1/services/<service>/<path:path>', endpoint=self._service
                 ),
-            ]
+            ],
+            merge_slashes=False,
         )
 
     def __call__(self, environ: dict, start_response: Callable):
         """Answer one request."""
-        response = self._respond(Request(environ))
-        return response(environ, start_response)
-
-    def _respond(self, request: Request) -> Response:
+        request = Request(environ)
+        logs.begin(
+            program=request.headers.get(headers.PROGRAM, ''),
+            call=request.headers.get(headers.CALL, ''),
+            peer=request.remote_addr,
+        )
         try:
-            return self._route(request)
-        except exceptions.CarobforkError as error:
-            return responses.error_response(error)
-        except http_exceptions.HTTPException as error:
-            return responses.error_response(responses.bad_http(error))
-        except Exception:
-            logger.exception('A request met an unexpected error.')
-            return responses.error_response(
-                exceptions.CarobforkError('internal error', step='serve')
+            response = self._route(request)
+        except Exception as error:
+            self._note_error(request, error)
+            response = responses.refusal(request, error)
+        else:
+            done = exceptions.Outcome.done
+            self._parts.notes.note_answer(
+                response.headers.get(headers.OUTCOME, done)
             )
+        return response(environ, start_response)
+
+    def _note_error(self, request: Request, error: Exception) -> None:
+        if not isinstance(error, exceptions.OverloadedError):
+            # In a flood the counter of refusals tells enough.
+            logger.info('A request was refused.', error=str(error))
+        self._parts.notes.note_error(
+            request.headers.get(headers.PROGRAM, ''),
+            request.headers.get(headers.CALL, ''),
+            error,
+        )
 
     def _route(self, request: Request) -> Response:
         request.max_content_length = responses.MAX_BODY_BYTES
@@ -114,28 +136,33 @@
             headers.PROGRAM
         )
         if program:
+            requests.check_header(headers.PROGRAM, program)
             address = self._parts.router.resolve(program)
             if address is not None:
                 return self._forward(request, address)
-        return endpoint(request, **arguments)
+        with self._parts.requests.serving(program or ''):
+            return endpoint(request, **arguments)
 
     def _forward(self, request: Request, address: bundles.Address) -> Response:
-        if headers.FORWARDED in request.headers:
-            raise exceptions.UnknownProgramError(
-                'the program is not homed here', step='forward'
+        hops = int(request.headers.get(headers.FORWARDED, '0'))
+        if hops >= MAX_HOPS:
+            raise exceptions.NotRunError(
+                'the program is moving between hosts',
+                step='forward',
+                retry_after_ms=MOVE_RETRY_MS,
             )
-        names = (*headers.PASSED_ON, 'Content-Type')
         fields = {
-            name: request.headers[name]
-            for name in names
-            if name in request.headers
+            name: requests.required_header(request, name)
+            for name in headers.PASSED_ON
+            if request.headers.get(name)
         }
-        fields[headers.FORWARDED] = '1'
+        fields['Content-Type'] = requests.content_type(request)
+        fields[headers.FORWARDED] = str(hops + 1)
         try:
             reply = self._parts.forwarder.forward(
                 address,
                 request.method,
-                request.full_path,
+                responses.quoted_path(request),
                 fields,
                 request.get_data(),
             )
@@ -150,59 +177,46 @@
         return responses.json_response(attrs.asdict(answer))
 
     def _open(self, request: Request) -> Response:
-        body = _json_object(request)
-        kind = _text_field(body, 'kind')
+        body = requests.json_object(request)
+        kind = requests.text_field(body, 'kind')
         if headers.PROGRAM in request.headers:
-            opened = self._open_sub_agent(request, body, kind)
+            parent = self._authorised(request)
+            share = program_requests.share(body)
+            opened = self._parts.home.open_sub_agent(parent, kind, share)
         else:
             opened = self._parts.home.open_program(kind)
         return responses.json_response(
             attrs.asdict(opened), status=_HTTP_CREATED
         )
 
-    def _open_sub_agent(
-        self, request: Request, body: dict, kind: str
-    ) -> homes.OpenedProgram:
-        parent = self._parts.home.authorise(
-            request.headers[headers.PROGRAM],
-            _required_header(request, headers.TOKEN),
+    def _authorised(self, request: Request) -> programs.Program:
+        """Return the program that a request's headers name."""
+        return self._parts.home.authorise(
+            requests.required_header(request, headers.PROGRAM),
+            requests.required_header(request, headers.TOKEN),
         )
-        share = bundles.Budget(
-            tokens=_count_field(body, 'tokens'),
-            calls=_count_field(body, 'calls'),
-            time_ms=_count_field(body, 'time_ms'),
-        )
-        return self._parts.home.open_sub_agent(parent, kind, share)
 
     def _close(self, request: Request, program: str) -> Response:
-        token = _required_header(request, headers.TOKEN)
+        token = requests.required_header(request, headers.TOKEN)
         self._parts.home.authorise(program, token)
         self._parts.gone.end(program, 'closed by its caller')
         return responses.json_response({'program': program})
 
     def _chat(self, request: Request) -> Response:
-        offset = _offset(request)
-        run = self._parts.models.start(_model_call(request), offset)
+        offset = program_requests.offset(request)
+        run = self._parts.models.start(requests.model_call(request), offset)
         events = run.follow()
         if run.answer is not None:
             events = iter([sse.encode_text(run.answer.body.decode())])
         followed = sse.skip_text(events, offset)
         # Waiting for the first event lets a refusal be a plain HTTP error.
         first = next(followed, b'')
-        return _event_stream(_closing_with_done(first, followed), run.worker)
+        note_error = functools.partial(self._note_error, request)
+        events = _closing_with_done(first, followed, note_error)
+        return _event_stream(events, run.worker)
 
     def _service(self, request: Request, service: str, path: str) -> Response:
-        call = calls.ServiceCall(
-            program=_required_header(request, headers.PROGRAM),
-            token=_required_header(request, headers.TOKEN),
-            key=_required_header(request, headers.CALL),
-            service=service,
-            method=request.method,
-            path=f'/{path}',
-            body=request.get_data(),
-            content_type=request.content_type or responses.JSON_TYPE,
-            after=request.headers.get(headers.AFTER, ''),
-        )
+        call = requests.service_call(request, service, path)
         answer = self._parts.services.run(call)
         outcome = exceptions.Outcome.done
         if answer.status >= http_exceptions.BadRequest.code:
@@ -244,87 +258,16 @@
 
 
 def _closing_with_done(
-    first: bytes, followed: Iterator[bytes]
+    first: bytes,
+    followed: Iterator[bytes],
+    note_error: Callable[[Exception], None],
 ) -> Iterator[bytes]:
     """Yield a run's events, then the closing event or the error."""
     try:
         yield first
         yield from followed
     except exceptions.CarobforkError as error:
+        note_error(error)
         yield sse.encode_event({'error': responses.error_fields(error)})
     else:
         yield sse.DONE
-
-
-def _model_call(request: Request) -> calls.ModelCall:
-    body = _json_object(request)
-    messages = body.pop('messages', None)
-    if not messages or not isinstance(messages, list):
-        raise exceptions.BadRequestError(
-            '"messages" must be a list that is not empty', step=_READ
-        )
-    model = _text_field(body, 'model')
-    encoded = b','.join(json.dumps(message).encode() for message in messages)
-    body.setdefault('max_tokens', DEFAULT_MAX_TOKENS)
-    max_tokens = _count_field(body, 'max_tokens')
-    return calls.ModelCall(
-        program=_required_header(request, headers.PROGRAM),
-        token=_required_header(request, headers.TOKEN),
-        key=_required_header(request, headers.CALL),
-        model=model,
-        messages=encoded,
-        options=json.dumps(body, sort_keys=True).encode(),
-        max_tokens=max_tokens,
-        after=request.headers.get(headers.AFTER, ''),
-    )
-
-
-def _json_object(request: Request) -> dict:
-    try:
-        body = json.loads(request.get_data())
-    except ValueError as error:
-        raise exceptions.BadRequestError(
-            f'the body is not JSON: {error}', step=_READ
-        ) from error
-    if not isinstance(body, dict):
-        raise exceptions.BadRequestError(
-            'the body must be a JSON object', step=_READ
-        )
-    return body
-
-
-def _text_field(body: dict, name: str) -> str:
-    text = body.get(name)
-    if not isinstance(text, str) or not text:
-        raise exceptions.BadRequestError(
-            f'"{name}" must be a text that is not empty', step=_READ
-        )
-    return text
-
-
-def _count_field(body: dict, name: str) -> int:
-    count = body.get(name)
-    known = isinstance(count, int) and not isinstance(count, bool)
-    if not known or not 0 < count <= MAX_COUNT:
-        raise exceptions.BadRequestError(
-            f'"{name}" must be an integer from 1 to {MAX_COUNT}', step=_READ
-        )
-    return count
-
-
-def _offset(request: Request) -> int:
-    text = request.headers.get(headers.OFFSET, '0')
-    if not text.isdecimal():
-        raise exceptions.BadRequestError(
-            f'header {headers.OFFSET} must be a number of bytes', step=_READ
-        )
-    return int(text)
-
-
-def _required_header(request: Request, name: str) -> str:
-    text = request.headers.get(name, '')
-    if not text:
-        raise exceptions.BadRequestError(
-            f'header {name} is missing', step=_READ
-        )
-    return text
--- a/src/carobfork/protocol/responses.py
+++ b/src/carobfork/protocol/responses.py
@@ -2,8 +2,10 @@
 
 import json
 import math
+from urllib import parse as urls
 
-from werkzeug import Response
+import structlog
+from werkzeug import Request, Response
 from werkzeug import exceptions as http_exceptions
 
 from carobfork import clock, exceptions
@@ -13,6 +15,8 @@
 JSON_TYPE = 'application/json'
 _READ = 'read request'
 
+logger = structlog.get_logger(part='responses')
+
 
 def json_response(fields: dict, status: int = 200) -> Response:
     """Return a JSON response."""
@@ -30,6 +34,13 @@
     return response
 
 
+def refusal(request: Request, error: Exception) -> Response:
+    """Return the response for whatever a request failed with."""
+    known = _as_known(error)
+    known.peer = known.peer or f'caller {request.remote_addr}'
+    return error_response(known)
+
+
 def error_fields(error: exceptions.CarobforkError) -> dict:
     """Return an error's public fields."""
     return {
@@ -42,10 +53,25 @@
     }
 
 
-def bad_http(
+def quoted_path(request: Request) -> str:
+    """Return a request's path and query as they may travel on."""
+    path = urls.quote(request.path)
+    query = request.query_string.decode('latin-1')
+    return f'{path}?{query}' if query else path
+
+
+def _as_known(error: Exception) -> exceptions.CarobforkError:
+    if isinstance(error, exceptions.CarobforkError):
+        return error
+    if isinstance(error, http_exceptions.HTTPException):
+        return _bad_http(error)
+    logger.error('A request met an unexpected error.', exc_info=error)
+    return exceptions.CarobforkError('internal error', step='serve')
+
+
+def _bad_http(
     error: http_exceptions.HTTPException,
 ) -> exceptions.BadRequestError:
-    """Return the error that an HTTP exception stands for."""
     if isinstance(error, http_exceptions.RequestEntityTooLarge):
         return exceptions.TooLargeError(
             f'the body exceeds {MAX_BODY_BYTES} bytes', step=_READ
--- a/src/carobfork/transport/engines.py
+++ b/src/carobfork/transport/engines.py
@@ -5,10 +5,10 @@
 from urllib.parse import quote
 
 from carobfork import exceptions
-from carobfork.coordination import ports
+from carobfork.coordination import cache_ports, ports
 from carobfork.protocol import answers, sse
 from carobfork.state import bundles
-from carobfork.transport import connections
+from carobfork.transport import connections, departures
 
 SILENCE_TIMEOUT_MS = 30_000
 CONTROL_TIMEOUT_MS = 2000
@@ -52,10 +52,10 @@
         """End a stream."""
         _ask(worker, 'DELETE', f'{_COMPLETIONS}/{attempt}')
 
-    def inventory(self, worker: bundles.Worker) -> ports.Inventory:
+    def inventory(self, worker: bundles.Worker) -> cache_ports.Inventory:
         """Return what an engine holds."""
         fields = json.loads(_ask(worker, 'GET', '/inventory'))
-        return ports.Inventory(fields['blocks'], fields['streams'])
+        return cache_ports.Inventory(fields['blocks'], fields['streams'])
 
     def release(self, worker: bundles.Worker, program: str) -> None:
         """Cancel a program's streams and drop its cached blocks."""
@@ -77,6 +77,7 @@
     """Yield the events of a response that must end with the closing one."""
     splitter = sse.EventSplitter()
     with connections.Exchange(worker.address, request) as exchange:
+        departures.require_staying(exchange, worker.name)
         _check_status(exchange.status, worker)
         for piece in exchange.pieces():
             if events := splitter.feed(piece):
--- a/src/carobfork_standins/caches.py
+++ b/src/carobfork_standins/caches.py
@@ -43,6 +43,10 @@
         self._capacity = capacity
         self._event_count = 0
 
+    def __len__(self) -> int:
+        """Return how many blocks are held."""
+        return len(self._owners)
+
     def lookup(self, blocks: list[bytes]) -> int:
         """Return how many leading blocks are held, and mark them used."""
         count = 0
--- a/src/carobfork_standins/engine.py
+++ b/src/carobfork_standins/engine.py
@@ -77,6 +77,15 @@
         gevent.spawn(self._batch.run)
         gevent.spawn(self._tick)
 
+    def describe_state(self) -> dict:
+        """Return what runs and what the cache holds."""
+        return {
+            'running': len(self._batch.sequences),
+            'prefilled_tokens': self._batch.prefilled_tokens,
+            'produced_tokens': self._batch.produced_tokens,
+            'cached_blocks': len(self._cache),
+        }
+
     def _rules(self) -> list[Rule]:
         stream = f'{_COMPLETIONS}/<identifier>'
         return [
--- a/src/carobfork_standins/service.py
+++ b/src/carobfork_standins/service.py
@@ -15,6 +15,7 @@
 
 from carobfork import clock
 from carobfork.state import bundles
+from carobfork.transport import departures
 from carobfork_standins import web
 
 
@@ -33,6 +34,8 @@
     delay_before_ms: int = 0
     delay_after_ms: int = 0
     failing_status: int = 0
+    leaving: int = 0
+    """Whether calls are refused because the server leaves."""
 
 
 class ServiceApplication(web.Application):
@@ -54,8 +57,19 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._faults = Faults()
 
+    def describe_state(self) -> dict:
+        """Return how many calls ran and the faults."""
+        return {
+            'server': self._name,
+            'calls': len(self._counts),
+            'runs': self._counts.total(),
+            'faults': attrs.asdict(self._faults),
+        }
+
     def _run(self, request: Request, path: str) -> Response:
         faults = self._faults
+        if faults.leaving:
+            return Response(status=503, headers={departures.HEADER: '1'})
         gevent.sleep(clock.to_seconds(faults.delay_before_ms))
         key = request.headers.get('Idempotency-Key', '')
         self._counts[key] += 1
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -72,9 +72,27 @@
         self.network.lost_kinds = ()
         self.network.tick()
         gevent.sleep(0)
+        self.assertFalse(call.worker)
+        self.network.tick()
+        gevent.sleep(0)
         self.assertTrue(call.worker)
         self.assertEqual(self.network.server().slots(), {'a'})
 
+    def test_grant_on_its_way(self):
+        """A summary that crosses a grant brings no whole list."""
+        holder = self.network.others()[0]
+        self.hold(holder, 'a')
+        server = self.network.server().entry
+        crossing = slot_messages.SlotsOpen(
+            holder.entry.incarnation,
+            slot_hosts.POOL,
+            slot_messages.digest(['a']),
+            slot_messages.digest([]),
+        )
+        self.network.sent.clear()
+        holder.send(server.peer_address, crossing)
+        self.assertEqual(len(self.network.sent), 2)
+
     def test_lost_release(self):
         """A slot whose release got lost is freed by the summary."""
         holder = self.network.others()[0]
@@ -179,6 +197,42 @@
         )
         self.assertEqual(server.slots(), set())
 
+    def test_new_incarnation(self):
+        """A host that goes on under a new incarnation keeps its slots."""
+        for host in (self.network.others()[0], self.network.server()):
+            before = self.hold(host, f'before-{host.entry.incarnation}')
+            host.reincarnate()
+            self.network.tick(count=3)
+            after = self.hold(host, f'after-{host.entry.incarnation}')
+            gevent.sleep(0)
+            self.network.tick(count=3)
+            gevent.sleep(0)
+            self.assertTrue(after.worker)
+            names = {before.request.identifier, after.request.identifier}
+            self.assertLessEqual(names, self.network.server().slots())
+            before.end()
+            after.end()
+            self.assertEqual(self.network.server().slots(), set())
+
+    def test_door(self):
+        """New programs are refused at the door once a pool says so."""
+        holder = self.network.others()[0]
+        holder.broker.check_door(1, queue_limit_ms=4000)
+        server = self.network.server()
+        holder.handlers[slot_messages.SlotsSeen](
+            slot_messages.SlotsSeen(
+                server.entry.incarnation,
+                slot_hosts.POOL,
+                matches=True,
+                waits_ms=(0, 3000),
+            )
+        )
+        holder.broker.check_door(0, queue_limit_ms=4000)
+        with self.assertRaises(exceptions.OverloadedError):
+            holder.broker.check_door(1, queue_limit_ms=4000)
+        self.network.timer.advance(5000)
+        holder.broker.check_door(1, queue_limit_ms=4000)
+
     def test_call_taken_over(self):
         """A call that another host took over outlives its former holder."""
         former, other = self.network.others()
--- a/tests/test_sse.py
+++ b/tests/test_sse.py
@@ -22,9 +22,11 @@
 
     def test_every_character_border(self):
         """Each offset between characters brings exactly the rest."""
-        for count, _ in enumerate(f'{self.text}.'):
-            offset = len(self.text[:count].encode())
-            self.assertEqual(self.read(offset), self.text[count:])
+        rest = self.text
+        while rest:
+            rest = rest[1:]
+            offset = len(self.text.encode()) - len(rest.encode())
+            self.assertEqual(self.read(offset), rest)
 
     def test_offset_inside_a_character(self):
         """An offset that cuts a character is refused."""
@@ -43,7 +45,7 @@
     def test_cut_anywhere(self):
         """Whole events come out, and the closing one is noted."""
         stream = sse.encode_text('a') + sse.encode_text('b') + sse.DONE
-        for cut in range(len(stream)):
+        for cut, _ in enumerate(stream):
             splitter = sse.EventSplitter()
             events = splitter.feed(stream[:cut]) + splitter.feed(stream[cut:])
             self.assertEqual(''.join(sse.texts(events)), 'ab')
