--- a/src/carobfork/coordination/runs.py
+++ b/src/carobfork/coordination/runs.py
@@ -47,20 +47,20 @@
     def push(self, events: bytes) -> None:
         """Add whole events."""
         self._events.append(events)
-        self._notify()
+        self._changed.set()
 
     def finish(self, answer: records.AnswerRecorded) -> None:
         """End the run with its recorded answer."""
         self.answer = answer
         self.worker = answer.worker
         self._finished = True
-        self._notify()
+        self._changed.set()
 
     def fail(self, error: Exception) -> None:
         """End the run with an error for every reader."""
         self._error = error
         self._finished = True
-        self._notify()
+        self._changed.set()
 
     def raw_events(self) -> bytes:
         """Return all events so far."""
@@ -75,20 +75,20 @@
         position = 0
         try:
             while position < len(self._events) or not self._finished:
-                if position == len(self._events):
-                    self._changed.wait()
+                self._wait_beyond(position)
                 fresh = self._events[position:]
                 position += len(fresh)
                 # A run that fails wakes its readers without events.
                 if fresh:
-                    yield b''.join(fresh)
+                    yield fresh[0] if len(fresh) == 1 else b''.join(fresh)
         finally:
             self.readers -= 1
             self._unread_since_ms = self._timer.now_ms()
         if self._error is not None:
             raise self._error
 
-    def _notify(self) -> None:
-        changed = self._changed
-        self._changed = event.Event()
-        changed.set()
+    def _wait_beyond(self, position: int) -> None:
+        """Wait for further events or the end."""
+        if position == len(self._events):
+            self._changed.clear()
+            self._changed.wait()
--- a/src/carobfork/protocol/sse.py
+++ b/src/carobfork/protocol/sse.py
@@ -70,13 +70,19 @@
 
 
 def skip_text(pieces: Iterable[bytes], offset: int) -> Iterator[bytes]:
-    """Yield events without the first ``offset`` bytes of their text.
+    """Return events without the first ``offset`` bytes of their text.
 
     Past the offset, pieces are passed on unparsed.
 
     :raises BadRequestError: the offset cuts a character, or lies behind the
         end of the text.
     """
+    if not offset:
+        return iter(pieces)
+    return _skip(pieces, offset)
+
+
+def _skip(pieces: Iterable[bytes], offset: int) -> Iterator[bytes]:
     left = offset
     for piece in pieces:
         if left > 0:
