--- a/src/carobfork/protocol/signatures.py
+++ b/src/carobfork/protocol/signatures.py
@@ -81,32 +81,7 @@
     )
 
 
-class EnvelopeReader:
-    """Parse signed bundles without checking who signed them."""
-
-    def read(self, envelope: bytes) -> bundles.Bundle:
-        """Return the bundle of an envelope.
-
-        :raises SettingsError: the content is wrong.
-        """
-        signed = open_envelope(envelope)
-        bundle = documents.parse(signed.text, bundles.Bundle, _SOURCE)
-        bundle_checks.verify(bundle, _SOURCE)
-        return bundle
-
-    def claimed_version(self, envelope: bytes) -> int:
-        """Return the version of an envelope whose signature may be wrong.
-
-        It is 0 where the envelope is not even readable.
-        """
-        try:
-            signed = open_envelope(envelope)
-            return documents.parse(signed.text, bundles.Bundle, _SOURCE).version
-        except (exceptions.SettingsError, UnicodeDecodeError):
-            return 0
-
-
-class SignedBundleReader(EnvelopeReader):
+class SignedBundleReader:
     """Check and parse signed bundles.
 
     :param public_path: the operators' public key.
@@ -130,4 +105,17 @@
             raise exceptions.SettingsError(
                 'the bundle is not signed by the operators', step='verify'
             ) from error
-        return super().read(envelope)
+        bundle = documents.parse(signed.text, bundles.Bundle, _SOURCE)
+        bundle_checks.verify(bundle, _SOURCE)
+        return bundle
+
+    def claimed_version(self, envelope: bytes) -> int:
+        """Return the version of an envelope whose signature may be wrong.
+
+        It is 0 where the envelope is not even readable.
+        """
+        try:
+            signed = open_envelope(envelope)
+            return documents.parse(signed.text, bundles.Bundle, _SOURCE).version
+        except (exceptions.SettingsError, UnicodeDecodeError):
+            return 0
