--- a/src/carobfork/coordination/ports.py
+++ b/src/carobfork/coordination/ports.py
@@ -10,6 +10,8 @@
 
 from carobfork.state import bundles, records
 
+_BYTES_PER_TOKEN = 4
+
 
 @attrs.frozen
 class StoredObject:
@@ -110,6 +112,11 @@
     options: bytes
     rank: str
 
+    @property
+    def estimated_tokens(self) -> int:
+        """About how many tokens the messages are."""
+        return len(self.messages) // _BYTES_PER_TOKEN
+
 
 @attrs.frozen
 class ModelAnswer:
@@ -136,11 +143,27 @@
     def stream(self, worker: bundles.Worker, prompt: Prompt) -> Iterator[bytes]:
         """Yield whole server-sent events as they come.
 
-        Closing the iterator cancels the stream at the engine.
+        The stream goes on at the engine for a while after the iterator is
+        closed; ``cancel`` ends it.
+
+        :raises ConnectionFailedError: the engine broke off.
+        """
+
+    def resume(
+        self, worker: bundles.Worker, attempt: str, offset: int
+    ) -> Iterator[bytes]:
+        """Yield the events of a stream from a text offset in bytes.
 
+        :raises StreamLostError: the engine does not know the stream.
         :raises ConnectionFailedError: the engine broke off.
         """
 
+    def cancel(self, worker: bundles.Worker, attempt: str) -> None:
+        """End a stream.
+
+        :raises ConnectionFailedError: the engine did not answer.
+        """
+
     def decode(self, events: bytes) -> ModelAnswer:
         """Return the answer that the events spell."""
 
--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -14,14 +14,21 @@
 from carobfork.coordination import (
     call_notes,
     calls,
+    gone_programs,
     homes,
     local_requests,
     model_calls,
     routing,
     service_calls,
 )
-from carobfork.protocol import headers, requests, responses, sse
-from carobfork.state import bundles
+from carobfork.protocol import (
+    headers,
+    program_requests,
+    requests,
+    responses,
+    sse,
+)
+from carobfork.state import bundles, programs
 
 EVENT_STREAM_TYPE = 'text/event-stream'
 MAX_HOPS = 2
@@ -53,6 +60,7 @@
     router: routing.Router
     models: model_calls.ModelCaller
     services: service_calls.ServiceCaller
+    gone: gone_programs.GonePrograms
     forwarder: Forwarder
     notes: call_notes.CallNotes
     requests: local_requests.LocalRequests
@@ -141,7 +149,7 @@
             )
         fields = {
             name: requests.required_header(request, name)
-            for name in (headers.PROGRAM, headers.TOKEN, headers.CALL)
+            for name in headers.PASSED_ON
             if request.headers.get(name)
         }
         fields['Content-Type'] = requests.content_type(request)
@@ -167,23 +175,36 @@
     def _open(self, request: Request) -> Response:
         body = requests.json_object(request)
         kind = requests.text_field(body, 'kind')
-        opened = self._parts.home.open_program(kind)
+        if headers.PROGRAM in request.headers:
+            parent = self._authorised(request)
+            share = program_requests.share(body)
+            opened = self._parts.home.open_sub_agent(parent, kind, share)
+        else:
+            opened = self._parts.home.open_program(kind)
         return responses.json_response(
             attrs.asdict(opened), status=_HTTP_CREATED
         )
 
+    def _authorised(self, request: Request) -> programs.Program:
+        """Return the program that a request's headers name."""
+        return self._parts.home.authorise(
+            requests.required_header(request, headers.PROGRAM),
+            requests.required_header(request, headers.TOKEN),
+        )
+
     def _close(self, request: Request, program: str) -> Response:
         token = requests.required_header(request, headers.TOKEN)
-        self._parts.home.close_program(program, token, 'closed by its caller')
+        self._parts.home.authorise(program, token)
+        self._parts.gone.end(program, 'closed by its caller')
         return responses.json_response({'program': program})
 
     def _chat(self, request: Request) -> Response:
-        run = self._parts.models.start(requests.model_call(request))
+        offset = program_requests.offset(request)
+        run = self._parts.models.start(requests.model_call(request), offset)
+        events = run.follow()
         if run.answer is not None:
-            text = run.answer.body.decode()
-            events = iter([sse.encode_text(text), sse.DONE])
-            return _event_stream(events, run.worker)
-        followed = run.follow()
+            events = iter([sse.encode_text(run.answer.body.decode())])
+        followed = sse.skip_text(events, offset)
         # Waiting for the first event lets a refusal be a plain HTTP error.
         first = next(followed, b'')
         note_error = functools.partial(self._note_error, request)
--- a/src/carobfork/state/bundles.py
+++ b/src/carobfork/state/bundles.py
@@ -14,6 +14,8 @@
 DEFAULT_QUEUE_LIMIT_MS = 4000
 DEFAULT_TIMEOUT_MS = 10_000
 
+IDLE_LIMIT_MS = 1_800_000
+
 
 @attrs.frozen
 class Address:
@@ -61,6 +63,8 @@
     name: str = attrs.field(validator=limits.name)
     rank: str
     budget: Budget
+    idle_limit_ms: int = IDLE_LIMIT_MS
+    """Longest silence of a program's caller before the program is ended."""
 
 
 @attrs.frozen
--- a/src/carobfork/state/records.py
+++ b/src/carobfork/state/records.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from carobfork.state import bundles, identifiers
+from carobfork.state import bundles, identifiers, spending
 
 
 @attrs.frozen
@@ -115,6 +115,9 @@
     ProgramOpened
     | IntentRecorded
     | AnswerRecorded
+    | spending.CallDispatched
+    | spending.AttemptFailed
+    | spending.TimeSpent
     | IntentWithdrawn
     | ProgramClosed
     | Sealed
