Restart all hosts under load in a scenario; keep calls from leaving engines

Change: pool hosts learn the unusable engines from the platform's list and from this host's own streams. Load verbs run whole programs beside other steps.

Seen: stop_rolling passes: six hosts restarted one after another in 36.7 s under six callers, no request failed. leaving_engine failed before pool hosts were told (line 15: the leaving engine answered) and passes now.

--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -176,7 +176,9 @@
     def _build_slots(self) -> None:
         mailbox = mailboxes.Mailbox(self._find_own, self.members, self.link)
         routes = pool_routes.PoolRoutes(self._find_own, self.members)
-        self.pool_host = pool_hosts.PoolHost(mailbox, self.timer)
+        self.pool_host = pool_hosts.PoolHost(
+            mailbox, self.timer, self._backing.health.unusable
+        )
         self.broker = peer_slots.PeerSlots(mailbox, routes, self.timer)
         for part in (self.pool_host, self.broker):
             self.holder.subscribe(part.apply_bundle)
--- a/src/carobfork/coordination/rollouts.py
+++ b/src/carobfork/coordination/rollouts.py
@@ -60,13 +60,16 @@
             except exceptions.PlatformError as error:
                 logger.warning('The roll is retried.', error=str(error))
             gevent.sleep(clock.to_seconds(RETRY_DELAY_MS))
+        raise self._exhausted()
+
+    def _exhausted(self) -> exceptions.CarobforkError:
         if not self._was_sent:
-            raise exceptions.PlatformError(
+            return exceptions.PlatformError(
                 'the platform does not answer; nothing was rolled',
                 step=_STEP,
                 peer=_PEER,
             )
-        raise exceptions.UnknownOutcomeError(
+        return exceptions.UnknownOutcomeError(
             f'the platform did not say whether version {self.offered.version} '
             'is in force; roll it again',
             step=_STEP,
--- a/src/carobfork_standins/scenarios/fleet_verbs.py
+++ b/src/carobfork_standins/scenarios/fleet_verbs.py
@@ -9,6 +9,7 @@
 from carobfork import exceptions
 from carobfork.coordination import control
 from carobfork.transport import platforms
+from carobfork_standins import layouts
 from carobfork_standins.scenarios import language, stages, verbs
 
 WAIT_SECONDS = 60
@@ -35,6 +36,19 @@
     return verbs.DONE
 
 
+@stages.verb('avoided')
+def avoided(stage: stages.Stage, step: language.Step) -> stages.Seen:
+    """Ask until another engine answers: ``avoided NAME worker=engine-1``."""
+    program = stage.program(step.words[0])
+
+    def is_avoided() -> bool:  # noqa: WPS430
+        reply = program.ask(layouts.MODEL, 'Which rail?', max_tokens=1)
+        return reply.worker != step.options['worker']
+
+    wait_until(is_avoided, f'{step.options["worker"]} still answers')
+    return verbs.DONE
+
+
 @stages.verb('served')
 def served(stage: stages.Stage, step: language.Step) -> stages.Seen:
     """Compare how many calls a service ran: ``served service-1 count=0``."""
--- a/src/carobfork_standins/scenarios/player.py
+++ b/src/carobfork_standins/scenarios/player.py
@@ -9,6 +9,7 @@
     fleet_verbs,
     inputs,
     language,
+    load_verbs,
     recording,
     slot_verbs,
     stages,
