--- a/src/carobfork/inspections/inspectors.py
+++ b/src/carobfork/inspections/inspectors.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Callable
 
+from carobfork import exceptions
 from carobfork.coordination import decisions
 from carobfork.inspections import (  # noqa: F401
     explanations,
@@ -41,19 +42,19 @@
 
     def render_metrics(self) -> bytes:
         """Return the metrics in the text format of Prometheus."""
-        return metrics.render(self._host)
+        return metrics.render(self._serving())
 
     def show_program(self, program: str) -> dict:
         """Return a program's state as JSON-ready fields."""
-        return explanations.show(self._host, program)
+        return explanations.show(self._serving(), program)
 
     def explain(self, program: str) -> list[str]:
         """Say in sentences what was decided about a program, and why."""
-        return explanations.explain(self._host, program)
+        return explanations.explain(self._serving(), program)
 
     def abort(self, program: str, reason: str) -> None:
         """End a program."""
-        self._host.table.find(program)
+        self._serving().table.find(program)
         self._end(program, reason)
         self._host.notes.decisions.note(
             program, decisions.Action.stopped, detail=reason
@@ -61,5 +62,14 @@
 
     def drain(self) -> str:
         """Begin the stop that SIGTERM begins; return the incarnation."""
+        host = self._serving()
         os.kill(os.getpid(), signal.SIGTERM)
-        return str(self._host.members.own.incarnation)
+        return str(host.members.own.incarnation)
+
+    def _serving(self) -> hosts.InspectedHost:
+        """Return the host once all of its parts are there."""
+        if not self._host.is_listening:
+            raise exceptions.NotRunError(
+                'the host is starting or has stopped', step='inspect'
+            )
+        return self._host
