--- a/src/carobfork/coordination/chunks.py
+++ b/src/carobfork/coordination/chunks.py
@@ -5,7 +5,7 @@
 import attrs
 
 from carobfork.coordination import journals, ports
-from carobfork.state import programs, records
+from carobfork.state import programs, records, spending
 
 _KEPT_SHARE = 0.5
 """A chunk is copied once less than this part of it is worth keeping."""
@@ -92,12 +92,24 @@
     """Tell whether a record still matters for the programs of a table."""
     if isinstance(record, records.FRAMES):
         return False
+    return _concerns(record, table)
+
+
+def _concerns(record: records.Record, table: programs.ProgramTable) -> bool:
     if isinstance(record, records.Adopted):
         return record.incarnation in table.incarnations()
+    if isinstance(record, spending.TimeSpent):
+        return table.is_latest_time(record)
     name = getattr(record, 'program', '')
+    if not name:
+        return True
     program = table.programs.get(name)
-    if not name or program is None:
-        return not name
+    return program is not None and _matters_to(program, record)
+
+
+def _matters_to(program: programs.Program, record: records.Record) -> bool:
+    if isinstance(record, spending.CallDispatched):
+        return program.is_dispatched(record)
     if isinstance(record, (records.IntentRecorded, records.IntentWithdrawn)):
         call = program.calls.get(record.key)
         return call is not None and call.answer is None
--- a/src/carobfork/exceptions.py
+++ b/src/carobfork/exceptions.py
@@ -121,6 +121,13 @@
     http_status = 503
 
 
+class OutOfOrderError(NotRunError):
+    """The call that this one comes after has not arrived."""
+
+    code = 'out_of_order'
+    http_status = 409
+
+
 class OverloadedError(NotRunError):
     """The call was refused because its rank's queue is full."""
 
@@ -148,6 +155,20 @@
     http_status = 504
 
 
+class StreamLostError(UnknownOutcomeError):
+    """The stream cannot go on at this offset; ask again from offset 0."""
+
+    code = 'stream_lost'
+    http_status = 409
+
+
+class CancelledError(UnknownOutcomeError):
+    """The call was cancelled because its program is gone."""
+
+    code = 'cancelled'
+    http_status = 410
+
+
 class CallFailedError(CarobforkError):
     """The call ran and its backend server reported a failure."""
 
--- a/src/carobfork/state/bundles.py
+++ b/src/carobfork/state/bundles.py
@@ -14,6 +14,8 @@
 DEFAULT_QUEUE_LIMIT_MS = 4000
 DEFAULT_TIMEOUT_MS = 10_000
 
+IDLE_LIMIT_MS = 1_800_000
+
 
 @attrs.frozen
 class Address:
@@ -38,6 +40,11 @@
         default=DEFAULT_QUEUE_LIMIT_MS, validator=limits.at_least(0)
     )
     """Longest expected wait for a slot before calls are refused."""
+    between_tokens_ms: int = attrs.field(
+        default=0, validator=limits.at_least(0)
+    )
+    """Mean time between tokens to keep while calls of this rank run on an
+    engine, by keeping its batch short; 0 where the rank does not ask."""
 
 
 @attrs.frozen
@@ -56,6 +63,8 @@
     name: str = attrs.field(validator=limits.name)
     rank: str
     budget: Budget
+    idle_limit_ms: int = IDLE_LIMIT_MS
+    """Longest silence of a program's caller before the program is ended."""
 
 
 @attrs.frozen
