--- a/src/carobfork/coordination/rollouts.py
+++ b/src/carobfork/coordination/rollouts.py
@@ -60,16 +60,9 @@
             except exceptions.PlatformError as error:
                 logger.warning('The roll is retried.', error=str(error))
             gevent.sleep(clock.to_seconds(RETRY_DELAY_MS))
-<<<<<<< HEAD
-        raise self._failure()
-
-    def _failure(self) -> exceptions.CarobforkError:
-        """Return what all attempts together tell."""
-=======
         raise self._exhausted()
 
     def _exhausted(self) -> exceptions.CarobforkError:
->>>>>>> fleet
         if not self._was_sent:
             return exceptions.PlatformError(
                 'the platform does not answer; nothing was rolled',
