--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -74,17 +74,19 @@
 
     def call(self, key='d1', path='/deposit', body=b'20'):
         """Make a call."""
-        return self.caller.run(
-            calls.ServiceCall(
-                program=self.opened.program,
-                token=self.opened.token,
-                key=key,
-                service='orders',
-                method='GET' if path == '/stock' else 'POST',
-                path=path,
-                body=body,
-                content_type='text/plain',
-            ),
+        return self.caller.run(self.request(key, path, body))
+
+    def request(self, key, path='/deposit', body=b'20'):
+        """Return a call."""
+        return calls.ServiceCall(
+            program=self.opened.program,
+            token=self.opened.token,
+            key=key,
+            service='orders',
+            method='GET' if path == '/stock' else 'POST',
+            path=path,
+            body=body,
+            content_type='text/plain',
         )
 
     def code_of(self, *arguments, **options):
@@ -193,7 +195,8 @@
     def test_a_turn_that_does_not_come(self):
         """Whoever is told not run is never sent afterwards."""
         program = self.host.table.find(self.opened.program)
-        with self.hasten(), self.host.home.turn(program):
+        first = self.request('d0')
+        with self.hasten(), self.host.home.turn(program, first):
             self.assertIs(self.code_of(), exceptions.NotRunError)
         # The next call's turn comes only after the first would have run.
         self.call('d2')
