--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from carobfork import exceptions
+from carobfork import clock, exceptions
 from carobfork.coordination import runs
 
 
@@ -13,7 +13,7 @@
 
     def test_refused_run_brings_no_event(self):
         """The reader gets the refusal first, not an empty piece."""
-        run = runs.ModelRun('digest')
+        run = runs.ModelRun('digest', clock.ManualClock())
         reader = gevent.spawn(next, run.follow(), b'')
         gevent.sleep(0)
         run.fail(exceptions.OverloadedError('full'))
