--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -144,6 +144,12 @@
             program.identifier, lock.BoundedSemaphore(1)
         )
 
+    def hold(
+        self, program: programs.Program
+    ) -> contextlib.AbstractContextManager:
+        """Hold the program's turn for calls that another host finishes."""
+        return self.turn(program)
+
     @contextlib.contextmanager
     def reservation(
         self, program: programs.Program, tokens: int
