--- a/src/carobfork/composition.py
+++ b/src/carobfork/composition.py
@@ -6,7 +6,15 @@
 import attrs
 import gevent
 
-from carobfork import backing, clock, following, logs, recording, stopping
+from carobfork import (
+    backing,
+    clock,
+    following,
+    logs,
+    recording,
+    serving,
+    stopping,
+)
 from carobfork.coordination import (
     control,
     homes,
@@ -19,13 +27,11 @@
     pool_routes,
     registrations,
     routing,
-    service_calls,
 )
 from carobfork.inspections import counted_stores, inspectors, noted_calls
 from carobfork.protocol import callers, documents, key_files, operators
 from carobfork.state import bundles, identifiers, limits, programs
 from carobfork.transport import (
-    forwarders,
     peers,
     platforms,
     readers,
@@ -123,6 +129,8 @@
         self._stopping.succeed_others(
             self.home, self.recording.takeovers, self.members
         )
+        self.serving = serving.Serving(self, self._backing, self._stopping)
+        self._start(*self.serving.loops())
         self._listen()
         self.is_listening = True
         return self
@@ -144,6 +152,11 @@
         self._exits.close()
         gevent.killall(self._greenlets)
 
+    @property
+    def models(self) -> model_calls.ModelCaller:
+        """The model calls under way."""
+        return self.serving.models
+
     def describe_state(self) -> dict:
         """Return the state dump as JSON-ready fields."""
         if not self.is_listening:
@@ -156,7 +169,7 @@
                 str(host.incarnation) for host in self.members.live()
             ],
             'unusable_servers': self._backing.health.unusable(),
-            'service_calls_under_way': self.services.under_way,
+            **self.serving.describe(),
             **self.recording.describe(),
             'peers': attrs.asdict(self.link.traffic),
             'pools': [attrs.asdict(pool) for pool in self.pool_host.describe()],
@@ -168,7 +181,7 @@
         return peers.PeerLink(self.settings.peer_address, keys)
 
     def _end_program(self, program: str, reason: str) -> None:
-        self.home.end_program(program, reason)
+        self.serving.gone.end(program, reason)
 
     def _find_own(self) -> identifiers.Incarnation:
         return self.members.own.incarnation
@@ -185,32 +198,11 @@
         self.members.on_death(self.pool_host.forget_host)
         self.members.on_death(self.broker.reroute)
 
-    def _build_parts(self) -> callers.CallerParts:
-        self.services = service_calls.ServiceCaller(
-            self.home,
-            noted_calls.NotedServices(
-                self._backing.services, self.notes.decisions
-            ),
-            self._backing.health,
-        )
-        self.models = model_calls.ModelCaller(self.home, self._backing.models)
-        return callers.CallerParts(
-            home=self.home,
-            router=routing.Router(
-                self.table, self.members, self._stopping.requests
-            ),
-            models=self.models,
-            requests=self._stopping.requests,
-            services=self.services,
-            forwarder=forwarders.HttpForwarder(),
-            notes=self.notes,
-        )
-
     def _start(self, *loops) -> None:
         self._greenlets.extend(gevent.spawn(loop) for loop in loops)
 
     def _listen(self) -> None:
-        caller = callers.CallerApplication(self._build_parts())
+        caller = callers.CallerApplication(self.serving.caller_parts())
         self.caller_listener = self._exits.enter_context(
             servers.HttpServer(
                 self.settings.caller_address,
@@ -221,7 +213,7 @@
 
     def _programs_under_way(self) -> set[str]:
         """Return the programs with calls in progress."""
-        keys = (*self.models.runs, *self.services.running)
+        keys = (*self.models.runs, *self.serving.services.running)
         return {program for program, _ in keys}
 
     def _describe(self, number: int) -> routing.EntryHost:
--- a/src/carobfork/coordination/calls.py
+++ b/src/carobfork/coordination/calls.py
@@ -24,6 +24,8 @@
     messages: bytes
     options: bytes
     max_tokens: int
+    after: str = ''
+    """Key of the call that must come first, or nothing."""
 
     @property
     def digest(self) -> str:
@@ -45,6 +47,8 @@
     path: str
     body: bytes
     content_type: str
+    after: str = ''
+    """Key of the call that must come first, or nothing."""
 
     @property
     def digest(self) -> str:
@@ -68,11 +72,17 @@
 def require_open(program: programs.Program) -> None:
     """Check that a program takes calls.
 
-    :raises ProgramClosedError: it has ended.
+    :raises BudgetExceededError: it ended because its time is spent.
+    :raises ProgramClosedError: it has ended for another reason.
     """
-    if program.closed_reason:
+    reason = program.closed_reason or program.ending_reason
+    if reason == programs.OUT_OF_TIME:
+        raise exceptions.BudgetExceededError(
+            f'the program ended: {reason}', step='admit'
+        )
+    if reason:
         raise exceptions.ProgramClosedError(
-            f'the program ended: {program.closed_reason}', step='admit'
+            f'the program ended: {reason}', step='admit'
         )
 
 
--- a/src/carobfork/protocol/requests.py
+++ b/src/carobfork/protocol/requests.py
@@ -37,9 +37,9 @@
     body = json_object(request)
     messages = _messages(body)
     if body.setdefault('stream', True) is not True:
-        _refuse('"stream" must be true: answers are always streamed')
+        refuse('"stream" must be true: answers are always streamed')
     max_tokens = body.setdefault('max_tokens', DEFAULT_MAX_TOKENS)
-    _require_count('max_tokens', max_tokens, MAX_TOKENS_LIMIT)
+    require_count('max_tokens', max_tokens, MAX_TOKENS_LIMIT)
     return calls.ModelCall(
         program=required_header(request, headers.PROGRAM),
         token=required_header(request, headers.TOKEN),
@@ -48,6 +48,7 @@
         messages=messages,
         options=json.dumps(body, sort_keys=True).encode(),
         max_tokens=max_tokens,
+        after=_after(request),
     )
 
 
@@ -68,6 +69,7 @@
         path=f'/{path}',
         body=request.get_data(),
         content_type=content_type(request),
+        after=_after(request),
     )
 
 
@@ -83,7 +85,7 @@
             f'the body is not JSON: {error}', step=_READ
         ) from error
     if not isinstance(body, dict):
-        _refuse('the body must be a JSON object')
+        refuse('the body must be a JSON object')
     return body
 
 
@@ -94,7 +96,7 @@
     """
     text = body.get(name)
     if not isinstance(text, str) or not text:
-        _refuse(f'"{name}" must be a text that is not empty')
+        refuse(f'"{name}" must be a text that is not empty')
     return text
 
 
@@ -105,7 +107,7 @@
     """
     text = request.headers.get(name, '')
     if not text:
-        _refuse(f'header {name} is missing')
+        refuse(f'header {name} is missing')
     check_header(name, text)
     return text
 
@@ -116,7 +118,7 @@
     :raises BadRequestError: it has other characters or too many.
     """
     if len(text) > MAX_HEADER_CHARACTERS or not _VISIBLE.fullmatch(text):
-        _refuse(
+        refuse(
             f'{name} must be 1 to {MAX_HEADER_CHARACTERS} '
             'visible ASCII characters'
         )
@@ -129,16 +131,22 @@
     """
     text = request.content_type or responses.JSON_TYPE
     if len(text) > MAX_HEADER_CHARACTERS or not _CONTENT_TYPE.fullmatch(text):
-        _refuse('header Content-Type is malformed')
+        refuse('header Content-Type is malformed')
     return text
 
 
+def _after(request: Request) -> str:
+    if headers.AFTER not in request.headers:
+        return ''
+    return required_header(request, headers.AFTER)
+
+
 def _messages(body: dict) -> bytes:
     messages = body.pop('messages', None)
     if not messages or not isinstance(messages, list):
-        _refuse('"messages" must be a list that is not empty')
+        refuse('"messages" must be a list that is not empty')
     if len(messages) > MAX_MESSAGES:
-        _refuse(f'"messages" holds more than {MAX_MESSAGES}')
+        refuse(f'"messages" holds more than {MAX_MESSAGES}')
     for position, message in enumerate(messages):
         _check_message(position, message)
     return b','.join(json.dumps(message).encode() for message in messages)
@@ -147,18 +155,26 @@
 def _check_message(position: int, message: object) -> None:
     name = f'messages[{position}]'
     if not isinstance(message, dict):
-        _refuse(f'"{name}" must be an object')
+        refuse(f'"{name}" must be an object')
     if not isinstance(message.get('role'), str):
-        _refuse(f'"{name}.role" must be a text')
+        refuse(f'"{name}.role" must be a text')
     if not isinstance(message.get('content', ''), str | list | None):
-        _refuse(f'"{name}.content" must be a text or a list of parts')
+        refuse(f'"{name}.content" must be a text or a list of parts')
+
 
+def require_count(name: str, count: object, highest: int) -> None:
+    """Check that a field is a whole number from 1 on.
 
-def _require_count(name: str, count: object, highest: int) -> None:
+    :raises BadRequestError: it is not.
+    """
     is_whole = isinstance(count, int) and not isinstance(count, bool)
     if not is_whole or not 1 <= count <= highest:
-        _refuse(f'"{name}" must be a whole number from 1 to {highest}')
+        refuse(f'"{name}" must be a whole number from 1 to {highest}')
+
 
+def refuse(message: str) -> NoReturn:
+    """Refuse a request.
 
-def _refuse(message: str) -> NoReturn:
+    :raises BadRequestError: always.
+    """
     raise exceptions.BadRequestError(message, step=_READ)
--- a/src/carobfork_standins/scenarios/player.py
+++ b/src/carobfork_standins/scenarios/player.py
@@ -10,6 +10,7 @@
     inputs,
     language,
     load_verbs,
+    program_verbs,
     recording,
     slot_verbs,
     stages,
