--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -181,12 +181,6 @@
         """Hold the program's turn: its calls run one at a time, in order."""
         return self.turns.hold(program, call.key, call.after)
 
-    def hold(
-        self, program: programs.Program
-    ) -> contextlib.AbstractContextManager:
-        """Hold the program's turn for calls that another host finishes."""
-        return self.turn(program)
-
     @contextlib.contextmanager
     def reservation(
         self,
