--- a/src/carobfork/protocol/requests.py
+++ b/src/carobfork/protocol/requests.py
@@ -48,7 +48,7 @@
         messages=messages,
         options=json.dumps(body, sort_keys=True).encode(),
         max_tokens=max_tokens,
-        after=_after(request),
+        after=request.headers.get(headers.AFTER, ''),
     )
 
 
@@ -69,7 +69,7 @@
         path=f'/{path}',
         body=request.get_data(),
         content_type=content_type(request),
-        after=_after(request),
+        after=request.headers.get(headers.AFTER, ''),
     )
 
 
@@ -135,12 +135,6 @@
     return text
 
 
-def _after(request: Request) -> str:
-    if headers.AFTER not in request.headers:
-        return ''
-    return required_header(request, headers.AFTER)
-
-
 def _messages(body: dict) -> bytes:
     messages = body.pop('messages', None)
     if not messages or not isinstance(messages, list):
