--- a/src/carobfork/coordination/homes.py
+++ b/src/carobfork/coordination/homes.py
@@ -174,12 +174,14 @@
             program = self.table.programs.get(program.parent)
 
     def turn(
-        self,
-        program: programs.Program,
-        call: calls.ModelCall | calls.ServiceCall,
+        self, program: programs.Program, key: str = '', after: str = ''
     ) -> contextlib.AbstractContextManager:
-        """Hold the program's turn: its calls run one at a time, in order."""
-        return self.turns.hold(program, call.key, call.after)
+        """Hold the program's turn: its calls run one at a time, in order.
+
+        :param key: the call's key, empty for what is no call.
+        :param after: key of the call that must come first, or nothing.
+        """
+        return self.turns.hold(program, key, after)
 
     @contextlib.contextmanager
     def reservation(
--- a/src/carobfork/coordination/model_calls.py
+++ b/src/carobfork/coordination/model_calls.py
@@ -98,7 +98,7 @@
         offset: int,
     ) -> None:
         try:
-            with self._home.turn(program, call):
+            with self._home.turn(program, call.key, call.after):
                 calls.require_open(program)
                 work = self._prepare(run, program, call, model, offset)
                 run.finish(self.runner.run(work))
--- a/src/carobfork/coordination/service_calls.py
+++ b/src/carobfork/coordination/service_calls.py
@@ -104,7 +104,7 @@
     ) -> None:
         """Run a call in its turn; a late answer is awaited beyond it."""
         try:
-            with self._home.turn(program, call):
+            with self._home.turn(program, call.key, call.after):
                 with self._home.reservation(program, tokens=0):
                     self._prepare(running, program, call, operation)
                     sending = logs.spawn(
