--- a/src/carobfork/protocol/callers.py
+++ b/src/carobfork/protocol/callers.py
@@ -101,7 +101,7 @@
     def __call__(self, environ: dict, start_response: Callable):
         """Answer one request."""
         request = Request(environ)
-        caller = requests.claimed_caller(request)
+        caller = _claimed_caller(request)
         logs.begin(
             program=caller.program, call=caller.call, peer=request.remote_addr
         )
@@ -121,7 +121,7 @@
         if not isinstance(error, exceptions.OverloadedError):
             # In a flood the counter of refusals tells enough.
             logger.info('A request was refused.', error=str(error))
-        caller = requests.claimed_caller(request)
+        caller = _claimed_caller(request)
         self._parts.notes.note_error(caller, error)
 
     def _route(self, request: Request) -> Response:
@@ -267,3 +267,12 @@
         yield sse.encode_event({'error': responses.error_fields(error)})
     else:
         yield sse.DONE
+
+
+def _claimed_caller(request: Request) -> call_notes.Caller:
+    """Return who a request says that it comes from, cut to a bounded size."""
+    program, token, call = (
+        request.headers.get(name, '')[: requests.MAX_HEADER_CHARACTERS]
+        for name in (headers.PROGRAM, headers.TOKEN, headers.CALL)
+    )
+    return call_notes.Caller(program, token, call)
--- a/src/carobfork/protocol/requests.py
+++ b/src/carobfork/protocol/requests.py
@@ -8,7 +8,7 @@
 from werkzeug import Request
 
 from carobfork import exceptions
-from carobfork.coordination import call_notes, calls
+from carobfork.coordination import calls
 from carobfork.protocol import headers, responses
 
 DEFAULT_MAX_TOKENS = 1024
@@ -20,15 +20,6 @@
 _CONTENT_TYPE = re.compile(r'[ -~]+')
 
 
-def claimed_caller(request: Request) -> call_notes.Caller:
-    """Return who a request says that it comes from, cut to a bounded size."""
-    program, token, call = (
-        request.headers.get(name, '')[:MAX_HEADER_CHARACTERS]
-        for name in (headers.PROGRAM, headers.TOKEN, headers.CALL)
-    )
-    return call_notes.Caller(program, token, call)
-
-
 def model_call(request: Request) -> calls.ModelCall:
     """Return the model call that a request asks for.
 
