--- a/src/carobfork/commands/operations.py
+++ b/src/carobfork/commands/operations.py
@@ -3,7 +3,7 @@
 import contextlib
 import json
 
-from carobfork import exceptions, sessions
+from carobfork import exceptions, replies, sessions
 from carobfork.transport import connections
 
 _CLIENT_ERROR = 400
@@ -24,7 +24,7 @@
         reply = exchange.read()
         status = exchange.status
     if status >= _CLIENT_ERROR:
-        raise sessions.decode_error(reply)
+        raise replies.decode_error(reply)
     return _decode(reply, address)
 
 
--- a/src/carobfork_standins/scenarios/inputs.py
+++ b/src/carobfork_standins/scenarios/inputs.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent import socket
 
-from carobfork import sessions
+from carobfork import replies
 from carobfork.protocol import headers
 from carobfork_standins.scenarios import language, stages
 
@@ -92,5 +92,5 @@
 def _seen(status: int, body: bytes) -> stages.Seen:
     if status < _CLIENT_ERROR:
         return stages.Seen('done', body.decode(), status=status)
-    error = sessions.decode_error(body)
+    error = replies.decode_error(body)
     return stages.Seen(error.outcome, code=error.code, status=status)
