Read stream errors by replies in the experiments' driver

Cause: decode_error moved; the driver ended in an AttributeError on refusals. Measured: the 24 unit modules, each run alone: all passed.

--- a/src/carobfork_standins/experiments/drivers.py
+++ b/src/carobfork_standins/experiments/drivers.py
@@ -8,7 +8,7 @@
 import gevent
 from gevent import pool
 
-from carobfork import clock, exceptions, sessions
+from carobfork import clock, exceptions, replies, sessions
 from carobfork.protocol import headers
 from carobfork_standins import layouts
 from carobfork_standins.experiments import workloads
@@ -177,7 +177,7 @@
         }
         with self._program.connect(key, json.dumps(request).encode()) as reply:
             if reply.status != _OK:
-                raise sessions.decode_error(reply.read())
+                raise replies.decode_error(reply.read())
             return self._read(reply, asked_ms)
 
     def _read(self, reply, asked_ms: float) -> CallMeasure:
@@ -211,7 +211,7 @@
     """Raise the error that a broken-off stream ends with, if it does."""
     _, found, fields = tail.rpartition(_ERROR)
     if found:
-        raise sessions.decode_error(found + fields)
+        raise replies.decode_error(found + fields)
 
 
 def _usage(tail: bytes) -> tuple[int, int]:
