Send a program's calls to its home at once

Cause: the library sent each request to a random entry host; five of six were relayed by a second host, twice the cost of each streamed token.

Ruled out: naming the home in the reply that opens a program only: after a takeover the caller would not learn the new one.

Change: an address book asks which host to use for a program, takes the home that the answer names first, and asks again when the answer expires, after a failed connection and after a refusal as not run.

Tests: 6 of test_address_books; whole_path, stop_rolling, stream_entry_killed, stream_home_killed, records_two_deaths passed.

--- a/src/carobfork/answer_streams.py
+++ b/src/carobfork/answer_streams.py
@@ -32,8 +32,8 @@
     ) -> connections.Exchange:
         """Return an exchange with one of the entry hosts."""
 
-    def forget_addresses(self) -> None:
-        """Ask for the entry hosts again before the next request."""
+    def forget_addresses(self, fields: Mapping[str, str]) -> None:
+        """Ask for the entry hosts again before the next such request."""
 
     def stream_delays_ms(self) -> Iterator[float]:
         """Yield the pause after each attempt that brought no text, in ms."""
@@ -104,8 +104,11 @@
         self, error: exceptions.CarobforkError
     ) -> exceptions.CarobforkError:
         """Return an error that tells of all attempts, not only of the last."""
+        if isinstance(
+            error, exceptions.ConnectionFailedError | exceptions.NotRunError
+        ):
+            self._connector.forget_addresses(self._fields)
         if isinstance(error, exceptions.ConnectionFailedError):
-            self._connector.forget_addresses()
             error = replies.lost_connection(error)
         if error.outcome is exceptions.Outcome.unknown or self._offset:
             self._may_have_run = True
--- a/src/carobfork/commands/bundles.py
+++ b/src/carobfork/commands/bundles.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from carobfork import exceptions, sessions
+from carobfork import address_books, exceptions
 from carobfork.commands import differences, operations, outputs
 from carobfork.coordination import bundle_checks, control, rollouts
 from carobfork.protocol import documents, signatures
@@ -59,7 +59,7 @@
         """
         envelope = documents.read_text(signed).encode()
         reader = signatures.SignedBundleReader(key)
-        store = platforms.HttpObjectStore(sessions.parse_address(platform))
+        store = platforms.HttpObjectStore(address_books.parse_address(platform))
         rolled = rollouts.Rollout(store, reader, envelope).run()
         return outputs.done(
             f'Version {rolled.version} is in force.', version=rolled.version
@@ -141,7 +141,7 @@
 
 
 def _in_force(platform: str) -> bytes:
-    store = platforms.HttpObjectStore(sessions.parse_address(platform))
+    store = platforms.HttpObjectStore(address_books.parse_address(platform))
     found = store.fetch(control.BUNDLE_KEY)
     if found is None:
         raise exceptions.NotRunError(
--- a/src/carobfork/commands/operations.py
+++ b/src/carobfork/commands/operations.py
@@ -3,7 +3,7 @@
 import contextlib
 import json
 
-from carobfork import exceptions, replies, sessions
+from carobfork import address_books, exceptions, replies
 from carobfork.transport import connections
 
 _CLIENT_ERROR = 400
@@ -19,7 +19,7 @@
     :raises CarobforkError: no answer came, or the process refused.
     """
     request = connections.HttpRequest(method, path, body)
-    peer = sessions.parse_address(address)
+    peer = address_books.parse_address(address)
     with connections.Exchange(peer, request) as exchange:
         reply = exchange.read()
         status = exchange.status
--- a/src/carobfork/sessions.py
+++ b/src/carobfork/sessions.py
@@ -14,6 +14,7 @@
 import gevent
 
 from carobfork import (
+    address_books,
     answer_streams,
     clock,
     exceptions,
@@ -21,7 +22,6 @@
     retry_budgets,
 )
 from carobfork.protocol import headers
-from carobfork.state import bundles
 from carobfork.transport import connections
 
 _OK = 200
@@ -59,10 +59,9 @@
         """Start without asking any host yet."""
         self.options = Options(**options)
         self.retries = retry_budgets.RetryBudget()
-        self._seeds = list(addresses)
-        self._addresses: list[str] = []
-        self._expires_ms = 0
-        self._clock = clock.SystemClock()
+        self._book = address_books.AddressBook(
+            addresses, self.options.pinned, clock.SystemClock()
+        )
 
     def open(self, kind: str) -> 'Program':
         """Open a program.
@@ -81,17 +80,6 @@
         opened = json.loads(reply.body)
         return Program(self, opened['program'], opened['token'])
 
-    def addresses(self) -> list[str]:
-        """Return the entry hosts to use, asking again when expired."""
-        if self.options.pinned:
-            return self._seeds
-        now_ms = self._clock.now_ms()
-        if not self._addresses or now_ms >= self._expires_ms:
-            answer = self._ask_addresses()
-            self._addresses = answer['addresses']
-            self._expires_ms = now_ms + answer['ttl_ms']
-        return self._addresses
-
     def exchange(
         self, method: str, path: str, body: bytes, fields: Mapping[str, str]
     ) -> replies.Reply:
@@ -105,6 +93,7 @@
                 return self._exchange_once(method, path, body, fields)
             except exceptions.NotRunError as error:
                 self.retries.spend(error)
+                self.forget_addresses(fields)
                 last_error = error
             pause_ms = max(delay_ms, last_error.retry_after_ms or 0)
             gevent.sleep(clock.to_seconds(pause_ms))
@@ -121,20 +110,22 @@
         """Yield the pause after each attempt that brought no text, in ms."""
         return self.delays_ms(self.options.stream_attempts)
 
-    def forget_addresses(self) -> None:
-        """Ask for the entry hosts again before the next request."""
-        self._addresses = []
+    def forget_addresses(self, fields: Mapping[str, str]) -> None:
+        """Ask for the entry hosts again before the next such request."""
+        self._book.forget(fields.get(headers.PROGRAM, ''))
 
     def connect(
         self, method: str, path: str, body: bytes, fields: Mapping[str, str]
     ) -> connections.Exchange:
-        """Return an exchange with one of the entry hosts."""
+        """Return an exchange with one of the entry hosts.
+
+        It is the home of the program that the headers name, if they do.
+        """
         request = connections.HttpRequest(
             method, path, body, fields, self.options.timeout_ms
         )
-        return connections.Exchange(
-            parse_address(random.choice(self.addresses())), request
-        )
+        address = self._book.choose(fields.get(headers.PROGRAM, ''))
+        return connections.Exchange(address, request)
 
     def _exchange_once(
         self, method: str, path: str, body: bytes, fields: Mapping[str, str]
@@ -143,24 +134,9 @@
             with self.connect(method, path, body, fields) as exchange:
                 return replies.read_reply(exchange)
         except exceptions.ConnectionFailedError as error:
-            self.forget_addresses()
+            self.forget_addresses(fields)
             raise replies.lost_connection(error) from error
 
-    def _ask_addresses(self) -> dict:
-        known = [*self._addresses, *self._seeds]
-        for address in random.sample(known, len(known)):
-            request = connections.HttpRequest('GET', '/v1/addresses')
-            try:
-                with connections.Exchange(
-                    parse_address(address), request
-                ) as exchange:
-                    return json.loads(exchange.read())
-            except exceptions.ConnectionFailedError as error:
-                last_error = error
-        raise exceptions.NotRunError(
-            'no entry host answers', step='ask addresses', peer=address
-        ) from last_error
-
 
 class Program:
     """A program: calls that run in order, under one budget.
@@ -316,16 +292,3 @@
             headers.TOKEN: self.token,
             headers.CALL: key,
         }
-
-
-def parse_address(text: str) -> bundles.Address:
-    """Parse ``ip:port``.
-
-    :raises SettingsError: the text has another form.
-    """
-    ip, _, port = text.rpartition(':')
-    if not ip or not port.isdecimal():
-        raise exceptions.SettingsError(
-            f'"{text}" is not of the form ip:port', step='parse'
-        )
-    return bundles.Address(ip, int(port))
