Retry for as long as a takeover takes, and resume in the experiments

Cause: after a host's death the experiments lost 26 of 246 programs: 26 streams broke off and the driver, which reads by itself, did not ask again. Asking again, 5 programs ended as unavailable: 6 attempts, about 2.5 s, were over before the takeover. Change: the driver asks again under the call's key; a session sends a call that was refused as not run 12 times in all, with the pauses as before (at most 2 s each). Retries of overloaded calls keep their own budget.

--- a/src/carobfork/sessions.py
+++ b/src/carobfork/sessions.py
@@ -31,7 +31,8 @@
 class Options:
     """How a session behaves.
 
-    :param attempts: how often a call refused as not run is sent in all.
+    :param attempts: how often a call refused as not run is sent in all; the
+        pauses between them outlast a takeover.
     :param stream_attempts: how often a model call is sent in all without
         bringing any text; it is safe to send again under its key.
     :param retry_delay_ms: pause before a retry, doubled each time.
@@ -40,7 +41,7 @@
     :param pinned: use only the given addresses and ask for no others.
     """
 
-    attempts: int = 4
+    attempts: int = 12
     stream_attempts: int = 16
     retry_delay_ms: int = 100
     max_retry_delay_ms: int = 2000
@@ -242,6 +243,10 @@
             'POST', '/v1/chat/completions', body, self._fields(key)
         )
 
+    def forget_home(self) -> None:
+        """Ask for the program's home again before the next request."""
+        self._session.forget_addresses(self._fields(''))
+
     def call(
         self,
         service: str,
--- a/src/carobfork_standins/experiments/drivers.py
+++ b/src/carobfork_standins/experiments/drivers.py
@@ -20,6 +20,11 @@
 _TRIES_ONCE_ADMITTED = 30
 _RETRY_MS = 200
 _RETRY_JITTER = (0.8, 1.4)
+_BROKEN_OFF = (
+    exceptions.ConnectionFailedError,
+    exceptions.PlatformError,
+    exceptions.UnknownOutcomeError,
+)
 _TAIL_BYTES = 2000
 _OK = 200
 
@@ -86,7 +91,7 @@
     def _run_program(self, plan: workloads.ProgramPlan) -> None:
         measure = ProgramMeasure(plan.name, plan.rank, plan.start_ms)
         self.measures.append(measure)
-        session = sessions.Session(self._addresses, attempts=6)
+        session = sessions.Session(self._addresses, attempts=12)
         try:
             self._run_turns(session, plan, measure)
         except exceptions.CarobforkError as error:
@@ -152,6 +157,11 @@
             except exceptions.NotRunError as error:
                 self._note_refusal(error, asked_ms)
                 continue
+            except _BROKEN_OFF:
+                # A model call is safe to send again under its key.
+                self._program.forget_home()
+                self._pause(_RETRY_MS)
+                continue
             self._measure.admitted = True
             self._measure.calls.append(call)
             return
@@ -161,7 +171,9 @@
         self, error: exceptions.NotRunError, asked_ms: float
     ) -> None:
         self._measure.refused_ms.append(self._driver.now_ms() - asked_ms)
-        pause_ms = error.retry_after_ms or _RETRY_MS
+        self._pause(error.retry_after_ms or _RETRY_MS)
+
+    def _pause(self, pause_ms: float) -> None:
         jitter = random.uniform(*_RETRY_JITTER)
         gevent.sleep(clock.to_seconds(pause_ms * jitter))
 
