--- a/src/carobfork/sessions.py
+++ b/src/carobfork/sessions.py
@@ -14,6 +14,7 @@
 import gevent
 
 from carobfork import (
+    address_books,
     answer_streams,
     clock,
     exceptions,
@@ -21,7 +22,6 @@
     retry_budgets,
 )
 from carobfork.protocol import headers
-from carobfork.state import bundles
 from carobfork.transport import connections
 
 _OK = 200
@@ -31,7 +31,8 @@
 class Options:
     """How a session behaves.
 
-    :param attempts: how often a call refused as not run is sent in all.
+    :param attempts: how often a call refused as not run is sent in all; the
+        pauses between them outlast a takeover.
     :param stream_attempts: how often a model call is sent in all without
         bringing any text; it is safe to send again under its key.
     :param retry_delay_ms: pause before a retry, doubled each time.
@@ -40,7 +41,7 @@
     :param pinned: use only the given addresses and ask for no others.
     """
 
-    attempts: int = 4
+    attempts: int = 12
     stream_attempts: int = 16
     retry_delay_ms: int = 100
     max_retry_delay_ms: int = 2000
@@ -59,10 +60,9 @@
         """Start without asking any host yet."""
         self.options = Options(**options)
         self.retries = retry_budgets.RetryBudget()
-        self._seeds = list(addresses)
-        self._addresses: list[str] = []
-        self._expires_ms = 0
-        self._clock = clock.SystemClock()
+        self._book = address_books.AddressBook(
+            addresses, self.options.pinned, clock.SystemClock()
+        )
 
     def open(self, kind: str) -> 'Program':
         """Open a program.
@@ -81,17 +81,6 @@
         opened = json.loads(reply.body)
         return Program(self, opened['program'], opened['token'])
 
-    def addresses(self) -> list[str]:
-        """Return the entry hosts to use, asking again when expired."""
-        if self.options.pinned:
-            return self._seeds
-        now_ms = self._clock.now_ms()
-        if not self._addresses or now_ms >= self._expires_ms:
-            answer = self._ask_addresses()
-            self._addresses = answer['addresses']
-            self._expires_ms = now_ms + answer['ttl_ms']
-        return self._addresses
-
     def exchange(
         self, method: str, path: str, body: bytes, fields: Mapping[str, str]
     ) -> replies.Reply:
@@ -105,6 +94,7 @@
                 return self._exchange_once(method, path, body, fields)
             except exceptions.NotRunError as error:
                 self.retries.spend(error)
+                self.forget_addresses(fields)
                 last_error = error
             pause_ms = max(delay_ms, last_error.retry_after_ms or 0)
             gevent.sleep(clock.to_seconds(pause_ms))
@@ -121,20 +111,22 @@
         """Yield the pause after each attempt that brought no text, in ms."""
         return self.delays_ms(self.options.stream_attempts)
 
-    def forget_addresses(self) -> None:
-        """Ask for the entry hosts again before the next request."""
-        self._addresses = []
+    def forget_addresses(self, fields: Mapping[str, str]) -> None:
+        """Ask for the entry hosts again before the next such request."""
+        self._book.forget(fields.get(headers.PROGRAM, ''))
 
     def connect(
         self, method: str, path: str, body: bytes, fields: Mapping[str, str]
     ) -> connections.Exchange:
-        """Return an exchange with one of the entry hosts."""
+        """Return an exchange with one of the entry hosts.
+
+        It is the home of the program that the headers name, if they do.
+        """
         request = connections.HttpRequest(
             method, path, body, fields, self.options.timeout_ms
         )
-        return connections.Exchange(
-            parse_address(random.choice(self.addresses())), request
-        )
+        address = self._book.choose(fields.get(headers.PROGRAM, ''))
+        return connections.Exchange(address, request)
 
     def _exchange_once(
         self, method: str, path: str, body: bytes, fields: Mapping[str, str]
@@ -143,24 +135,9 @@
             with self.connect(method, path, body, fields) as exchange:
                 return replies.read_reply(exchange)
         except exceptions.ConnectionFailedError as error:
-            self.forget_addresses()
+            self.forget_addresses(fields)
             raise replies.lost_connection(error) from error
 
-    def _ask_addresses(self) -> dict:
-        known = [*self._addresses, *self._seeds]
-        for address in random.sample(known, len(known)):
-            request = connections.HttpRequest('GET', '/v1/addresses')
-            try:
-                with connections.Exchange(
-                    parse_address(address), request
-                ) as exchange:
-                    return json.loads(exchange.read())
-            except exceptions.ConnectionFailedError as error:
-                last_error = error
-        raise exceptions.NotRunError(
-            'no entry host answers', step='ask addresses', peer=address
-        ) from last_error
-
 
 class Program:
     """A program: calls that run in order, under one budget.
@@ -266,6 +243,10 @@
             'POST', '/v1/chat/completions', body, self._fields(key)
         )
 
+    def forget_home(self) -> None:
+        """Ask for the program's home again before the next request."""
+        self._session.forget_addresses(self._fields(''))
+
     def call(
         self,
         service: str,
@@ -316,16 +297,3 @@
             headers.TOKEN: self.token,
             headers.CALL: key,
         }
-
-
-def parse_address(text: str) -> bundles.Address:
-    """Parse ``ip:port``.
-
-    :raises SettingsError: the text has another form.
-    """
-    ip, _, port = text.rpartition(':')
-    if not ip or not port.isdecimal():
-        raise exceptions.SettingsError(
-            f'"{text}" is not of the form ip:port', step='parse'
-        )
-    return bundles.Address(ip, int(port))
