Move the lab's processes into a module of their own

Change: lab_processes.py holds LabProcess and its error; behaviour is the same. Tests: whole_path, test_inspections and test_logs pass.

--- a/bench/relay_subjects.py
+++ b/bench/relay_subjects.py
@@ -11,7 +11,7 @@
 from carobfork.protocol import headers
 from carobfork.state import bundles
 from carobfork.transport import connections
-from carobfork_standins import batching, labs, layouts
+from carobfork_standins import batching, lab_processes, labs, layouts
 
 ENTRY = 'entry-1'
 BARE = 'bare'
@@ -59,7 +59,7 @@
         network = lab.layout.network
         own = bundles.Address(f'{network}.200', layouts.CALLER_PORT)
         engine = lab.layout.workers()[0].address
-        lab.processes[BARE] = labs.LabProcess(
+        lab.processes[BARE] = lab_processes.LabProcess(
             name=BARE,
             arguments=[
                 'bench.bare_relay',
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -15,7 +15,7 @@
 from carobfork.coordination import rollouts  # noqa: E402
 from carobfork.protocol import documents, signatures  # noqa: E402
 from carobfork.transport import platforms  # noqa: E402
-from carobfork_standins import labs, layouts  # noqa: E402
+from carobfork_standins import lab_processes, labs, layouts  # noqa: E402
 
 POLL_SECONDS = 0.002
 TIMEOUT_SECONDS = 60
@@ -67,7 +67,7 @@
     deadline = started + TIMEOUT_SECONDS
     while lab.state(entry)['bundle_version'] < version:
         if time.monotonic() > deadline:
-            raise labs.LabError('the bundle did not come', peer=entry)
+            raise lab_processes.LabError('the bundle did not come', peer=entry)
         gevent.sleep(POLL_SECONDS)
     return (time.monotonic() - started) * clock.MS_PER_SECOND
 
--- a/src/carobfork_standins/labs.py
+++ b/src/carobfork_standins/labs.py
@@ -13,79 +13,16 @@
 from collections.abc import Sequence
 from types import TracebackType
 
-import attrs
 import gevent
 import psutil
-from gevent import socket
 
-from carobfork import exceptions, sessions
+from carobfork import sessions
 from carobfork.protocol import documents, signatures
 from carobfork.state import bundles
 from carobfork.transport import connections, peer_keys
-from carobfork_standins import layouts
+from carobfork_standins import lab_processes, layouts
 
-READY_SECONDS = 30
-STOP_SECONDS = 30
 LOG_LINES = 25
-_POLL_SECONDS = 0.05
-
-
-class LabError(exceptions.CarobforkError):
-    """A process of the lab did not do what it should."""
-
-    code = 'lab'
-
-
-@attrs.define
-class LabProcess:
-    """A process of the lab and how to start it."""
-
-    name: str
-    arguments: list[str]
-    address: bundles.Address
-    log_path: pathlib.Path
-    handle: subprocess.Popen | None = None
-
-    def start(self) -> None:
-        """Start the process and wait until it listens."""
-        self.launch()
-        self.wait_until_ready()
-
-    def launch(self) -> None:
-        """Start the process without waiting for it."""
-        with self.log_path.open('ab') as log:
-            self.handle = subprocess.Popen(
-                [sys.executable, '-m', *self.arguments],
-                stdout=log,
-                stderr=log,
-                start_new_session=True,
-            )
-
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
-        self.handle.send_signal(number)
-
-    def wait(self) -> int:
-        """Wait for the process to end and return its exit code."""
-        deadline = time.monotonic() + STOP_SECONDS
-        while self.handle.poll() is None:
-            if time.monotonic() > deadline:
-                raise LabError('the process does not end', peer=self.name)
-            gevent.sleep(_POLL_SECONDS)
-        return self.handle.returncode
-
-    def wait_until_ready(self) -> None:
-        """Wait until the process listens.
-
-        :raises LabError: it ends or takes too long.
-        """
-        deadline = time.monotonic() + READY_SECONDS
-        while not _listens(self.address):
-            if self.handle.poll() is not None or time.monotonic() > deadline:
-                raise LabError(
-                    f'not ready, see {self.log_path}', peer=self.name
-                )
-            gevent.sleep(_POLL_SECONDS)
 
 
 class Lab:
@@ -99,7 +36,7 @@
         """Prepare the lab; entering starts its processes."""
         self.directory = pathlib.Path(directory)
         self.layout = layout
-        self.processes: dict[str, LabProcess] = {}
+        self.processes: dict[str, lab_processes.LabProcess] = {}
 
     def __enter__(self) -> 'Lab':
         """Start everything and roll the first bundle."""
@@ -213,7 +150,7 @@
     def command(self, *arguments: str) -> subprocess.CompletedProcess:
         """Run the command line.
 
-        :raises LabError: it fails.
+        :raises lab_processes.LabError: it fails.
         """
         done = subprocess.run(
             [sys.executable, '-m', 'carobfork', *arguments],
@@ -222,17 +159,21 @@
             check=False,
         )
         if done.returncode:
-            raise LabError(done.stderr or done.stdout, step=' '.join(arguments))
+            raise lab_processes.LabError(
+                done.stderr or done.stdout, step=' '.join(arguments)
+            )
         return done
 
     def wait_for_bundle(self, version: int) -> None:
         """Wait until a bundle version is in force on all entry hosts."""
-        deadline = time.monotonic() + READY_SECONDS
+        deadline = time.monotonic() + lab_processes.READY_SECONDS
         for entry in self.running_entries():
             while self.state(entry)['bundle_version'] < version:
                 if time.monotonic() > deadline:
-                    raise LabError('no bundle came into force', peer=entry)
-                gevent.sleep(_POLL_SECONDS)
+                    raise lab_processes.LabError(
+                        'no bundle came into force', peer=entry
+                    )
+                gevent.sleep(lab_processes.POLL_SECONDS)
 
     def _inspect(self, name: str) -> psutil.Process:
         return psutil.Process(self.processes[name].handle.pid)
@@ -241,7 +182,7 @@
         for name, settings in self.layout.settings(str(self.directory)):
             path = self.directory / f'{name}.jsonc'
             path.write_text(json.dumps(documents.to_fields(settings), indent=2))
-            self.processes[name] = LabProcess(
+            self.processes[name] = lab_processes.LabProcess(
                 name=name,
                 arguments=layouts.arguments(name, str(path)),
                 address=layouts.main_address(settings),
@@ -292,11 +233,3 @@
     request = connections.HttpRequest(method, path, body)
     with connections.Exchange(address, request) as exchange:
         return json.loads(exchange.read())
-
-
-def _listens(address: bundles.Address) -> bool:
-    try:
-        socket.create_connection((address.ip, address.port), timeout=1).close()
-    except OSError:
-        return False
-    return True
