Show the rank that the bundle gives in the demo

Cause: the demo printed the rank as a literal. Change: it is looked up in the lab's bundle. Checked: make demo; interrupted after 0.7, 2, 4 and 6 s it leaves no process.

--- a/src/carobfork_standins/demo.py
+++ b/src/carobfork_standins/demo.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable  # noqa: E402
 
 from carobfork import clock, replies  # noqa: E402
+from carobfork.state import bundles  # noqa: E402
 from carobfork_standins import labs, layouts  # noqa: E402
 
 _ROW = (
@@ -48,7 +49,9 @@
 
 def run_program(lab: labs.Lab, kind: str, entry: str, final_call: str) -> None:
     """Run a program of four dependent calls through one entry host."""
-    table = Table(kind, 'urgent', entry)
+    kinds = lab.layout.bundle().programs
+    rank = bundles.find(kinds, kind, 'program').rank
+    table = Table(kind, rank, entry)
     with lab.session(entry).open(kind) as program:
         table.add('model', lambda: program.ask(layouts.MODEL, 'Which rail?'))
         table.add(
