Test the engine stand-in's cache moves, lags, gaps and orders

Cause: nothing had run KV export and import, lagging load, late events with gaps, or orders. Found: events of the first 50 ms carried time 0 and came without their lag (test_events_come_late failed). Mended: the cache's clock is set at the start. Tests: 6 of test_engine, three times.

--- a/src/carobfork_standins/engine.py
+++ b/src/carobfork_standins/engine.py
@@ -69,6 +69,7 @@
         self._prompts: dict[str, list[dict]] = {}
         self._batch = batching.Batch(settings.pace)
         self._cache = self._batch.cache
+        self._cache.now_ms = _now_ms()
         self._waste = caches.WasteMeter(self._cache)
         self._streams = streams.StreamTable(settings.pace.linger_ms)
         self._orders = engine_orders.OrderBook(settings.fencing)
