--- a/src/carobfork_standins/platform.py
+++ b/src/carobfork_standins/platform.py
@@ -115,12 +115,12 @@
         """Apply the faults, then answer."""
         if request.path in {'/faults', '/counts', '/state'}:
             return super().answer(request)
-        if self._faults.down:
-            raise http_exceptions.ServiceUnavailable
-        gevent.sleep(clock.to_seconds(self._faults.delay_ms))
         is_write = request.method in {'PUT', 'DELETE'}
-        limit = self._writes if is_write else self._reads
-        limit.take()
+        try:
+            self._admit(self._writes if is_write else self._reads)
+        except http_exceptions.HTTPException:
+            self._counts['refused'] += 1
+            raise
         response = super().answer(request)
         if is_write and self._faults.lost_answers:
             self._faults.lost_answers -= 1
@@ -136,6 +136,13 @@
             'faults': attrs.asdict(self._faults),
         }
 
+    def _admit(self, limit: RateLimit) -> None:
+        """Refuse a call while down or above its rate, and delay it."""
+        if self._faults.down:
+            raise http_exceptions.ServiceUnavailable
+        gevent.sleep(clock.to_seconds(self._faults.delay_ms))
+        limit.take()
+
     def _list(self, request: Request) -> Response:
         self._counts['lists'] += 1
         prefix = request.args['prefix']
