--- a/src/carobfork/clock.py
+++ b/src/carobfork/clock.py
@@ -24,6 +24,14 @@
         return time.monotonic() * MS_PER_SECOND
 
 
+class WallClock:
+    """Read the time of day, which may jump and differ between hosts."""
+
+    def now_ms(self) -> float:
+        """Return the Unix time in ms."""
+        return time.time() * MS_PER_SECOND
+
+
 class ManualClock:
     """Stand still until a test advances it."""
 
--- /dev/null
+++ b/src/carobfork/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway: routes callers' HTTP requests to backend servers."""
--- /dev/null
+++ b/src/carobfork/gateway/placements.py
@@ -0,0 +1,108 @@
+"""Placements: which backend server runs a call.
+
+Policies fill a registry by decorator. Each takes the call, the servers that
+may run it and the time, and returns one, or nothing where all are full.
+"""
+
+import random
+import zlib
+from collections.abc import Callable, Sequence
+
+from carobfork.gateway import calls, workers
+
+HOME_SHARE = 0.85
+"""Of a home's slots that may be taken before a program goes elsewhere.
+
+Leaves room for the calls that other hosts grant at the same moment.
+"""
+OVERFLOW_FACTOR = 2
+"""Calls a slot that a server may hold, running or waiting in its queue."""
+
+Placement = Callable[
+    [calls.Call, Sequence[workers.Worker], float], workers.Worker | None
+]
+PLACEMENTS: dict[str, Placement] = {}  # noqa: WPS407
+
+
+def register(name: str) -> Callable[[Placement], Placement]:
+    """Register a policy under a name."""
+
+    def decorator(policy: Placement) -> Placement:  # noqa: WPS430
+        PLACEMENTS[name] = policy
+        return policy
+
+    return decorator
+
+
+@register('least_loaded')
+def place_least_loaded(
+    _call: calls.Call, candidates: Sequence[workers.Worker], now_ms: float
+) -> workers.Worker | None:
+    """Choose the server with the smallest part of its slots taken.
+
+    Answers calls without a shared prefix at any load.
+    """
+    free = [
+        worker
+        for worker in candidates
+        if worker.load(now_ms) < worker.entry.slots
+    ]
+    if not free:
+        return None
+    return min(
+        free, key=lambda worker: (_part(worker, now_ms), random.random())
+    )
+
+
+@register('home')
+def place_at_home(
+    call: calls.Call, candidates: Sequence[workers.Worker], now_ms: float
+) -> workers.Worker | None:
+    """Choose the server that holds the program's prompts.
+
+    Answers multi-turn programs with growing prompts: every host finds the
+    same home from the program's name alone, and leaves it when it is nearly
+    full, since waiting costs more than reading the prompt again.
+    """
+    key = call.program or call.affinity
+    if key:
+        for worker in sorted(candidates, key=_distance(key))[:2]:
+            if _part(worker, now_ms) < HOME_SHARE:
+                return worker
+    return place_least_loaded(call, candidates, now_ms)
+
+
+@register('round_robin')
+def place_by_turns(
+    _call: calls.Call, candidates: Sequence[workers.Worker], _now_ms: float
+) -> workers.Worker | None:
+    """Choose any server, full or not: the baseline."""
+    return random.choice(candidates) if candidates else None
+
+
+def place_overflow(
+    candidates: Sequence[workers.Worker], now_ms: float
+) -> workers.Worker | None:
+    """Choose the server whose own queue is shortest, if it is short.
+
+    Answers a burst in which all slots are taken and waiting longer here
+    would take more of the call's time than the server's queue.
+    """
+    room = [
+        worker
+        for worker in candidates
+        if worker.load(now_ms) < worker.entry.slots * OVERFLOW_FACTOR
+    ]
+    if not room:
+        return None
+    return min(room, key=lambda worker: _part(worker, now_ms))
+
+
+def _part(worker: workers.Worker, now_ms: float) -> float:
+    return worker.load(now_ms) / worker.entry.slots
+
+
+def _distance(key: str) -> Callable[[workers.Worker], int]:
+    """Return a rendezvous hash: a server's place in a key's own order."""
+    seed = key.encode()
+    return lambda worker: zlib.crc32(worker.instance.encode(), zlib.crc32(seed))
--- /dev/null
+++ b/src/carobfork/gateway/servers.py
@@ -0,0 +1,328 @@
+"""Servers: callers' connections, read within limits and watched for loss.
+
+A caller that leaves is noticed while its request runs, since the backend
+server works on until its connection closes.
+"""
+
+import contextlib
+import socket as sockets
+from collections.abc import Callable, Iterator
+
+import attrs
+import gevent
+import structlog
+from gevent import server, socket
+
+from carobfork import clock, exceptions
+from carobfork.gateway import exchanges, framing, relays, routes
+
+LINGER_MS = 500
+"""After a refusal before the body was read: so that the caller reads it."""
+WRITE_TIMEOUT_MS = 5000
+"""A caller that reads nothing for so long is gone."""
+UNFRAMED_MS = 5000
+"""For the rest of a body after its head."""
+PHRASES = {  # noqa: WPS407
+    200: 'OK',
+    400: 'Bad Request',
+    402: 'Payment Required',
+    404: 'Not Found',
+    408: 'Request Timeout',
+    413: 'Content Too Large',
+    429: 'Too Many Requests',
+    431: 'Request Header Fields Too Large',
+    500: 'Internal Server Error',
+    502: 'Bad Gateway',
+    503: 'Service Unavailable',
+    504: 'Gateway Timeout',
+}
+
+logger = structlog.get_logger(part='server')
+
+
+class CallerGoneError(exceptions.UnknownOutcomeError):
+    """The caller has closed its connection."""
+
+    code = 'caller_gone'
+
+
+class CallerEnd:
+    """Write one response to a caller.
+
+    :param sock: the caller's connection.
+    :param closes: whether the connection ends after the response.
+    """
+
+    def __init__(self, sock: socket.socket, closes: Callable[[], bool]) -> None:
+        """Start with nothing sent."""
+        self.has_begun = False
+        self.is_complete = False
+        self.closed_after = False
+        self._sock = sock
+        self._closes = closes
+        self._head = b''
+
+    def respond(
+        self, status: int, fields: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a whole response."""
+        length = ('Content-Length', str(len(body)))
+        head = self._encode(status, [*fields, length])
+        self.has_begun = True
+        self._write(head + body)
+        self.is_complete = True
+
+    def begin(self, status: int, fields: list[tuple[str, str]]) -> None:
+        """Prepare a head; it is sent with the first piece of the body."""
+        chunked = ('Transfer-Encoding', 'chunked')
+        self._head = self._encode(status, [*fields, chunked])
+
+    def send(self, piece: bytes) -> None:
+        """Send a piece of the body."""
+        head = b'' if self.has_begun else self._head
+        self.has_begun = True
+        self._write(head + framing.encode_chunk(piece))
+
+    def end(self) -> None:
+        """End the body."""
+        head = b'' if self.has_begun else self._head
+        self.has_begun = True
+        self._write(head + framing.LAST_CHUNK)
+        self.is_complete = True
+
+    def _encode(self, status: int, fields: list[tuple[str, str]]) -> bytes:
+        self.closed_after = self._closes()
+        if self.closed_after:
+            fields = [*fields, ('Connection', 'close')]
+        phrase = PHRASES.get(status, 'Status')
+        return framing.encode_head(f'HTTP/1.1 {status} {phrase}', fields)
+
+    def _write(self, payload: bytes) -> None:
+        try:
+            self._sock.sendall(payload)
+        except OSError as error:
+            raise CallerGoneError(str(error), step='respond') from error
+
+
+@attrs.define
+class Counts:
+    """What a server has seen."""
+
+    connections: int = 0
+    in_progress: int = 0
+    answered: int = 0
+    refused: int = 0
+    broken: int = 0
+
+
+class Server:
+    """Accept callers' connections and serve their requests.
+
+    :param address: where to listen.
+    :param relay: answers requests.
+    :param timer: measures spans.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        relay: relays.Relay,
+        timer: clock.Clock,
+    ) -> None:
+        """Prepare the listener."""
+        self.counts = Counts()
+        self.is_leaving = False
+        self._relay = relay
+        self._timer = timer
+        self._idle: set[socket.socket] = set()
+        self._server = server.StreamServer(address, self._serve)
+
+    @property
+    def limits(self) -> routes.CallerLimits:
+        """What callers may send by the configuration in force."""
+        if self._relay.routes is None:
+            return routes.CallerLimits()
+        return self._relay.routes.limits
+
+    def start(self) -> None:
+        """Begin to listen."""
+        self._server.start()
+
+    def stop_accepting(self) -> None:
+        """Close the listener and connections without a request."""
+        self._server.stop_accepting()
+        self._server.close()
+        for sock in list(self._idle):
+            with contextlib.suppress(OSError):
+                sock.shutdown(sockets.SHUT_RDWR)
+
+    def _serve(self, sock: socket.socket, _address: tuple) -> None:
+        self.counts.connections += 1
+        sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+        reader = framing.Reader(sock)
+        try:
+            while self._serve_one(sock, reader):
+                sock.settimeout(None)
+        except CallerGoneError as error:
+            logger.debug('caller gone', reason=error.message)
+        except (OSError, EOFError) as error:
+            logger.debug('connection ended', reason=str(error))
+        finally:
+            self.counts.connections -= 1
+            sock.close()
+
+    def _serve_one(self, sock: socket.socket, reader: framing.Reader) -> bool:
+        """Serve one request; tell whether another may follow."""
+        caller = CallerEnd(sock, lambda: self.is_leaving)
+        try:
+            request = self._read(sock, reader)
+        except exceptions.BadRequestError as error:
+            caller.closed_after = True
+            self._refuse(caller, error, closes=True)
+            _linger(sock)
+            return False
+        if request is None:
+            return False
+        sock.settimeout(clock.to_seconds(WRITE_TIMEOUT_MS))
+        self.counts.in_progress += 1
+        try:
+            with _watched(sock):
+                self._answer(request, caller)
+        finally:
+            self.counts.in_progress -= 1
+        return (
+            caller.is_complete
+            and not caller.closed_after
+            and request.head.keeps_open
+        )
+
+    def _answer(self, request: exchanges.Request, caller: CallerEnd) -> None:
+        try:
+            self._relay.handle(request, caller)
+        except CallerGoneError:
+            raise
+        except exceptions.CarobforkError as error:
+            if caller.has_begun:
+                self.counts.broken += 1
+                logger.info('response broken off', reason=str(error))
+                return
+            self._refuse(caller, error)
+        else:
+            self.counts.answered += 1
+
+    def _refuse(
+        self,
+        caller: CallerEnd,
+        error: exceptions.CarobforkError,
+        closes: bool = False,
+    ) -> None:
+        self.counts.refused += 1
+        fields = [('Content-Type', 'text/plain')]
+        if closes:
+            fields.append(('Connection', 'close'))
+        if error.outcome == exceptions.Outcome.not_run:
+            retry_ms = error.retry_after_ms
+            if retry_ms:
+                seconds = clock.to_seconds(retry_ms)
+                fields.append(('Retry-After', f'{seconds:.3f}'))
+        logger.info(
+            'request refused',
+            status=error.http_status,
+            outcome=error.outcome.value,
+            reason=str(error),
+            retry_after_ms=error.retry_after_ms,
+        )
+        caller.respond(error.http_status, fields, f'{error}\n'.encode())
+
+    def _read(
+        self, sock: socket.socket, reader: framing.Reader
+    ) -> exchanges.Request | None:
+        """Read a request; nothing where the caller sends none.
+
+        :raises BadRequestError: it is malformed, too large or too slow.
+        """
+        limits = self.limits
+        if not reader.buffered and not self._wait_for_byte(sock, reader):
+            return None
+        with _within(limits.head_ms):
+            head = reader.read_head(limits.head_bytes)
+        if head is None:
+            return None
+        shape = framing.request_shape(head)
+        if (shape.length or 0) > limits.body_bytes:
+            raise exceptions.TooLargeError('the body is too large', step='read')
+        if head.get('expect').lower() == '100-continue':
+            sock.sendall(b'HTTP/1.1 100 Continue\r\n\r\n')
+        with _within(max(limits.head_ms, UNFRAMED_MS)):
+            body = reader.read_body(shape, limits.body_bytes)
+        return exchanges.Request(head, body, self._timer.now_ms())
+
+    def _wait_for_byte(
+        self, sock: socket.socket, reader: framing.Reader
+    ) -> bool:
+        """Wait for the next request of a connection."""
+        self._idle.add(sock)
+        sock.settimeout(clock.to_seconds(self.limits.idle_ms))
+        try:
+            received = sock.recv(framing.READ_BYTES)
+        finally:
+            self._idle.discard(sock)
+            sock.settimeout(None)
+        reader.buffered.extend(received)
+        return bool(received)
+
+
+@contextlib.contextmanager
+def _within(span_ms: float) -> Iterator[None]:
+    timeout = gevent.Timeout(clock.to_seconds(span_ms))
+    try:
+        with timeout:
+            yield
+    except gevent.Timeout as expired:
+        if expired is not timeout:
+            raise
+        raise exceptions.RequestTimeoutError(
+            f'the request took more than {span_ms:.0f} ms', step='read'
+        ) from None
+
+
+@contextlib.contextmanager
+def _watched(sock: socket.socket) -> Iterator[None]:
+    """Interrupt the block when the peer closes its connection."""
+    watcher = gevent.get_hub().loop.io(sock.fileno(), 1)
+    greenlet = gevent.getcurrent()
+
+    def look() -> None:  # noqa: WPS430
+        if _is_closed(sock):
+            watcher.stop()
+            gone = CallerGoneError('the caller left', step='relay')
+            gevent.kill(greenlet, gone)
+        else:
+            # The next request is here already; it is read in its turn.
+            watcher.stop()
+
+    watcher.start(look)
+    try:
+        yield
+    finally:
+        watcher.stop()
+        watcher.close()
+
+
+def _is_closed(sock: socket.socket) -> bool:
+    flags = sockets.MSG_PEEK | sockets.MSG_DONTWAIT
+    try:
+        return not sock._sock.recv(1, flags)  # noqa: WPS437
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def _linger(sock: socket.socket) -> None:
+    """Read what is left, so that closing does not reset the response."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(sockets.SHUT_WR)
+        with gevent.Timeout(clock.to_seconds(LINGER_MS), exception=False):
+            while sock.recv(framing.READ_BYTES):
+                gevent.sleep(0)
--- /dev/null
+++ b/src/carobfork/gateway/workers.py
@@ -0,0 +1,219 @@
+"""Workers: backend servers as registered, and what is seen of them.
+
+Two sources are combined: the registry, which lags and forgets servers during
+an outage of the platform's store, and what the servers' answers show.
+"""
+
+from collections.abc import Iterable, Iterator
+
+import attrs
+import structlog
+
+from carobfork import clock
+
+HOLD_MS = 1500
+"""How long unregistered servers may serve where no other is left.
+
+Below the time that a server goes on serving after its entry is gone.
+"""
+RETURN_MS = 2500
+"""Entries that lapsed in an outage are back about 2 s after its end."""
+FIRST_AVOID_MS = 250
+LONGEST_AVOID_MS = 4000
+"""A failing server is tried again within a few seconds: it may be back."""
+SHARED_FRESH_MS = 1200
+"""Sums of all hosts' calls are older than a few beats after this."""
+_DOUBLINGS = 5
+DURATION_PART = 0.1
+"""Weight of the newest duration in the mean of a server's calls."""
+
+logger = structlog.get_logger(part='workers')
+
+
+@attrs.frozen
+class Entry:
+    """A backend server as it registered itself.
+
+    :param started_ms: Unix time of its start; a restart forgets all.
+    """
+
+    instance: str
+    service: str
+    ip: str
+    port: int
+    zone: str
+    slots: int
+    is_draining: bool = False
+    started_ms: float = 0
+
+
+@attrs.define(eq=False)
+class Worker:
+    """A backend server and what is seen of it.
+
+    :param in_flight: calls of this host.
+    :param elsewhere: calls of other hosts, as last told.
+    :param removed_ms: when its entry vanished, if it did.
+    """
+
+    entry: Entry
+    in_flight: int = 0
+    elsewhere: int = 0
+    elsewhere_at_ms: float = float('-inf')
+    failures: int = 0
+    avoided_until_ms: float = float('-inf')
+    removed_ms: float | None = None
+    mean_ms: float = 0
+
+    @property
+    def instance(self) -> str:
+        """The server's identifier."""
+        return self.entry.instance
+
+    def load(self, now_ms: float) -> int:
+        """Return the calls that it is believed to have."""
+        if now_ms - self.elsewhere_at_ms > SHARED_FRESH_MS:
+            return self.in_flight
+        return self.in_flight + self.elsewhere
+
+    def note_load(self, total: int, now_ms: float) -> None:
+        """Take the number of calls that the server tells itself."""
+        self.elsewhere = max(0, total - self.in_flight)
+        self.elsewhere_at_ms = now_ms
+
+    def note_success(self, duration_ms: float) -> None:
+        """Count a call that was served."""
+        self.failures = 0
+        if self.mean_ms:
+            change = (duration_ms - self.mean_ms) * DURATION_PART
+            self.mean_ms += change
+        else:
+            self.mean_ms = duration_ms
+
+    def note_failure(self, now_ms: float) -> None:
+        """Keep new calls away for a while, longer each time."""
+        doublings = min(self.failures, _DOUBLINGS)
+        pause_ms = min(FIRST_AVOID_MS * 2**doublings, LONGEST_AVOID_MS)
+        self.failures += 1
+        self.avoided_until_ms = now_ms + pause_ms
+        logger.info(
+            'worker avoided',
+            worker=self.instance,
+            failures=self.failures,
+            pause_ms=pause_ms,
+        )
+
+
+class WorkerTable:
+    """All backend servers that may serve.
+
+    :param timer: measures ages.
+    """
+
+    def __init__(self, timer: clock.Clock) -> None:
+        """Start without servers."""
+        self.is_known = False
+        self._timer = timer
+        self._workers: dict[str, Worker] = {}
+        self._returning_until_ms = float('-inf')
+
+    def __iter__(self) -> Iterator[Worker]:
+        """Iterate over all servers, also those whose entry is gone."""
+        return iter(self._workers.values())
+
+    def get(self, instance: str) -> Worker | None:
+        """Return a server, if it is known."""
+        return self._workers.get(instance)
+
+    def apply(self, entries: Iterable[Entry], was_away: bool) -> None:
+        """Take over the registry's entries.
+
+        :param was_away: whether the registry was out of reach before.
+        """
+        now_ms = self._timer.now_ms()
+        if was_away and self.is_known:
+            self._returning_until_ms = now_ms + RETURN_MS
+        self.is_known = True
+        listed = {entry.instance: entry for entry in entries}
+        for entry in listed.values():
+            self._apply_entry(entry)
+        for worker in list(self._workers.values()):
+            if worker.instance not in listed:
+                self._note_missing(worker, now_ms)
+
+    def note_shared(self, totals: dict[str, int], own: dict[str, int]) -> None:
+        """Take the sums of all hosts' calls.
+
+        :param own: what this host had told when the sums were made.
+        """
+        now_ms = self._timer.now_ms()
+        for worker in self._workers.values():
+            total = totals.get(worker.instance, 0)
+            worker.elsewhere = max(0, total - own.get(worker.instance, 0))
+            worker.elsewhere_at_ms = now_ms
+
+    def in_flight(self) -> dict[str, int]:
+        """Return this host's calls by server, without idle ones."""
+        return {
+            worker.instance: worker.in_flight
+            for worker in self._workers.values()
+            if worker.in_flight
+        }
+
+    def usable(self, service: str) -> list[Worker]:
+        """Return the servers that may get a new call of a service.
+
+        Servers whose entry has just vanished serve only where there is no
+        other: all entries may have lapsed in an outage.
+        """
+        now_ms = self._timer.now_ms()
+        found = [
+            worker
+            for worker in self._workers.values()
+            if worker.entry.service == service and not worker.entry.is_draining
+        ]
+        listed = [worker for worker in found if worker.removed_ms is None]
+        ready = [
+            worker for worker in listed if worker.avoided_until_ms <= now_ms
+        ]
+        if ready or listed:
+            return ready or listed
+        return [
+            worker for worker in found if self._may_still_serve(worker, now_ms)
+        ]
+
+    def _may_still_serve(self, worker: Worker, now_ms: float) -> bool:
+        if now_ms < self._returning_until_ms:
+            return True
+        return now_ms - worker.removed_ms < HOLD_MS
+
+    def _apply_entry(self, entry: Entry) -> None:
+        known = self._workers.get(entry.instance)
+        if known is None or known.entry.started_ms != entry.started_ms:
+            logger.info(
+                'worker registered',
+                worker=entry.instance,
+                service=entry.service,
+                draining=entry.is_draining,
+                restarted=known is not None,
+            )
+            in_flight = known.in_flight if known else 0
+            self._workers[entry.instance] = Worker(entry, in_flight)
+            return
+        if known.entry.is_draining != entry.is_draining:
+            logger.info(
+                'worker draining' if entry.is_draining else 'worker ready',
+                worker=entry.instance,
+            )
+        known.entry = entry
+        known.removed_ms = None
+
+    def _note_missing(self, worker: Worker, now_ms: float) -> None:
+        if worker.removed_ms is None:
+            worker.removed_ms = now_ms
+            logger.info(
+                'worker gone', worker=worker.instance, calls=worker.in_flight
+            )
+        is_old = not self._may_still_serve(worker, now_ms)
+        if is_old and not worker.in_flight:
+            self._workers.pop(worker.instance)
--- /dev/null
+++ b/src/carobfork/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Platform: names, formats and calls of the users' platform."""
--- /dev/null
+++ b/src/carobfork/platform/decoding.py
@@ -0,0 +1,149 @@
+"""Decoding: stored objects of the platform as the product's types."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+import structlog
+
+from carobfork import clock, exceptions
+from carobfork.gateway import routes, workers
+from carobfork.platform import names
+
+logger = structlog.get_logger(part='platform')
+
+_STEP = 'decode'
+_MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
+_STATES = frozenset((names.STATE_READY, names.STATE_DRAINING))
+
+
+def decode_table(spec: Mapping[str, Any]) -> routes.RouteTable:
+    """Return the route table of a configuration.
+
+    Routes that can't be read are left out, with a log line each.
+
+    :raises SettingsError: it has no version.
+    """
+    version = spec.get('Version')
+    if not isinstance(version, int):
+        raise exceptions.SettingsError('no version', step=_STEP)
+    services = [_service(entry) for entry in spec.get('Services') or ()]
+    known = []
+    for entry in spec.get('Routes') or ():
+        try:
+            known.append(_route(entry))
+        except (KeyError, TypeError, ValueError) as error:
+            logger.warning(
+                'route left out', config_version=version, reason=repr(error)
+            )
+    return routes.RouteTable(
+        version,
+        known,
+        {service.name: service for service in services},
+        _limits(spec.get('Limits') or {}),
+    )
+
+
+def _route(entry: Mapping[str, Any]) -> routes.Route:
+    split = entry.get('Backends') or ()
+    backends = [
+        routes.Backend(part['Service'], part.get('Weight', 1)) for part in split
+    ] or [routes.Backend(entry['Service'], 1)]
+    return routes.Route(
+        name=entry['Name'],
+        host=entry['Host'],
+        prefix=entry['PathPrefix'],
+        # Without a kind, nothing says that it may run twice.
+        kind=routes.Kind(entry.get('Kind') or 'unsafe'),
+        backends=tuple(backends),
+        timeout_ms=entry.get('TimeoutMs') or routes.DEFAULT_TIMEOUT_MS,
+        # The time within which an answer earns its full credit.
+        goal_ms=entry.get('GoalMs') or 0,
+        rank=entry.get('Priority') or 0,
+        attempts=entry.get('Attempts') or 1,
+        is_resumable=bool(entry.get('Resumable')),
+        is_retained=bool(entry.get('Retain')),
+        retain_ms=(entry.get('RetainS') or 0) * clock.MS_PER_SECOND,
+    )
+
+
+def _service(entry: Mapping[str, Any]) -> routes.Service:
+    engine = entry.get('Engine') or {}
+    return routes.Service(
+        name=entry['Name'],
+        health_path=entry.get('HealthPath') or '',
+        max_connections=entry.get('MaxConns') or 0,
+        slots=engine.get('Slots') or 0,
+        cache_tokens=engine.get('KvCapacity') or 0,
+        # Tokens in one event of a stream.
+        event_tokens=engine.get('Stride') or 1,
+        is_engine=bool(engine),
+    )
+
+
+def _limits(entry: Mapping[str, Any]) -> routes.CallerLimits:
+    usual = routes.CallerLimits()
+    return routes.CallerLimits(
+        head_bytes=entry.get('MaxHeaderBytes') or usual.head_bytes,
+        body_bytes=entry.get('MaxBodyBytes') or usual.body_bytes,
+        head_ms=entry.get('HeaderTimeoutMs') or usual.head_ms,
+        idle_ms=entry.get('IdleTimeoutMs') or usual.idle_ms,
+    )
+
+
+@attrs.frozen
+class StoredObject:
+    """An object of the platform's store."""
+
+    name: str
+    revision: int
+    spec: Any
+    status: Any
+    finalizers: tuple[str, ...] = ()
+
+    @classmethod
+    def decode(cls, fields: Mapping[str, Any]) -> 'StoredObject':
+        """Decode an object.
+
+        :raises KeyError: it has no name or revision.
+        """
+        meta = fields['Metadata']
+        return cls(
+            meta['Name'],
+            meta['Rev'],
+            fields.get('Spec'),
+            fields.get('Status'),
+            tuple(meta.get('Finalizers') or ()),
+        )
+
+
+def decode_worker(stored: StoredObject) -> workers.Entry | None:
+    """Return a backend server's entry, or nothing where it is unreadable."""
+    spec = stored.spec
+    try:
+        ip, _colon, port = spec['Address'].rpartition(':')
+        entry = workers.Entry(
+            instance=stored.name,
+            service=spec['Service'],
+            ip=ip,
+            port=int(port),
+            zone=spec['Zone'],
+            slots=spec['Slots'],
+            is_draining=spec['State'] == names.STATE_DRAINING,
+            # Unix time of the process's start; the instance may be older.
+            started_ms=spec.get('born') or 0,
+        )
+    except _MALFORMED as error:
+        logger.warning('unreadable entry', name=stored.name, reason=repr(error))
+        return None
+    if spec['State'] not in _STATES or not _is_sound(entry):
+        logger.warning('entry of unknown form', name=stored.name)
+        return None
+    return entry
+
+
+def _is_sound(entry: workers.Entry) -> bool:
+    texts = (entry.service, entry.zone, entry.ip)
+    if not all(isinstance(text, str) and text for text in texts):
+        return False
+    return type(entry.slots) is int and entry.slots > 0  # noqa: WPS516
--- /dev/null
+++ b/src/carobfork/platform/endpoints.py
@@ -0,0 +1,109 @@
+"""Endpoints: the platform's own questions to a process, over HTTP."""
+
+from collections.abc import Callable
+from urllib.parse import urlsplit
+
+import gevent
+import msgspec
+import structlog
+from gevent import server, socket
+
+from carobfork import exceptions
+from carobfork.gateway import framing, servers
+
+IDLE_SECONDS = 30
+_UNAVAILABLE = 503
+_NOT_FOUND = 404
+_HEAD_BYTES = 16_384
+
+Answer = tuple[int, str, bytes]
+Endpoint = Callable[[], Answer]
+
+logger = structlog.get_logger(part='endpoints')
+
+
+class EndpointServer:
+    """Answer GET requests on one address.
+
+    :param address: where to listen.
+    :param endpoints: what answers, by path.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], endpoints: dict[str, Endpoint]
+    ) -> None:
+        """Prepare the listener."""
+        self._endpoints = endpoints
+        self._server = server.StreamServer(address, self._serve)
+
+    def start(self) -> None:
+        """Begin to listen."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the listener."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock: socket.socket, _address: tuple) -> None:
+        reader = framing.Reader(sock)
+        try:
+            with gevent.Timeout(IDLE_SECONDS, exception=False):
+                is_open = True
+                while is_open:
+                    is_open = self._serve_one(sock, reader)
+        except (OSError, EOFError, exceptions.BadRequestError) as error:
+            logger.debug('connection ended', reason=str(error))
+        finally:
+            sock.close()
+
+    def _serve_one(self, sock: socket.socket, reader: framing.Reader) -> bool:
+        head = reader.read_head(_HEAD_BYTES)
+        if head is None:
+            return False
+        endpoint = self._endpoints.get(urlsplit(head.first[1]).path)
+        if endpoint is None:
+            status, kind, body = _NOT_FOUND, 'text/plain', b'no such page\n'
+        else:
+            status, kind, body = endpoint()
+        phrase = servers.PHRASES.get(status, 'Status')
+        fields = [('Content-Type', kind), ('Content-Length', str(len(body)))]
+        sock.sendall(
+            framing.encode_head(f'HTTP/1.1 {status} {phrase}', fields) + body
+        )
+        return head.keeps_open
+
+
+def ready_endpoint(is_ready: Callable[[], bool]) -> dict[str, Endpoint]:
+    """Return the answer to whether a process is ready."""
+
+    def answer() -> Answer:  # noqa: WPS430
+        if is_ready():
+            return 200, 'text/plain', b'ready\n'
+        return _UNAVAILABLE, 'text/plain', b'not ready\n'
+
+    return {'/ready': answer}
+
+
+def directory_endpoint(
+    addresses: Callable[[], list[str]], ttl_ms: float
+) -> dict[str, Endpoint]:
+    """Return the answer to where callers should connect."""
+
+    def answer() -> Answer:  # noqa: WPS430
+        found = addresses()
+        if not found:
+            return _UNAVAILABLE, 'text/plain', b'no host is ready\n'
+        # Whole seconds, in which callers keep the answer.
+        body = {'Addresses': found, 'TtlS': max(1, int(ttl_ms // 1000))}
+        return 200, 'application/json', msgspec.json.encode(body)
+
+    return {'/resolve': answer}
+
+
+def metrics_endpoint(render: Callable[[], bytes]) -> dict[str, Endpoint]:
+    """Return the answer with a process's metrics."""
+
+    def answer() -> Answer:  # noqa: WPS430
+        return 200, 'text/plain; version=0.0.4', render()
+
+    return {'/metrics': answer}
--- /dev/null
+++ b/src/carobfork/platform/followers.py
@@ -0,0 +1,91 @@
+"""Followers: objects of one kind, listed once and then watched."""
+
+import random
+from collections.abc import Callable
+
+import gevent
+import structlog
+
+from carobfork import clock, exceptions
+from carobfork.platform import decoding, objects
+
+FIRST_RETRY_MS = 100
+LONGEST_RETRY_MS = 800
+"""Short against the time in which a configuration must be in force."""
+
+logger = structlog.get_logger(part='platform')
+
+OnObjects = Callable[[list[decoding.StoredObject], bool], None]
+
+
+class Follower:
+    """Follow a kind of objects.
+
+    :param store: where they live.
+    :param kind: their kind.
+    :param on_objects: takes all present objects after each change, and
+        whether the store was out of reach before.
+    """
+
+    def __init__(
+        self, store: objects.ObjectStore, kind: str, on_objects: OnObjects
+    ) -> None:
+        """Start without objects."""
+        self._store = store
+        self._kind = kind
+        self._on_objects = on_objects
+        self._present: dict[str, decoding.StoredObject] = {}
+        self._revision: int | None = None
+        self._failures = 0
+
+    def run(self) -> None:
+        """Follow until the greenlet is killed."""
+        while True:
+            try:
+                self._step()
+            except objects.HistoryGoneError:
+                logger.info('listing again', kind=self._kind)
+                self._revision = None
+            except exceptions.PlatformError as error:
+                self._wait_after(error)
+
+    def _step(self) -> None:
+        was_away = self._failures > 0
+        if self._revision is None:
+            listing = self._store.list(self._kind)
+            self._present = {entry.name: entry for entry in listing.items}
+            self._revision = listing.revision
+            self._report(was_away)
+            return
+        changes = self._store.watch(self._kind, self._revision)
+        for stored, is_removed in changes.events:
+            self._apply(stored, is_removed)
+        self._revision = changes.revision
+        if changes.events or was_away:
+            self._report(was_away)
+
+    def _report(self, was_away: bool) -> None:
+        if was_away:
+            logger.info(
+                'platform regained', kind=self._kind, failures=self._failures
+            )
+        self._failures = 0
+        self._on_objects(list(self._present.values()), was_away)
+
+    def _apply(self, stored: decoding.StoredObject, is_removed: bool) -> None:
+        known = self._present.get(stored.name)
+        if known is not None and known.revision > stored.revision:
+            return
+        if is_removed:
+            self._present.pop(stored.name, None)
+        else:
+            self._present[stored.name] = stored
+
+    def _wait_after(self, error: exceptions.PlatformError) -> None:
+        if not self._failures:
+            logger.warning(
+                'platform lost', kind=self._kind, reason=error.message
+            )
+        pause_ms = min(FIRST_RETRY_MS * 2**self._failures, LONGEST_RETRY_MS)
+        self._failures = min(self._failures + 1, 10)
+        gevent.sleep(clock.to_seconds(pause_ms * random.uniform(0.5, 1)))
--- /dev/null
+++ b/src/carobfork/platform/heads.py
@@ -0,0 +1,127 @@
+"""Heads: headers of callers and backend servers as the product's types."""
+
+import contextlib
+from collections.abc import Sequence
+
+from carobfork import clock, exceptions
+from carobfork.gateway import calls, framing
+from carobfork.platform import names
+
+_MISDIRECTED = 421
+
+
+def decode_call(head: framing.Head) -> calls.Call:
+    """Return what a caller's request says about itself.
+
+    :raises BadRequestError: the attempt's identifier is missing.
+    """
+    attempt = head.get(names.ATTEMPT)
+    if not attempt:
+        raise exceptions.BadRequestError(
+            'the attempt has no identifier', step='decode'
+        )
+    prompt, _comma, output = head.get(names.TOKENS).partition(',')
+    return calls.Call(
+        attempt=attempt,
+        deadline_ms=_number(head.get(names.DEADLINE)),
+        program=head.get(names.PROGRAM),
+        session=head.get(names.SESSION),
+        finish_ms=_number(head.get(names.FINISH)),
+        budget_tokens=_whole(head.get(names.BUDGET)),
+        prompt_tokens=_whole(prompt) or 0,
+        output_tokens=_whole(output) or 0,
+        previous_turn=head.get(names.PREVIOUS),
+        last_event=head.get(names.LAST_EVENT),
+        affinity=_cookie(head.all('cookie'), names.AFFINITY_COOKIE),
+        prefix=_prefix(head.get(names.PREFIX)),
+    )
+
+
+def encode_request(
+    head: framing.Head,
+    instance: str,
+    left_ms: float,
+    body_bytes: int,
+    last_event: str,
+) -> bytes:
+    """Return the head of a caller's request as a backend server gets it.
+
+    :param instance: the server that alone may run it.
+    :param left_ms: how long the caller still waits.
+    :param last_event: where a stream goes on, empty for its start.
+    """
+    method, path, version = head.first
+    fields = [('Host', head.get('host'))]
+    for name, text in head.end_to_end():
+        known = name.lower()
+        if known in names.SET_BY_SYSTEM or known == names.LAST_EVENT:
+            continue
+        fields.append((name, text))
+    if last_event:
+        fields.append(('Last-Event-Id', last_event))
+    fields.append((names.DEADLINE_FIELD, str(max(1, int(left_ms)))))
+    fields.append((names.EXPECT_INSTANCE, instance))
+    if body_bytes or method not in {'GET', 'HEAD', 'DELETE'}:
+        fields.append(('Content-Length', str(body_bytes)))
+    return framing.encode_head(f'{method} {path} {version}', fields)
+
+
+def decode_answer(head: framing.Head) -> calls.ServerAnswer:
+    """Return what a backend server's response says about itself.
+
+    :raises FramingError: the status is no number.
+    """
+    code = head.first[1]
+    if not (head.first[0].startswith('HTTP/1.') and code.isdigit()):
+        raise framing.FramingError('this is no response', step='decode')
+    status = int(code)
+    return calls.ServerAnswer(
+        status=status,
+        attempt=head.get(names.ATTEMPT),
+        not_run=bool(head.get(names.NOT_RUN)) or status == _MISDIRECTED,
+        is_elsewhere=status == _MISDIRECTED,
+        is_encoded=bool(head.get('content-encoding')),
+        load=_load(head.get(names.LOAD)),
+        idle_ms=_idle_ms(head.get('keep-alive')),
+    )
+
+
+def _number(text: str) -> float | None:
+    with contextlib.suppress(ValueError):
+        return max(float(text), 0)
+    return None
+
+
+def _whole(text: str) -> int | None:
+    stripped = text.strip()
+    if stripped.isascii() and stripped.isdigit():
+        return int(stripped)
+    return None
+
+
+def _cookie(cookies: Sequence[str], name: str) -> str:
+    for cookie in ';'.join(cookies).split(';'):
+        known, _equals, text = cookie.strip().partition('=')
+        if known == name:
+            return text
+    return ''
+
+
+def _prefix(text: str) -> tuple[tuple[str, int], ...]:
+    parts = (entry.strip().partition(':') for entry in text.split(','))
+    return tuple((name, _whole(length) or 0) for name, _, length in parts)
+
+
+def _load(text: str) -> tuple[int, int, int] | None:
+    counts = [_whole(part) for part in text.split(',')]
+    if len(counts) == 3 and None not in counts:
+        return tuple(counts)
+    return None
+
+
+def _idle_ms(text: str) -> float | None:
+    for option in text.split(','):
+        name, _equals, seconds = option.strip().partition('=')
+        if name.lower() == 'timeout' and seconds.isdigit():
+            return int(seconds) * clock.MS_PER_SECOND
+    return None
--- /dev/null
+++ b/src/carobfork/platform/objects.py
@@ -0,0 +1,222 @@
+"""Objects: calls to the platform's object store over HTTP."""
+
+import contextlib
+import socket as sockets
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+import msgspec
+import structlog
+from gevent import socket
+
+from carobfork import clock, exceptions
+from carobfork.gateway import framing
+from carobfork.platform import decoding
+
+CONNECT_TIMEOUT_MS = 1000
+CALL_TIMEOUT_MS = 2500
+"""Above the slowest answers of a slow day, below the time to be in touch."""
+WATCH_MS = 10_000
+"""A watch is priced when it is made; a longer one hides a dead connection."""
+WATCH_SLACK_MS = 2500
+PROBE_SECONDS = 1
+PROBES = 2
+MAX_ANSWER_BYTES = 8_388_608
+_OK = 300
+_NOT_FOUND = 404
+_CONFLICT = 409
+_GONE = 410
+_STEP = 'platform call'
+_BROKEN = (OSError, EOFError, ValueError, exceptions.BadRequestError)
+
+logger = structlog.get_logger(part='platform')
+
+
+class HistoryGoneError(exceptions.PlatformError):
+    """The store no longer has the changes that were asked for."""
+
+    code = 'history_gone'
+
+
+@attrs.frozen
+class Listing:
+    """All objects of a kind, and the revision to watch from."""
+
+    items: list[decoding.StoredObject]
+    revision: int
+
+
+@attrs.frozen
+class Changes:
+    """What a watch told: objects by name, nothing for removed ones."""
+
+    events: list[tuple[decoding.StoredObject, bool]]
+    revision: int
+
+
+class ObjectStore:
+    """Call the platform's store.
+
+    :param address: its IP number and port.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Prepare the calls; each opens a connection of its own."""
+        self.address = address
+        self.calls = 0
+
+    def list(self, kind: str) -> Listing:
+        """Return all objects of a kind, reading page after page.
+
+        :raises PlatformError: the store did not answer or refused.
+        """
+        found: list[decoding.StoredObject] = []
+        first_revision = None
+        query = ''
+        while True:
+            page = self._call('GET', f'/objects/{kind}{query}')
+            # Pages are no snapshot: changes since the first one count.
+            if first_revision is None:
+                first_revision = page['CurrentRev']
+            found.extend(_decode_all(page['items']))
+            if not page.get('MorePages') or not page['items']:
+                return Listing(found, first_revision)
+            last = page['items'][-1]['Metadata']['Name']
+            query = f'?after={last}'
+
+    def watch(self, kind: str, revision: int) -> Changes:
+        """Wait for changes of a kind after a revision.
+
+        :raises HistoryGoneError: they are not known any more.
+        :raises PlatformError: the store did not answer or refused.
+        """
+        page = self._call(
+            'GET',
+            f'/objects/{kind}?Watch={revision}&WaitMs={WATCH_MS}',
+            timeout_ms=WATCH_MS + WATCH_SLACK_MS,
+        )
+        events = []
+        for event in page.get('events') or ():
+            with contextlib.suppress(KeyError, TypeError):
+                stored = decoding.StoredObject.decode(event['Object'])
+                events.append((stored, bool(event.get('Removed'))))
+        return Changes(events, page['CurrentRev'])
+
+    def create(self, kind: str, name: str, spec: Any) -> None:
+        """Create an object.
+
+        :raises ConflictError: it exists.
+        :raises PlatformError: the store did not answer or refused.
+        """
+        body = {'Metadata': {'Name': name}, 'Spec': spec}
+        self._call('POST', f'/objects/{kind}', body)
+
+    def replace(self, kind: str, name: str, spec: Any, revision: int) -> None:
+        """Replace an object's content if it still has a revision.
+
+        :raises ConflictError: it has another.
+        :raises PlatformError: the store did not answer or refused.
+        """
+        body = {'Metadata': {'Name': name, 'Rev': revision}, 'Spec': spec}
+        self._call('PUT', f'/objects/{kind}/{name}', body)
+
+    def replace_status(
+        self, kind: str, name: str, status: Any, revision: int
+    ) -> None:
+        """Replace an object's status if it still has a revision.
+
+        :raises ConflictError: it has another.
+        :raises PlatformError: the store did not answer or refused.
+        """
+        body = {'Metadata': {'Name': name, 'Rev': revision}, 'Status': status}
+        self._call('PUT', f'/objects/{kind}/{name}/status', body)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None = None,
+        timeout_ms: float = CALL_TIMEOUT_MS,
+    ) -> Any:
+        self.calls += 1
+        call = f'{method} {path}'
+        try:
+            status, answer = self._exchange(method, path, body, timeout_ms)
+        except _BROKEN as error:
+            raise self._failure(f'{call}: {error}') from error
+        if status >= _OK:
+            raise self._refusal(call, status)
+        return answer
+
+    def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None,
+        timeout_ms: float,
+    ) -> tuple[int, Any]:
+        payload = b'' if body is None else msgspec.json.encode(body)
+        fields = [
+            ('Host', self.address),
+            ('Connection', 'close'),
+            ('Content-Length', str(len(payload))),
+        ]
+        if body is not None:
+            fields.append(('Content-Type', 'application/json'))
+        head = framing.encode_head(f'{method} {path} HTTP/1.1', fields)
+        with contextlib.closing(self._connect()) as connected:
+            connected.settimeout(clock.to_seconds(timeout_ms))
+            connected.sendall(head + payload)
+            reader = framing.Reader(connected)
+            answer = reader.read_head(framing.HEAD_BYTES)
+            if answer is None:
+                raise EOFError('no answer')
+            shape = framing.response_shape(answer, method)
+            content = reader.read_body(shape, MAX_ANSWER_BYTES)
+        status = int(answer.first[1])
+        if status >= _OK or not content:
+            return status, None
+        return status, msgspec.json.decode(content)
+
+    def _connect(self) -> socket.socket:
+        ip, _colon, port = self.address.rpartition(':')
+        connected = socket.create_connection(
+            (ip, int(port)), timeout=clock.to_seconds(CONNECT_TIMEOUT_MS)
+        )
+        connected.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+        # A connection may go silent for good; only probes show it.
+        connected.setsockopt(sockets.SOL_SOCKET, sockets.SO_KEEPALIVE, 1)
+        for option, setting in (
+            (sockets.TCP_KEEPIDLE, PROBE_SECONDS),
+            (sockets.TCP_KEEPINTVL, PROBE_SECONDS),
+            (sockets.TCP_KEEPCNT, PROBES),
+            (sockets.TCP_USER_TIMEOUT, CALL_TIMEOUT_MS),
+        ):
+            connected.setsockopt(sockets.IPPROTO_TCP, option, setting)
+        return connected
+
+    def _refusal(self, call: str, status: int) -> exceptions.PlatformError:
+        if status == _GONE:
+            return HistoryGoneError('history is gone', step=_STEP)
+        if status == _CONFLICT:
+            return exceptions.ConflictError(
+                f'{call}: another version is in force',
+                current_version=0,
+                step=_STEP,
+                peer=self.address,
+            )
+        return self._failure(f'{call} was answered {status}')
+
+    def _failure(self, message: str) -> exceptions.PlatformError:
+        return exceptions.PlatformError(message, step=_STEP, peer=self.address)
+
+
+def _decode_all(entries: list) -> list[decoding.StoredObject]:
+    found = []
+    for entry in entries:
+        try:
+            found.append(decoding.StoredObject.decode(entry))
+        except (KeyError, TypeError) as error:
+            logger.warning('unreadable object', reason=repr(error))
+    return found
--- /dev/null
+++ b/src/carobfork/platform/settings.py
@@ -0,0 +1,106 @@
+"""Settings: the file that the platform writes for each process."""
+
+import os
+import pathlib
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from carobfork import clock, exceptions
+
+SETTINGS_VARIABLE = 'CAROBFORK_SETTINGS'
+_STEP = 'read settings'
+_MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
+DRAIN_MS = 2000
+"""Where the file doesn't tell: short, so that no call comes too late."""
+
+Address = tuple[str, int]
+
+
+@attrs.frozen
+class HostSettings:
+    """What a process knows of its host.
+
+    :param front: where callers connect, if this process serves them.
+    :param ready: where the platform asks whether it is ready.
+    :param directory: where callers ask for addresses.
+    :param inner_ports: first and last port for traffic between hosts.
+    :param platform: the platform's store.
+    :param data_folder: the disk, on store hosts.
+    :param losses: store hosts that may be lost at a time.
+    :param grace_ms: from SIGTERM to SIGKILL.
+    :param drain_ms: how long a leaving backend server still serves.
+    :param directory_ttl_ms: longest time that callers keep an answer.
+    """
+
+    node: str
+    ip: str
+    zone: str
+    region: str
+    inner_ports: tuple[int, int]
+    platform: str
+    front: Address | None = None
+    ready: Address | None = None
+    directory: Address | None = None
+    data_folder: str = ''
+    losses: int = 1
+    grace_ms: float = 8000
+    drain_ms: float = DRAIN_MS
+    directory_ttl_ms: float = 5000
+    memory_mb: int = 0
+    max_descriptors: int = 1024
+
+
+def load(path: str = '') -> HostSettings:
+    """Read the settings file.
+
+    :param path: the file, by default what the environment names.
+    :raises SettingsError: it can't be read or lacks a field.
+    """
+    name = path or os.environ.get(SETTINGS_VARIABLE, '')
+    try:
+        fields = tomllib.loads(pathlib.Path(name).read_text(encoding='utf-8'))
+    except (OSError, ValueError) as error:
+        raise exceptions.SettingsError(
+            f'{name or SETTINGS_VARIABLE}: {error}', step=_STEP
+        ) from error
+    try:
+        return _decode(fields)
+    except _MALFORMED as error:
+        raise exceptions.SettingsError(
+            f'{name}: {error!r}', step=_STEP
+        ) from error
+
+
+def _decode(fields: Mapping[str, Any]) -> HostSettings:
+    listen = fields.get('Listen') or {}
+    bounds = fields.get('Bounds') or {}
+    limits = fields.get('Limits') or {}
+    first, last = fields['PortRange']
+    return HostSettings(
+        node=fields['NodeName'],
+        ip=fields['Ip'],
+        zone=fields['Zone'],
+        region=fields['Region'],
+        inner_ports=(first, last),
+        platform=fields['Provider']['Address'],
+        front=_address(listen.get('Front')),
+        ready=_address(listen.get('Ready')),
+        directory=_address(listen.get('Directory')),
+        data_folder=fields.get('DataDir') or '',
+        losses=(fields.get('Tolerate') or {}).get('Machines', 1),
+        grace_ms=bounds.get('GraceS', 8) * clock.MS_PER_SECOND,
+        drain_ms=bounds.get('DrainMs', DRAIN_MS),
+        directory_ttl_ms=bounds.get('ttl_max_s', 5) * clock.MS_PER_SECOND,
+        memory_mb=limits.get('MemoryMb', 0),
+        max_descriptors=limits.get('MaxFds', 1024),
+    )
+
+
+def _address(text: str | None) -> Address | None:
+    if not text:
+        return None
+    ip, _colon, port = text.rpartition(':')
+    return ip, int(port)
--- /dev/null
+++ b/src/carobfork/roles.py
@@ -0,0 +1,339 @@
+"""Roles: the processes that run on the platform, and how they are wired.
+
+Run one with ``python3 -m carobfork.roles front``. Each role imports what it
+needs and no more, since memory is priced.
+"""
+
+import contextlib
+import os
+import pathlib
+import signal
+import sys
+from collections.abc import Callable
+from types import TracebackType
+
+import gevent
+import structlog
+from gevent import event
+
+from carobfork import clock, exceptions, host_logs
+from carobfork.platform import (
+    decoding,
+    endpoints,
+    followers,
+    heads,
+    names,
+    objects,
+    registers,
+    settings,
+)
+from carobfork.storage import (
+    clients,
+    disks,
+    groups,
+    keepers,
+    links,
+    listeners,
+    memberships,
+    messages,
+)
+
+SETTINGS_POLL_MS = 1000
+"""The settings file may change without a signal."""
+SERVE_EVERY_MS = 20
+"""Between looks at what waits, beside those when a slot comes free."""
+TRIM_EVERY_MS = 500
+LEAVE_PART = 0.38
+"""Of the grace time in which new requests are still served."""
+MOST_LEAVE_MS = 3000
+FINISH_PART = 0.9
+"""Of the grace time, after which what still runs is cut off."""
+DIRECTORY_TTL_MS = 1000
+"""Short: callers leave a lost host within it; asking again is cheap."""
+
+logger = structlog.get_logger(part='host')
+
+Role = Callable[[settings.HostSettings], contextlib.AbstractContextManager]
+ROLES: dict[str, Role] = {}  # noqa: WPS407
+
+
+def register(name: str) -> Callable[[Role], Role]:
+    """Register a role under its name."""
+
+    def decorator(role: Role) -> Role:  # noqa: WPS430
+        ROLES[name] = role
+        return role
+
+    return decorator
+
+
+class Host:
+    """What all roles have: greenlets, followers and reloaded settings.
+
+    :param known: the settings.
+    """
+
+    def __init__(self, known: settings.HostSettings) -> None:
+        """Start nothing yet."""
+        self.settings = known
+        self.store = objects.ObjectStore(known.platform)
+        self.timer = clock.SystemClock()
+        self._greenlets: list[gevent.Greenlet] = []
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End all greenlets."""
+        gevent.killall(self._greenlets, block=False)
+
+    def spawn(self, task: Callable[[], None]) -> None:
+        """Run a task for as long as the host lives."""
+        self._greenlets.append(gevent.spawn(task))
+
+    def repeat(self, task: Callable[[], None], every_ms: float) -> None:
+        """Run a task again and again."""
+
+        def run() -> None:  # noqa: WPS430
+            while True:
+                gevent.sleep(clock.to_seconds(every_ms))
+                task()
+
+        self.spawn(run)
+
+    def follow(self, kind: str, on_objects: followers.OnObjects) -> None:
+        """Follow a kind of the platform's objects."""
+        self.spawn(followers.Follower(self.store, kind, on_objects).run)
+
+    def reload(self) -> None:
+        """Read the settings again; what can't change is kept."""
+        try:
+            fresh = settings.load()
+        except exceptions.SettingsError as error:
+            logger.warning('settings not reloaded', reason=error.message)
+            return
+        if fresh != self.settings:
+            logger.info('settings changed', platform=fresh.platform)
+            self.settings = fresh
+            self.store.address = fresh.platform
+
+    def stop(self) -> None:
+        """Prepare to end."""
+
+
+@register('front')
+class FrontRole(Host):
+    """Serve callers.
+
+    :param known: the settings.
+    """
+
+    def __init__(self, known: settings.HostSettings) -> None:
+        """Wire the parts."""
+        from carobfork.gateway import (  # noqa: WPS433
+            directories,
+            relays,
+            servers,
+            turns,
+            workers,
+        )
+
+        super().__init__(known)
+        ip, port = known.front
+        self.directory = directories.Directory(
+            known.node, f'{ip}:{port}', self.timer
+        )
+        self.table = workers.WorkerTable(self.timer)
+        self.links = links.Links(self.timer, self._presence, self._take_hosts)
+        self.storage = clients.Client(
+            self.links, known.losses, known.zone, self.timer
+        )
+        self.relay = relays.Relay(
+            heads, self.table, turns.TurnDesk(self.storage), self.timer
+        )
+        self.server = servers.Server(known.front, self.relay, self.timer)
+        self._told: dict[str, int] = {}
+        self._endpoints = [
+            endpoints.EndpointServer(
+                known.ready, endpoints.ready_endpoint(self.is_ready)
+            ),
+            endpoints.EndpointServer(
+                known.directory,
+                endpoints.directory_endpoint(
+                    lambda: self.directory.addresses(self.is_ready()),
+                    min(DIRECTORY_TTL_MS, known.directory_ttl_ms),
+                ),
+            ),
+        ]
+
+    def __enter__(self) -> 'FrontRole':
+        """Listen and follow the platform."""
+        self.follow(names.KIND_CONFIG, self._take_config)
+        self.follow(names.KIND_SERVERS, self._take_workers)
+        self.follow(names.KIND_STORAGE, self._take_group)
+        self.repeat(self.relay.serve_desks, SERVE_EVERY_MS)
+        self.repeat(self.relay.exchanger.pool.trim, TRIM_EVERY_MS)
+        for endpoint in self._endpoints:
+            endpoint.start()
+        self.server.start()
+        return self
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should come here."""
+        return (
+            self.relay.routes is not None
+            and self.table.is_known
+            and not self.server.is_leaving
+        )
+
+    def stop(self) -> None:
+        """Leave: callers go elsewhere, and what runs is finished."""
+        grace_ms = self.settings.grace_ms
+        leave_ms = min(grace_ms * LEAVE_PART, MOST_LEAVE_MS)
+        until_ms = self.timer.now_ms() + grace_ms * FINISH_PART
+        self.server.is_leaving = True
+        gevent.sleep(clock.to_seconds(leave_ms))
+        self.server.stop_accepting()
+        while self.server.counts.in_progress and self.timer.now_ms() < until_ms:
+            gevent.sleep(clock.to_seconds(SERVE_EVERY_MS))
+
+    def _presence(self) -> messages.Presence:
+        ip, port = self.settings.front
+        self._told = self.table.in_flight()
+        return messages.Presence(
+            self.settings.node,
+            f'{ip}:{port}',
+            self.settings.zone,
+            not self.is_ready(),
+            self._told,
+            self.storage.group.epoch,
+        )
+
+    def _take_hosts(self, told: messages.Hosts) -> None:
+        self.directory.take(told)
+        self.table.note_shared(told.in_flight, self._told)
+        if told.group is not None:
+            self.storage.apply(told.group)
+
+    def _take_config(
+        self, found: list[decoding.StoredObject], _was_away: bool
+    ) -> None:
+        for stored in found:
+            if stored.name == names.CONFIG_NAME:
+                self._take_table(stored)
+
+    def _take_table(self, stored: decoding.StoredObject) -> None:
+        known = self.relay.routes
+        try:
+            table = decoding.decode_table(stored.spec)
+        except (exceptions.SettingsError, AttributeError) as error:
+            logger.warning('configuration not taken', reason=str(error))
+            return
+        if known is None or table.version > known.version:
+            logger.info(
+                'configuration in force',
+                version=table.version,
+                before=known.version if known else None,
+                routes=len(table.routes),
+            )
+            self.relay.routes = table
+
+    def _take_workers(
+        self, found: list[decoding.StoredObject], was_away: bool
+    ) -> None:
+        entries = [decoding.decode_worker(stored) for stored in found]
+        self.table.apply([entry for entry in entries if entry], was_away)
+        self.relay.serve_desks()
+
+    def _take_group(
+        self, found: list[decoding.StoredObject], _was_away: bool
+    ) -> None:
+        for stored in found:
+            if stored.name == registers.GROUP_NAME:
+                self.storage.apply(registers.decode_group(stored))
+
+
+@register('store')
+class StoreRole(Host):
+    """Keep turns and budgets on a disk.
+
+    :param known: the settings.
+    """
+
+    def __init__(self, known: settings.HostSettings) -> None:
+        """Open the disk and wire the parts."""
+        super().__init__(known)
+        folder = pathlib.Path(known.data_folder)
+        self.disk = disks.Disk(folder, clock.WallClock())
+        self.keeper = keepers.Keeper(self.disk)
+        address = (known.ip, known.inner_ports[0])
+        self.listener = listeners.Listener(address, self.keeper)
+        self.register = registers.GroupRegister(self.store)
+        self.retirement = registers.Retirement(self.store, known.node)
+        self.links = links.Links(self.timer, messages.Ping, _ignore)
+        self.membership = memberships.Membership(
+            groups.Member(
+                known.node, self.disk.identity.disk, *address, known.zone
+            ),
+            self.keeper,
+            self.register,
+            self.links,
+            known.losses,
+            lambda: self.retirement.is_asked,
+        )
+
+    def __enter__(self) -> 'StoreRole':
+        """Listen, follow the platform and take part in the group."""
+        self.listener.start()
+        self.spawn(self.disk.run)
+        self.spawn(self.disk.run_expiry)
+        self.follow(names.KIND_STORAGE, self.register.take)
+        self.follow(names.KIND_RETIREMENTS, self.retirement.take)
+        self.spawn(self.membership.run)
+        self.repeat(self._report_retirement, SETTINGS_POLL_MS / 4)
+        return self
+
+    def _report_retirement(self) -> None:
+        try:
+            self.retirement.report(self.membership.is_outside)
+        except exceptions.PlatformError as error:
+            logger.info('retirement not reported', reason=error.message)
+
+
+def run(name: str) -> None:
+    """Run a role until SIGTERM or SIGINT."""
+    known = settings.load()
+    host_logs.configure()
+    logger.info('start', role=name, node=known.node, zone=known.zone)
+    host = ROLES[name](known)
+    stopped = event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopped.set)
+    gevent.signal_handler(signal.SIGHUP, host.reload)
+    host.repeat(host.reload, SETTINGS_POLL_MS)
+    with host:
+        logger.info('started', pid=os.getpid())
+        stopped.wait()
+        logger.info('stopping')
+        host.stop()
+    logger.info('stopped')
+    host_logs.flush()
+
+
+def main() -> None:
+    """Run the role that the command line names."""
+    if len(sys.argv) != 2 or sys.argv[1] not in ROLES:
+        sys.exit(f'usage: python3 -m carobfork.roles {"|".join(ROLES)}')
+    run(sys.argv[1])
+    # Threads of the pool and connections that hang must not hold the end.
+    os._exit(0)  # noqa: WPS437
+
+
+def _ignore(_reply: messages.Done) -> None:
+    """Take the answer to a beat that says no more than that it came."""
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/carobfork/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Storage: turns and budgets kept on the disks of store hosts."""
--- /dev/null
+++ b/src/carobfork/storage/clients.py
@@ -0,0 +1,249 @@
+"""Clients: an entry host's view of the records, by quorum.
+
+A turn is acknowledged when a quorum of store hosts has synced it, and a
+budget's charges are read from a quorum that any other one meets, so two
+entry hosts never both believe that the last tokens are theirs.
+"""
+
+from typing import Any
+
+import attrs
+import structlog
+from gevent import queue
+
+from carobfork import clock, exceptions
+from carobfork.storage import groups, links, messages
+
+OPERATION_MS = 1200
+"""Longest wait: over the silence after which a link counts as gone."""
+SETTLE_TRIES = 4
+_STEP = 'storage'
+
+logger = structlog.get_logger(part='storage')
+
+
+@attrs.frozen
+class Outcome:
+    """Answers of members by their disks."""
+
+    replies: dict[str, Any]
+
+
+class Client:
+    """Ask the storage group.
+
+    :param linked: links to its hosts.
+    :param losses: disks that may be lost at a time.
+    :param zone: the own failure domain, preferred for reads.
+    :param timer: measures waits.
+    """
+
+    def __init__(
+        self, linked: links.Links, losses: int, zone: str, timer: clock.Clock
+    ) -> None:
+        """Start without a group."""
+        self.group = groups.Group()
+        self._links = linked
+        self._losses = losses
+        self._zone = zone
+        self._timer = timer
+
+    def apply(self, group: groups.Group) -> None:
+        """Take a group over, unless a newer one is known."""
+        if group.epoch <= self.group.epoch:
+            return
+        logger.info(
+            'storage group',
+            epoch=group.epoch,
+            members=[member.node for member in group.members],
+            following=[member.node for member in group.following],
+        )
+        self.group = group
+        self._links.apply(group)
+
+    def begin(self, message: messages.Begin) -> messages.Begun:
+        """Reserve tokens and read a program's state.
+
+        Charges of all answers are merged; a settled one wins.
+
+        :raises NotRunError: too few members answered.
+        :raises UnknownProgramError: no member of a quorum knows the turn.
+        """
+        nearest = self._nearest()
+        outcome = self._operate(
+            {
+                disk: attrs.evolve(
+                    message,
+                    wants_chain=bool(message.previous) and disk == nearest,
+                )
+                for disk in self.group.everyone()
+            },
+            is_read=True,
+        )
+        merged = _merge(outcome.replies.values())
+        if message.previous and merged.chain is None:
+            chain = self._fetch_chain(message, outcome)
+            merged = attrs.evolve(merged, chain=chain)
+        return merged
+
+    def finish(self, message: messages.Finish) -> None:
+        """Keep a turn and settle its attempt.
+
+        :raises NotRunError: too few members have synced it.
+        """
+        self._operate(
+            {disk: message for disk in self.group.everyone()}, is_read=False
+        )
+
+    def settle(self, message: messages.Finish) -> None:
+        """Settle an attempt, trying a few times.
+
+        What can't be settled stays charged with the most it could generate.
+        """
+        for _ in range(SETTLE_TRIES):
+            try:
+                return self.finish(message)
+            except exceptions.NotRunError as error:
+                logger.info(
+                    'charge not settled',
+                    attempt=message.charge.attempt,
+                    reason=error.message,
+                )
+
+    def _nearest(self) -> str:
+        """Return the disk that is asked for a chain."""
+        usable = [link for link in self._links.all() if link.is_connected]
+        usable = [
+            link for link in usable if self.group.holds(link.member.disk)
+        ] or usable
+        near = [link for link in usable if link.member.zone == self._zone]
+        chosen = near or usable
+        return chosen[0].member.disk if chosen else ''
+
+    def _fetch_chain(self, message: messages.Begin, outcome: Outcome) -> bytes:
+        """Return a chain from any member that holds it."""
+        asked = attrs.evolve(message, charge=None, wants_chain=True)
+        for disk, begun in outcome.replies.items():
+            if begun.knows_previous:
+                chain = self._ask_for_chain(disk, asked)
+                if chain is not None:
+                    return chain
+        if any(begun.knows_previous for begun in outcome.replies.values()):
+            raise exceptions.NotRunError('a turn is out of reach', step=_STEP)
+        raise exceptions.UnknownProgramError('no such turn', step=_STEP)
+
+    def _ask_for_chain(self, disk: str, asked: messages.Begin) -> bytes | None:
+        link = self._links.get(disk)
+        if link is None:
+            return None
+        try:
+            reply = link.request(asked, OPERATION_MS)
+        except exceptions.ConnectionFailedError as error:
+            logger.info('chain not read', disk=disk, reason=error.message)
+            return None
+        return getattr(reply, 'chain', None)
+
+    def _operate(self, requests: dict[str, Any], is_read: bool) -> Outcome:
+        """Send requests, once more where the group has changed."""
+        until_ms = self._timer.now_ms() + OPERATION_MS
+        while True:
+            epoch = self.group.epoch
+            operation = _Operation(self.group, self._losses, is_read)
+            operation.send(self._links, requests)
+            if operation.wait(until_ms, self._timer):
+                return Outcome(operation.replies)
+            self._learn(operation)
+            if self.group.epoch == epoch or self._timer.now_ms() > until_ms:
+                raise exceptions.NotRunError(
+                    f'too few store hosts answered: {operation.describe()}',
+                    step=_STEP,
+                )
+            requests = _readdress(requests, self.group)
+
+    def _learn(self, operation: '_Operation') -> None:
+        for refused in operation.refused.values():
+            if refused.reason == 'stale':
+                self.apply(refused.group)
+
+
+def _readdress(requests: dict[str, Any], group: groups.Group) -> dict[str, Any]:
+    """Return the requests for the members of another group."""
+    sample = next(iter(requests.values()), None)
+    return {disk: requests.get(disk, sample) for disk in group.everyone()}
+
+
+class _Operation:
+    """One request to all members, until a quorum has answered."""
+
+    def __init__(self, group: groups.Group, losses: int, is_read: bool) -> None:
+        self.replies: dict[str, Any] = {}
+        self.refused: dict[str, messages.Refused] = {}
+        self._failed: set[str] = set()
+        self._is_read = is_read
+        self._group = group
+        self._quorum = groups.Quorum(group, losses)
+        self._inbox: queue.Queue = queue.Queue()
+
+    def send(self, linked: links.Links, requests: dict[str, Any]) -> None:
+        for disk, request in requests.items():
+            link = linked.get(disk)
+            if link is None:
+                self._inbox.put((disk, None))
+            else:
+                link.ask(request, self._receiver(disk))
+
+    def wait(self, until_ms: float, timer: clock.Clock) -> bool:
+        """Tell whether enough members answered in time."""
+        while not self._is_done():
+            left_ms = until_ms - timer.now_ms()
+            if left_ms <= 0 or self._quorum.is_lost(self._failed):
+                return False
+            try:
+                self._take(*self._inbox.get(timeout=clock.to_seconds(left_ms)))
+            except queue.Empty:
+                return False
+        return True
+
+    def describe(self) -> str:
+        """Return who answered what."""
+        reasons = {
+            disk: refused.reason for disk, refused in self.refused.items()
+        }
+        return (
+            f'epoch {self._group.epoch}, {len(self.replies)} answered, '
+            f'{len(self._failed)} failed, refused {reasons}'
+        )
+
+    def _is_done(self) -> bool:
+        if self._is_read and not self._quorum.is_read(set(self.replies)):
+            return False
+        return self._quorum.is_written(set(self.replies))
+
+    def _receiver(self, disk: str):
+        return lambda reply: self._inbox.put((disk, reply))
+
+    def _take(self, disk: str, reply: Any) -> None:
+        if isinstance(reply, messages.Refused):
+            self.refused[disk] = reply
+            self._failed.add(disk)
+        elif reply is None:
+            self._failed.add(disk)
+        else:
+            self.replies[disk] = reply
+
+
+def _merge(answers) -> messages.Begun:
+    charges: dict[str, tuple[int, bool]] = {}
+    knows = False
+    chain = None
+    for begun in answers:
+        knows = knows or begun.knows_previous
+        chain = begun.chain if chain is None else chain
+        fresh = {
+            attempt: charge
+            for attempt, charge in begun.charges.items()
+            # Settled charges are final; a reservation may be outdated.
+            if charge[1] or attempt not in charges
+        }
+        charges.update(fresh)
+    return messages.Begun(charges, knows, chain)
--- /dev/null
+++ b/src/carobfork/storage/ledgers.py
@@ -0,0 +1,217 @@
+"""Ledgers: an index of the records on one disk.
+
+Turns stay on the disk and are read when a chain is asked for; budgets are
+few bytes and stay in memory.
+"""
+
+from collections.abc import Iterator
+
+import attrs
+import msgspec
+
+from carobfork import clock
+from carobfork.storage import messages, segments
+
+MARGIN_MS = 20_000
+"""Kept beyond their time: steps of the time of day, and requests under way."""
+MAX_CHAIN = 512
+"""Longest chain that is followed: bounds the work of one request."""
+
+
+@attrs.frozen
+class Record:
+    """What is written on a disk.
+
+    :param written_ms: time of day of the host that wrote it.
+    """
+
+    written_ms: float
+    retain_ms: float
+    entry: messages.Charge | messages.Turn
+
+
+@attrs.define
+class _KeptTurn:
+    """Where a turn lies and how long it is needed."""
+
+    previous: str
+    place: segments.Place | None
+    expires_ms: float
+
+
+@attrs.define
+class _Program:
+    """The charges of a program, by attempt."""
+
+    charges: dict[str, tuple[int, bool]]
+    expires_ms: float
+
+
+class Ledger:
+    """Know all turns and charges that a disk holds.
+
+    :param files: the disk's records.
+    :param timer: the time of day in ms.
+    """
+
+    def __init__(self, files: segments.Segments, timer: clock.Clock) -> None:
+        """Read the records that the disk holds."""
+        self._files = files
+        self._timer = timer
+        self._turns: dict[str, _KeptTurn] = {}
+        self._programs: dict[str, _Program] = {}
+        self._needed_until_ms: dict[int, float] = {}
+        for place, record in files.replay():
+            self.apply(decode_record(record), place)
+        self.relink()
+
+    def apply(self, record: Record, place: segments.Place) -> None:
+        """Take a record in that lies at a place."""
+        expires_ms = record.written_ms + record.retain_ms + MARGIN_MS
+        self._need(place.segment, expires_ms)
+        if isinstance(record.entry, messages.Charge):
+            self._apply_charge(record.entry, expires_ms)
+        else:
+            self._turns[record.entry.attempt] = _KeptTurn(
+                record.entry.previous, place, expires_ms
+            )
+            self._extend_chain(record.entry.previous, expires_ms)
+
+    def stamp(
+        self, entry: messages.Charge | messages.Turn, retain_ms: float
+    ) -> Record:
+        """Return a record of an entry, written now."""
+        return Record(self._timer.now_ms(), retain_ms, entry)
+
+    def charges(self, program: str) -> dict[str, tuple[int, bool]]:
+        """Return a program's charges by attempt."""
+        known = self._programs.get(program)
+        return dict(known.charges) if known else {}
+
+    def knows_charge(self, charge: messages.Charge) -> bool:
+        """Tell whether a charge would change nothing."""
+        known = self.charges(charge.program).get(charge.attempt)
+        return known is not None and (known[1] or not charge.is_settled)
+
+    def knows_turn(self, attempt: str) -> bool:
+        """Tell whether a turn is kept."""
+        return attempt in self._turns
+
+    def unknown(self, records: list[bytes]) -> list[Record]:
+        """Return those of other hosts' records that are new here."""
+        fresh = []
+        for record in map(decode_record, records):
+            entry = record.entry
+            if isinstance(entry, messages.Charge):
+                is_known = self.knows_charge(entry)
+            else:
+                is_known = self.knows_turn(entry.attempt)
+            if not is_known:
+                fresh.append(record)
+        return fresh
+
+    def chain(self, attempt: str) -> bytes | None:
+        """Return the bytes of a turn and those before it, oldest first.
+
+        Nothing, where a turn of the chain is missing here.
+        """
+        pieces: list[bytes] = []
+        name = attempt
+        while name:
+            kept = self._turns.get(name)
+            if kept is None or len(pieces) >= MAX_CHAIN:
+                return None
+            turn = decode_record(self._files.read(kept.place)).entry
+            pieces.append(turn.request + turn.events)
+            name = kept.previous
+        return b''.join(reversed(pieces))
+
+    def extend(self, attempt: str, retain_ms: float) -> None:
+        """Keep a chain for as long as a turn that continues it may last."""
+        expires_ms = self._timer.now_ms() + retain_ms + MARGIN_MS
+        self._extend_chain(attempt, expires_ms)
+
+    def dump(self) -> Iterator[segments.Place | Record]:
+        """Yield what is kept: places of turns, and records of charges."""
+        now_ms = self._timer.now_ms()
+        for turn in list(self._turns.values()):
+            yield turn.place
+        for name, program in list(self._programs.items()):
+            retain_ms = program.expires_ms - MARGIN_MS - now_ms
+            for attempt, (tokens, is_settled) in program.charges.items():
+                charge = messages.Charge(
+                    name, attempt, tokens, is_settled, retain_ms
+                )
+                yield Record(now_ms, retain_ms, charge)
+
+    def relink(self) -> None:
+        """Keep all chains as long as their last turns.
+
+        Records that were copied come in any order, a turn before the one
+        that it continues among them.
+        """
+        for turn in list(self._turns.values()):
+            self._extend_chain(turn.previous, turn.expires_ms)
+
+    def expire(self) -> list[int]:
+        """Forget what is past its time, and return files not needed."""
+        now_ms = self._timer.now_ms()
+        for attempt, turn in list(self._turns.items()):
+            if turn.expires_ms < now_ms:
+                self._turns.pop(attempt)
+        for name, program in list(self._programs.items()):
+            if program.expires_ms < now_ms:
+                self._programs.pop(name)
+        unneeded = [
+            segment
+            for segment, until_ms in self._needed_until_ms.items()
+            if until_ms < now_ms and segment != self._files.current
+        ]
+        for segment in unneeded:
+            self._needed_until_ms.pop(segment)
+        return unneeded
+
+    def describe(self) -> dict[str, int]:
+        """Return the sizes of the index."""
+        return {'turns': len(self._turns), 'programs': len(self._programs)}
+
+    def _apply_charge(self, charge: messages.Charge, expires_ms: float) -> None:
+        program = self._programs.setdefault(
+            charge.program, _Program({}, expires_ms)
+        )
+        program.expires_ms = max(program.expires_ms, expires_ms)
+        known = program.charges.get(charge.attempt)
+        if known is None or not known[1]:
+            program.charges[charge.attempt] = (
+                charge.tokens,
+                charge.is_settled,
+            )
+
+    def _extend_chain(self, attempt: str, expires_ms: float) -> None:
+        name = attempt
+        while name:
+            kept = self._turns.get(name)
+            if kept is None or kept.expires_ms >= expires_ms:
+                return
+            kept.expires_ms = expires_ms
+            self._need(kept.place.segment, expires_ms)
+            name = kept.previous
+
+    def _need(self, segment: int, until_ms: float) -> None:
+        known_ms = self._needed_until_ms.get(segment, 0)
+        self._needed_until_ms[segment] = max(known_ms, until_ms)
+
+
+def encode_record(record: Record) -> bytes:
+    """Return a record's bytes."""
+    kind = type(record.entry).__name__
+    return msgspec.msgpack.encode(
+        (record.written_ms, record.retain_ms, kind, record.entry)
+    )
+
+
+def decode_record(encoded: bytes) -> Record:
+    """Return the record that bytes hold."""
+    written_ms, retain_ms, kind, fields = msgspec.msgpack.decode(encoded)
+    entry = msgspec.convert(fields, messages.MESSAGES[kind])
+    return Record(written_ms, retain_ms, entry)
--- /dev/null
+++ b/src/carobfork/storage/links.py
@@ -0,0 +1,265 @@
+"""Links: one connection to each store host, shared by all requests.
+
+A link sends a beat a few times a second. A peer that answers none for a
+while counts as gone and its connection is reset: after a partition a
+connection may stay silent for good while new ones work.
+"""
+
+import collections
+import itertools
+import socket as sockets
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any
+
+import gevent
+import structlog
+from gevent import event, queue, socket
+
+from carobfork import clock, exceptions
+from carobfork.storage import groups, messages
+
+CONNECT_TIMEOUT_MS = 500
+"""Several round trips between failure domains, with room for a lost packet."""
+BEAT_MS = 250
+"""A dead peer shows within a few beats; four beats a second cost little."""
+SILENCE_MS = 900
+"""Three beats without an answer."""
+RECONNECT_MS = 150
+USER_TIMEOUT_MS = 1000
+"""For unacknowledged bytes in the kernel, in case no beat is waiting."""
+_READ_BYTES = 262_144
+
+logger = structlog.get_logger(part='links')
+
+Callback = Callable[[Any], None]
+
+
+class Link:
+    """Requests to one store host, as a context manager.
+
+    :param member: the host.
+    :param timer: measures silences.
+    :param beat: returns the message to send at each beat.
+    :param on_beat: takes the answers to beats.
+    """
+
+    def __init__(
+        self,
+        member: groups.Member,
+        timer: clock.Clock,
+        beat: Callable[[], Any],
+        on_beat: Callback,
+    ) -> None:
+        """Prepare the link; entering it connects."""
+        self.member = member
+        self.epoch = 0
+        self.heard_ms = timer.now_ms()
+        self.is_connected = False
+        self._timer = timer
+        self._beat = beat
+        self._on_beat = on_beat
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, Callback] = {}
+        self._outgoing: collections.deque[bytes] = collections.deque()
+        self._wakened = event.Event()
+        self._runner: gevent.Greenlet | None = None
+
+    def __enter__(self) -> 'Link':
+        """Start to connect."""
+        self._runner = gevent.spawn(self._run)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the connection; what waits gets no answer."""
+        if self._runner is not None:
+            self._runner.kill(block=False)
+
+    def silent_ms(self) -> float:
+        """Return for how long nothing was heard."""
+        return self._timer.now_ms() - self.heard_ms
+
+    def ask(self, message: Any, on_reply: Callback) -> None:
+        """Send a request.
+
+        :param on_reply: called once, with the answer, or with nothing where
+            the connection fails.
+        """
+        if not self.is_connected:
+            on_reply(None)
+            return
+        number = next(self._numbers)
+        self._waiting[number] = on_reply
+        envelope = messages.Envelope(number, self.epoch, message)
+        self._outgoing.append(messages.encode(envelope))
+        self._wakened.set()
+
+    def request(self, message: Any, timeout_ms: float) -> Any:
+        """Send a request and return its answer.
+
+        :raises ConnectionFailedError: none came in time.
+        """
+        inbox: queue.Queue = queue.Queue()
+        self.ask(message, inbox.put)
+        reply = None
+        try:
+            reply = inbox.get(timeout=clock.to_seconds(timeout_ms))
+        except queue.Empty:
+            logger.info('no answer in time', peer=self.member.node)
+        if reply is None:
+            raise exceptions.ConnectionFailedError(
+                'no answer', sent=True, step='request', peer=self.member.node
+            )
+        return reply
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self._connect_and_serve()
+            except (OSError, exceptions.BadRequestError) as error:
+                logger.debug(
+                    'link failed', peer=self.member.node, reason=str(error)
+                )
+            gevent.sleep(clock.to_seconds(RECONNECT_MS))
+
+    def _connect_and_serve(self) -> None:
+        connected = socket.create_connection(
+            (self.member.ip, self.member.port),
+            timeout=clock.to_seconds(CONNECT_TIMEOUT_MS),
+        )
+        helpers: list[gevent.Greenlet] = []
+        try:
+            self._begin(connected)
+            helpers.append(gevent.spawn(self._write, connected))
+            helpers.append(gevent.spawn(self._send_beats))
+            self._read(connected)
+        finally:
+            gevent.killall(helpers, block=False)
+            connected.close()
+            self._end()
+
+    def _begin(self, connected: socket.socket) -> None:
+        prepare(connected)
+        self._outgoing.clear()
+        self.is_connected = True
+        self.heard_ms = self._timer.now_ms()
+        logger.info('link is up', peer=self.member.node)
+
+    def _end(self) -> None:
+        if self.is_connected:
+            logger.info(
+                'link is down',
+                peer=self.member.node,
+                silent_ms=round(self.silent_ms()),
+                waiting=len(self._waiting),
+            )
+        self.is_connected = False
+        waiting = list(self._waiting.values())
+        self._waiting.clear()
+        for on_reply in waiting:
+            on_reply(None)
+
+    def _read(self, connected: socket.socket) -> None:
+        connected.settimeout(clock.to_seconds(SILENCE_MS))
+        buffered = bytearray()
+        while True:
+            received = connected.recv(_READ_BYTES)
+            if not received:
+                return
+            self.heard_ms = self._timer.now_ms()
+            buffered.extend(received)
+            for frame in messages.take_frames(buffered):
+                self._deliver(messages.decode(frame))
+
+    def _deliver(self, envelope: messages.Envelope) -> None:
+        on_reply = self._waiting.pop(envelope.number, None)
+        if on_reply is not None:
+            on_reply(envelope.message)
+
+    def _write(self, connected: socket.socket) -> None:
+        while True:
+            self._wakened.wait()
+            self._wakened.clear()
+            batch = b''.join(self._outgoing)
+            self._outgoing.clear()
+            try:
+                connected.sendall(batch)
+            except OSError:
+                # The reader reports the failure and ends the link.
+                connected.close()
+                return
+
+    def _send_beats(self) -> None:
+        while True:
+            self.ask(self._beat(), self._take_beat)
+            gevent.sleep(clock.to_seconds(BEAT_MS))
+
+    def _take_beat(self, reply: Any) -> None:
+        if reply is not None:
+            self._on_beat(reply)
+
+
+def prepare(connected: socket.socket) -> None:
+    """Set what every connection between hosts needs."""
+    connected.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+    connected.setsockopt(
+        sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
+
+
+class Links:
+    """Links to the members of a group, opened and closed as it changes.
+
+    :param timer: measures silences.
+    :param beat: returns the message to send at each beat.
+    :param on_beat: takes the answers to beats.
+    """
+
+    def __init__(
+        self,
+        timer: clock.Clock,
+        beat: Callable[[], Any],
+        on_beat: Callback,
+    ) -> None:
+        """Start without links."""
+        self._timer = timer
+        self._beat = beat
+        self._on_beat = on_beat
+        self._links: dict[str, Link] = {}
+
+    def apply(self, group: groups.Group, own_disk: str = '') -> None:
+        """Keep links to the group's hosts, apart from the own one."""
+        wanted = group.everyone()
+        wanted.pop(own_disk, None)
+        for disk in self._links.keys() - wanted.keys():
+            self._links.pop(disk).__exit__(None, None, None)
+        for disk, member in wanted.items():
+            if disk not in self._links:
+                link = Link(member, self._timer, self._beat, self._on_beat)
+                self._links[disk] = link.__enter__()
+            self._links[disk].epoch = group.epoch
+
+    def get(self, disk: str) -> Link | None:
+        """Return the link to a disk's host, if there is one."""
+        return self._links.get(disk)
+
+    def all(self) -> list[Link]:
+        """Return all links."""
+        return list(self._links.values())
+
+    def silent_disks(self, span_ms: float) -> set[str]:
+        """Return the disks whose hosts were silent for a span."""
+        return {
+            disk
+            for disk, link in self._links.items()
+            if link.silent_ms() > span_ms
+        }
+
+    def close(self) -> None:
+        """Close all links."""
+        self.apply(groups.Group())
--- /dev/null
+++ b/src/carobfork/storage/listeners.py
@@ -0,0 +1,102 @@
+"""Listeners: the store host's end of the links."""
+
+import gevent
+import structlog
+from gevent import server, socket
+
+from carobfork import exceptions
+from carobfork.storage import keepers, links, messages
+
+_READ_BYTES = 262_144
+WRITE_TIMEOUT_SECONDS = 5
+"""A peer that reads nothing for so long has lost the connection."""
+
+logger = structlog.get_logger(part='listener')
+
+
+class Listener:
+    """Serve a keeper to entry hosts and other store hosts.
+
+    :param address: where to listen.
+    :param keeper: carries the requests out.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], keeper: keepers.Keeper
+    ) -> None:
+        """Prepare the listener."""
+        self._keeper = keeper
+        self._server = server.StreamServer(address, self._serve)
+
+    def start(self) -> None:
+        """Begin to listen."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the listener and its connections."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock: socket.socket, address: tuple) -> None:
+        links.prepare(sock)
+        sock.settimeout(None)
+        outgoing = _Outgoing(sock)
+        try:
+            self._read(sock, outgoing)
+        except (OSError, exceptions.BadRequestError) as error:
+            logger.info('link broke', peer=address[0], reason=str(error))
+        finally:
+            outgoing.close()
+            sock.close()
+
+    def _read(self, sock: socket.socket, outgoing: '_Outgoing') -> None:
+        buffered = bytearray()
+        while True:
+            received = sock.recv(_READ_BYTES)
+            if not received:
+                return
+            buffered.extend(received)
+            for frame in messages.take_frames(buffered):
+                envelope = messages.decode(frame)
+                self._keeper.receive(
+                    envelope, outgoing.replier(envelope.number)
+                )
+
+
+class _Outgoing:
+    """Answers of one connection, in the order in which they are ready."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self._frames: list[bytes] = []
+        self._writer: gevent.Greenlet | None = None
+        self._is_closed = False
+
+    def replier(self, number: int):
+        """Return what sends the answer to a request."""
+
+        def reply(message) -> None:  # noqa: WPS430
+            envelope = messages.Envelope(number, 0, message)
+            self._frames.append(messages.encode(envelope))
+            if self._writer is None and not self._is_closed:
+                self._writer = gevent.spawn(self._write)
+
+        return reply
+
+    def close(self) -> None:
+        """Send nothing more."""
+        self._is_closed = True
+        if self._writer is not None:
+            self._writer.kill(block=False)
+
+    def _write(self) -> None:
+        while self._frames:
+            batch = b''.join(self._frames)
+            self._frames.clear()
+            try:
+                with gevent.Timeout(WRITE_TIMEOUT_SECONDS):
+                    self._sock.sendall(batch)
+            except (OSError, gevent.Timeout) as error:
+                logger.info('answer not sent', reason=str(error))
+                self._sock.close()
+                return
+        self._writer = None
--- /dev/null
+++ b/src/carobfork/storage/messages.py
@@ -0,0 +1,247 @@
+"""Messages between hosts about records, and their frames.
+
+Message classes fill a registry by decorator; a class's name is its tag on
+the wire.
+"""
+
+import struct
+from typing import Any, TypeVar
+
+import attrs
+import msgspec
+
+from carobfork import exceptions
+from carobfork.storage import groups
+
+MAX_FRAME_BYTES = 16_777_216
+"""Longest frame: a page of records with the largest body of a request."""
+GIVEN_RECORDS = 64
+"""Records of one hand-over: with the largest bodies, below a frame."""
+_LENGTH = struct.Struct('>I')
+MESSAGES: dict[str, type] = {}  # noqa: WPS407
+
+_MALFORMED = (KeyError, TypeError, ValueError, msgspec.MsgspecError)
+Message = TypeVar('Message')
+
+
+def register(kind: type[Message]) -> type[Message]:
+    """Register a message class."""
+    MESSAGES[kind.__name__] = kind
+    return kind
+
+
+@register
+@attrs.frozen
+class Turn:
+    """What is kept of a turn that ended whole."""
+
+    attempt: str
+    previous: str
+    request: bytes
+    events: bytes
+
+
+@register
+@attrs.frozen
+class Charge:
+    """Tokens that one attempt counts for in its program's budget.
+
+    :param is_settled: whether the attempt has ended; before that the tokens
+        are the most that it may generate.
+    """
+
+    program: str
+    attempt: str
+    tokens: int
+    is_settled: bool
+    retain_ms: float
+
+
+@register
+@attrs.frozen
+class Begin:
+    """Reserve tokens for an attempt and read what it depends on.
+
+    :param wants_chain: whether the answer should hold the chain's bytes.
+    """
+
+    charge: Charge | None
+    previous: str = ''
+    retain_ms: float = 0
+    wants_chain: bool = False
+
+
+@register
+@attrs.frozen
+class Begun:
+    """What a member knows of a program.
+
+    :param charges: tokens by attempt, and whether they are settled.
+    :param chain: the bytes of the turns before, oldest first.
+    """
+
+    charges: dict[str, tuple[int, bool]]
+    knows_previous: bool = True
+    chain: bytes | None = None
+
+
+@register
+@attrs.frozen
+class Finish:
+    """Settle an attempt and keep its turn, if there is one."""
+
+    charge: Charge | None
+    turn: Turn | None = None
+    retain_ms: float = 0
+
+
+@register
+@attrs.frozen
+class Done:
+    """A request was carried out and synced."""
+
+
+@register
+@attrs.frozen
+class Adopt:
+    """Take over a group that is newer than the one known."""
+
+    group: groups.Group
+
+
+@register
+@attrs.frozen
+class Fetch:
+    """Ask for records, from a place on.
+
+    :param listing: which listing goes on, 0 for a new one.
+    """
+
+    place: int = 0
+    listing: int = 0
+
+
+@register
+@attrs.frozen
+class Records:
+    """Records of a member.
+
+    :param next_place: where to go on, 0 at the end.
+    :param is_complete: whether the member holds all it should.
+    """
+
+    records: list[bytes]
+    next_place: int
+    listing: int
+    is_complete: bool
+
+
+@register
+@attrs.frozen
+class Give:
+    """Hand records to a member that may lack them."""
+
+    records: list[bytes]
+
+
+@register
+@attrs.frozen
+class Ping:
+    """Ask whether a member lives."""
+
+
+@register
+@attrs.frozen
+class Presence:
+    """An entry host is alive.
+
+    :param address: where callers reach it.
+    :param in_flight: its calls by backend server.
+    """
+
+    node: str
+    address: str
+    zone: str
+    is_leaving: bool
+    in_flight: dict[str, int]
+    epoch: int = 0
+
+
+@register
+@attrs.frozen
+class Hosts:
+    """Entry hosts heard of lately, and the group where the asker's is older.
+
+    :param hosts: address, zone and whether it is leaving, by node.
+    :param in_flight: calls of all entry hosts by backend server.
+    """
+
+    hosts: dict[str, tuple[str, str, bool]]
+    in_flight: dict[str, int]
+    group: groups.Group | None = None
+
+
+@register
+@attrs.frozen
+class Refused:
+    """A request was not carried out.
+
+    :param reason: ``stale``, ``behind``, ``filling`` or ``failed``.
+    :param group: the group that the member knows.
+    """
+
+    reason: str
+    group: groups.Group
+
+
+@attrs.frozen
+class Envelope:
+    """A message with its number and the sender's epoch."""
+
+    number: int
+    epoch: int
+    message: Any
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return a frame."""
+    kind = type(envelope.message).__name__
+    payload = msgspec.msgpack.encode(
+        (envelope.number, envelope.epoch, kind, envelope.message)
+    )
+    return _LENGTH.pack(len(payload)) + payload
+
+
+def decode(payload: bytes) -> Envelope:
+    """Return what a frame's payload holds.
+
+    :raises BadRequestError: it is no message.
+    """
+    try:
+        number, epoch, kind, fields = msgspec.msgpack.decode(payload)
+        message = msgspec.convert(fields, MESSAGES[kind])
+    except _MALFORMED as error:
+        raise exceptions.BadRequestError(
+            f'this is no message: {error!r}', step='decode'
+        ) from error
+    return Envelope(number, epoch, message)
+
+
+def take_frames(buffered: bytearray) -> list[bytes]:
+    """Take the whole frames out of a buffer.
+
+    :raises BadRequestError: a frame is too long.
+    """
+    frames = []
+    start = 0
+    while len(buffered) - start >= _LENGTH.size:
+        length = _LENGTH.unpack_from(buffered, start)[0]
+        if length > MAX_FRAME_BYTES:
+            raise exceptions.BadRequestError('a frame is too long', step='read')
+        begin = start + _LENGTH.size
+        if len(buffered) < begin + length:
+            break
+        frames.append(bytes(buffered[begin : begin + length]))
+        start = begin + length
+    del buffered[:start]  # noqa: WPS420
+    return frames
