--- a/src/carobfork/gateway/directories.py
+++ b/src/carobfork/gateway/directories.py
@@ -1,56 +1,49 @@
 """Directories: which entry hosts callers should connect to."""
 
-import attrs
+from carobfork.storage import groups, messages
 
-from carobfork import clock
-from carobfork.storage import messages
-
-HEARD_MS = 1500
-"""Six beats without a word of a host from any store host."""
 MOST_ADDRESSES = 64
 
 
-@attrs.frozen
-class _Known:
-    address: str
-    zone: str
-    is_leaving: bool
-    at_ms: float
-
-
 class Directory:
     """The entry hosts that are alive, as store hosts tell.
 
+    What was told last stands while no store host can be reached: this host
+    is cut off then, and the others are probably not.
+
     :param node: this host's name.
     :param address: where callers reach this host.
-    :param timer: measures ages.
     """
 
-    def __init__(self, node: str, address: str, timer: clock.Clock) -> None:
+    def __init__(self, node: str, address: str) -> None:
         """Start knowing this host only."""
         self._node = node
         self._address = address
-        self._timer = timer
-        self._known: dict[str, _Known] = {}
+        self._told: dict[str, messages.Hosts] = {}
 
-    def take(self, told: messages.Hosts) -> None:
+    def take(self, member: groups.Member, told: messages.Hosts) -> None:
         """Take what one store host has heard."""
-        now_ms = self._timer.now_ms()
-        for node, (address, zone, is_leaving) in told.hosts.items():
-            self._known[node] = _Known(address, zone, is_leaving, now_ms)
-        for node, known in list(self._known.items()):
-            if now_ms - known.at_ms > HEARD_MS:
-                self._known.pop(node)
+        self._told[member.disk] = told
+
+    def forget(self, disks: set[str]) -> None:
+        """Forget what store hosts told that can't be reached.
+
+        The last word that is left is kept.
+        """
+        for disk in disks & self._told.keys():
+            if len(self._told) > 1:
+                self._told.pop(disk)
 
     def addresses(self, is_self_ready: bool) -> list[str]:
         """Return the addresses for callers, this host's first."""
-        now_ms = self._timer.now_ms()
+        hosts: dict[str, tuple[str, str, bool]] = {}
+        for told in self._told.values():
+            hosts.update(told.hosts)
         others = [
-            known.address
-            for node, known in sorted(self._known.items())
-            if node != self._node
-            and not known.is_leaving
-            and now_ms - known.at_ms <= HEARD_MS
+            address
+            for node, (address, _zone, is_leaving) in sorted(hosts.items())
+            if node != self._node and not is_leaving
         ]
-        own = [self._address] if is_self_ready else []
-        return [*own, *others][:MOST_ADDRESSES]
+        if is_self_ready or not others:
+            return [self._address, *others][:MOST_ADDRESSES]
+        return others[:MOST_ADDRESSES]
--- a/src/carobfork/platform/followers.py
+++ b/src/carobfork/platform/followers.py
@@ -47,6 +47,9 @@
                 logger.info('listing again', kind=self._kind)
                 self._revision = None
             except exceptions.PlatformError as error:
+                # A watch from an old revision may wait without an answer
+                # where history is being dropped; a listing is never old.
+                self._revision = None
                 self._wait_after(error)
 
     def _step(self) -> None:
--- a/src/carobfork/roles.py
+++ b/src/carobfork/roles.py
@@ -142,9 +142,7 @@
 
         super().__init__(known)
         ip, port = known.front
-        self.directory = directories.Directory(
-            known.node, f'{ip}:{port}', self.timer
-        )
+        self.directory = directories.Directory(known.node, f'{ip}:{port}')
         self.table = workers.WorkerTable(self.timer)
         self.links = links.Links(self.timer, self._presence, self._take_hosts)
         self.storage = clients.Client(
@@ -186,6 +184,7 @@
             self.relay.routes is not None
             and self.table.is_known
             and not self.server.is_leaving
+            and self.storage.is_reachable
         )
 
     def stop(self) -> None:
@@ -211,8 +210,9 @@
             self.storage.group.epoch,
         )
 
-    def _take_hosts(self, told: messages.Hosts) -> None:
-        self.directory.take(told)
+    def _take_hosts(self, member: groups.Member, told: messages.Hosts) -> None:
+        self.directory.take(member, told)
+        self.directory.forget(self.links.silent_disks(links.SILENCE_MS))
         self.table.note_shared(told.in_flight, self._told)
         if told.group is not None:
             self.storage.apply(told.group)
@@ -272,7 +272,9 @@
         self.listener = listeners.Listener(address, self.keeper)
         self.register = registers.GroupRegister(self.store)
         self.retirement = registers.Retirement(self.store, known.node)
-        self.links = links.Links(self.timer, messages.Ping, _ignore)
+        self.links = links.Links(
+            self.timer, lambda: messages.Adopt(self.keeper.group), _ignore
+        )
         self.membership = memberships.Membership(
             groups.Member(
                 known.node, self.disk.identity.disk, *address, known.zone
@@ -331,7 +333,7 @@
     os._exit(0)  # noqa: WPS437
 
 
-def _ignore(_reply: messages.Done) -> None:
+def _ignore(_member: groups.Member, _reply: messages.Done) -> None:
     """Take the answer to a beat that says no more than that it came."""
 
 
--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import attrs
+import gevent
 import structlog
 from gevent import queue
 
@@ -17,6 +18,8 @@
 OPERATION_MS = 1200
 """Longest wait: over the silence after which a link counts as gone."""
 SETTLE_TRIES = 4
+SETTLE_PAUSE_MS = 150
+"""Between tries: together with them below the time to settle a turn."""
 _STEP = 'storage'
 
 logger = structlog.get_logger(part='storage')
@@ -61,6 +64,12 @@
         self.group = group
         self._links.apply(group)
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether enough members can be asked now."""
+        quorum = groups.Quorum(self.group, self._losses)
+        return quorum.is_written(self._links.connected_disks())
+
     def begin(self, message: messages.Begin) -> messages.Begun:
         """Reserve tokens and read a program's state.
 
@@ -109,6 +118,7 @@
                     attempt=message.charge.attempt,
                     reason=error.message,
                 )
+            gevent.sleep(clock.to_seconds(SETTLE_PAUSE_MS))
 
     def _nearest(self) -> str:
         """Return the disk that is asked for a chain."""
@@ -153,7 +163,9 @@
             if operation.wait(until_ms, self._timer):
                 return Outcome(operation.replies)
             self._learn(operation)
-            if self.group.epoch == epoch or self._timer.now_ms() > until_ms:
+            is_changed = self.group.epoch != epoch
+            may_repeat = is_changed or operation.is_worth_repeating
+            if not may_repeat or self._timer.now_ms() > until_ms:
                 raise exceptions.NotRunError(
                     f'too few store hosts answered: {operation.describe()}',
                     step=_STEP,
@@ -161,9 +173,14 @@
             requests = _readdress(requests, self.group)
 
     def _learn(self, operation: '_Operation') -> None:
-        for refused in operation.refused.values():
+        """Take a newer group over, or tell members of the own one."""
+        for disk, refused in operation.refused.items():
+            link = self._links.get(disk)
             if refused.reason == 'stale':
                 self.apply(refused.group)
+            elif refused.reason == 'behind' and link is not None:
+                link.ask(messages.Adopt(self.group), _ignore)
+                operation.is_worth_repeating = True
 
 
 def _readdress(requests: dict[str, Any], group: groups.Group) -> dict[str, Any]:
@@ -172,12 +189,17 @@
     return {disk: requests.get(disk, sample) for disk in group.everyone()}
 
 
+def _ignore(_reply: Any) -> None:
+    """Take an answer that says no more than that it came."""
+
+
 class _Operation:
     """One request to all members, until a quorum has answered."""
 
     def __init__(self, group: groups.Group, losses: int, is_read: bool) -> None:
         self.replies: dict[str, Any] = {}
         self.refused: dict[str, messages.Refused] = {}
+        self.is_worth_repeating = False
         self._failed: set[str] = set()
         self._is_read = is_read
         self._group = group
--- a/src/carobfork/storage/keepers.py
+++ b/src/carobfork/storage/keepers.py
@@ -122,10 +122,6 @@
         """Keep records that another member hands over."""
         self._submit(self.ledger.unknown(message.records), messages.Done, reply)
 
-    def answer_ping(self, _message: messages.Ping, reply: Reply) -> None:
-        """Tell that the host lives."""
-        reply(messages.Done())
-
     def note_presence(self, message: messages.Presence, reply: Reply) -> None:
         """Note an entry host's beat and tell of the others."""
         hosts = self.presences.note(message)
@@ -170,7 +166,6 @@
     'Fetch': Keeper.fetch,
     'Finish': Keeper.finish,
     'Give': Keeper.take_records,
-    'Ping': Keeper.answer_ping,
     'Presence': Keeper.note_presence,
 }
 _FENCED = frozenset((Keeper.begin, Keeper.finish))
--- a/src/carobfork/storage/links.py
+++ b/src/carobfork/storage/links.py
@@ -33,6 +33,7 @@
 logger = structlog.get_logger(part='links')
 
 Callback = Callable[[Any], None]
+BeatCallback = Callable[[groups.Member, Any], None]
 
 
 class Link:
@@ -41,7 +42,7 @@
     :param member: the host.
     :param timer: measures silences.
     :param beat: returns the message to send at each beat.
-    :param on_beat: takes the answers to beats.
+    :param on_beat: takes members and their answers to beats.
     """
 
     def __init__(
@@ -49,7 +50,7 @@
         member: groups.Member,
         timer: clock.Clock,
         beat: Callable[[], Any],
-        on_beat: Callback,
+        on_beat: BeatCallback,
     ) -> None:
         """Prepare the link; entering it connects."""
         self.member = member
@@ -201,7 +202,7 @@
 
     def _take_beat(self, reply: Any) -> None:
         if reply is not None:
-            self._on_beat(reply)
+            self._on_beat(self.member, reply)
 
 
 def prepare(connected: socket.socket) -> None:
@@ -217,14 +218,14 @@
 
     :param timer: measures silences.
     :param beat: returns the message to send at each beat.
-    :param on_beat: takes the answers to beats.
+    :param on_beat: takes members and their answers to beats.
     """
 
     def __init__(
         self,
         timer: clock.Clock,
         beat: Callable[[], Any],
-        on_beat: Callback,
+        on_beat: BeatCallback,
     ) -> None:
         """Start without links."""
         self._timer = timer
@@ -260,6 +261,10 @@
             if link.silent_ms() > span_ms
         }
 
+    def connected_disks(self) -> set[str]:
+        """Return the disks whose hosts can be asked now."""
+        return {disk for disk, link in self._links.items() if link.is_connected}
+
     def close(self) -> None:
         """Close all links."""
         self.apply(groups.Group())
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -144,12 +144,6 @@
     records: list[bytes]
 
 
-@register
-@attrs.frozen
-class Ping:
-    """Ask whether a member lives."""
-
-
 @register
 @attrs.frozen
 class Presence:
--- a/src/carobfork/storage/presences.py
+++ b/src/carobfork/storage/presences.py
@@ -9,8 +9,8 @@
 from carobfork import clock
 from carobfork.storage import messages
 
-FORGET_MS = 1500
-"""Six beats: a host that missed them is down, frozen or cut off."""
+FORGET_MS = 1100
+"""Four beats: a host that missed them is down, frozen or cut off."""
 
 
 @attrs.frozen
