Recall configuration and workers from store hosts in an outage

Change: store hosts follow the configuration and the workers too and keep the last ones on their disks; an entry host whom the platform does not answer asks the seeds, which are store hosts now that they serve "control".

--- a/src/carobfork/platform/decoding.py
+++ b/src/carobfork/platform/decoding.py
@@ -1,9 +1,10 @@
 """Decoding: stored objects of the platform as the product's types."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import attrs
+import msgspec
 import structlog
 
 from carobfork import clock, exceptions
@@ -99,7 +100,6 @@
     revision: int
     spec: Any
     status: Any
-    finalizers: tuple[str, ...] = ()
 
     @classmethod
     def decode(cls, fields: Mapping[str, Any]) -> 'StoredObject':
@@ -113,10 +113,27 @@
             meta['Rev'],
             fields.get('Spec'),
             fields.get('Status'),
-            tuple(meta.get('Finalizers') or ()),
         )
 
 
+def encode_objects(found: Sequence[StoredObject]) -> bytes:
+    """Return objects in a form that ``decode_objects`` reads."""
+    return msgspec.msgpack.encode(found)
+
+
+def decode_objects(encoded: bytes) -> list[StoredObject]:
+    """Return objects that another host has kept.
+
+    :raises BadRequestError: they are malformed.
+    """
+    try:
+        return msgspec.msgpack.decode(encoded, type=list[StoredObject])
+    except msgspec.MsgspecError as error:
+        raise exceptions.BadRequestError(
+            f'kept objects are malformed: {error}', step=_STEP
+        ) from error
+
+
 def decode_worker(stored: StoredObject) -> workers.Entry | None:
     """Return a backend server's entry, or nothing where it is unreadable."""
     spec = stored.spec
--- a/src/carobfork/platform/settings.py
+++ b/src/carobfork/platform/settings.py
@@ -26,6 +26,8 @@
     :param front: where callers connect, if this process serves them.
     :param ready: where the platform asks whether it is ready.
     :param directory: where callers ask for addresses.
+    :param control: where other hosts ask, on store hosts.
+    :param seeds: control addresses of up to three hosts; they may be stale.
     :param inner_ports: first and last port for traffic between hosts.
     :param platform: the platform's store.
     :param data_folder: the disk, on store hosts.
@@ -44,6 +46,8 @@
     front: Address | None = None
     ready: Address | None = None
     directory: Address | None = None
+    control: Address | None = None
+    seeds: tuple[Address, ...] = ()
     data_folder: str = ''
     losses: int = 1
     grace_ms: float = 8000
@@ -89,6 +93,8 @@
         front=_address(listen.get('Front')),
         ready=_address(listen.get('Ready')),
         directory=_address(listen.get('Directory')),
+        control=_address(listen.get('Control')),
+        seeds=tuple(_address(seed) for seed in fields.get('Seeds') or ()),
         data_folder=fields.get('DataDir') or '',
         losses=(fields.get('Tolerate') or {}).get('Machines', 1),
         grace_ms=bounds.get('GraceS', 8) * clock.MS_PER_SECOND,
--- a/src/carobfork/roles.py
+++ b/src/carobfork/roles.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import functools
 import os
 import pathlib
 import signal
@@ -43,6 +44,8 @@
 SERVE_EVERY_MS = 20
 """Between looks at what waits, beside those when a slot comes free."""
 TRIM_EVERY_MS = 500
+RECALL_EVERY_MS = 300
+"""Long enough for the platform's store to answer first where it can."""
 LEAVE_PART = 0.38
 """Of the grace time in which new requests are still served."""
 MOST_LEAVE_MS = 3000
@@ -171,6 +174,7 @@
         self.follow(names.KIND_CONFIG, self._take_config)
         self.follow(names.KIND_SERVERS, self._take_workers)
         self.follow(names.KIND_STORAGE, self._take_group)
+        self.repeat(self._recall, RECALL_EVERY_MS)
         self.repeat(self.relay.serve_desks, SERVE_EVERY_MS)
         self.repeat(self.relay.exchanger.pool.trim, TRIM_EVERY_MS)
         for endpoint in self._endpoints:
@@ -210,6 +214,28 @@
             self.storage.group.epoch,
         )
 
+    def _recall(self) -> None:
+        """Ask store hosts for what the platform does not tell."""
+        if self.relay.routes is not None and self.table.is_known:
+            return
+        for seed in self.settings.seeds:
+            try:
+                told = links.ask_once(seed, messages.Recall())
+            except (OSError, exceptions.BadRequestError) as error:
+                logger.info('nothing recalled', peer=seed, reason=str(error))
+                continue
+            self._take_recalled(told)
+
+    def _take_recalled(self, told: messages.Recalled) -> None:
+        logger.info('recalled', epoch=told.group.epoch, kinds=list(told.notes))
+        self.storage.apply(told.group)
+        config = told.notes.get(names.KIND_CONFIG)
+        if config is not None:
+            self._take_config(decoding.decode_objects(config), False)
+        servers = told.notes.get(names.KIND_SERVERS)
+        if servers is not None and not self.table.is_known:
+            self._take_workers(decoding.decode_objects(servers), False)
+
     def _take_hosts(self, member: groups.Member, told: messages.Hosts) -> None:
         self.directory.take(member, told)
         self.directory.forget(self.links.silent_disks(links.SILENCE_MS))
@@ -268,7 +294,7 @@
         folder = pathlib.Path(known.data_folder)
         self.disk = disks.Disk(folder, clock.WallClock())
         self.keeper = keepers.Keeper(self.disk)
-        address = (known.ip, known.inner_ports[0])
+        address = known.control or (known.ip, known.inner_ports[0])
         self.listener = listeners.Listener(address, self.keeper)
         self.register = registers.GroupRegister(self.store)
         self.retirement = registers.Retirement(self.store, known.node)
@@ -293,10 +319,19 @@
         self.spawn(self.disk.run_expiry)
         self.follow(names.KIND_STORAGE, self.register.take)
         self.follow(names.KIND_RETIREMENTS, self.retirement.take)
+        for kind in (names.KIND_CONFIG, names.KIND_SERVERS):
+            self.follow(kind, functools.partial(self._note, kind))
+        self.links.apply(self.keeper.group, self.disk.identity.disk)
         self.spawn(self.membership.run)
         self.repeat(self._report_retirement, SETTINGS_POLL_MS / 4)
         return self
 
+    def _note(
+        self, kind: str, found: list[decoding.StoredObject], _was_away: bool
+    ) -> None:
+        """Keep what entry hosts need when they start in an outage."""
+        self.disk.note(kind, decoding.encode_objects(found))
+
     def _report_retirement(self) -> None:
         try:
             self.retirement.report(self.membership.is_outside)
--- a/src/carobfork/storage/disks.py
+++ b/src/carobfork/storage/disks.py
@@ -21,6 +21,7 @@
 
 EXPIRE_EVERY_MS = 5000
 _IDENTITY = 'identity'
+_NOTES = 'notes'
 _DISK_BYTES = 8
 
 logger = structlog.get_logger(part='disk')
@@ -64,6 +65,7 @@
         self.identity = _load_identity(folder)
         self._files = segments.Segments(folder)
         self.ledger = ledgers.Ledger(self._files, timer)
+        self.notes = _load_notes(folder)
         self.synced_batches = 0
         self._waiting: list[Submission] = []
         self._wakened = event.Event()
@@ -82,6 +84,17 @@
         )
         self.identity = identity
 
+    def note(self, kind: str, content: bytes) -> None:
+        """Keep what was learnt of the platform, for hosts in an outage.
+
+        :param kind: what the content describes; the last one stands.
+        """
+        if self.notes.get(kind) != content:
+            self.notes[kind] = content
+            segments.write_file(
+                self._folder / _NOTES, msgspec.msgpack.encode(self.notes)
+            )
+
     def submit(self, submission: Submission) -> None:
         """Write records, if there are any, and answer then."""
         if submission.records:
@@ -140,6 +153,13 @@
         return places
 
 
+def _load_notes(folder: pathlib.Path) -> dict[str, bytes]:
+    path = folder / _NOTES
+    if path.exists():
+        return msgspec.msgpack.decode(path.read_bytes(), type=dict[str, bytes])
+    return {}
+
+
 def _load_identity(folder: pathlib.Path) -> Identity:
     """Return the disk's identity; a new disk gets a new one."""
     path = folder / _IDENTITY
--- a/src/carobfork/storage/keepers.py
+++ b/src/carobfork/storage/keepers.py
@@ -118,6 +118,10 @@
         is_complete = self.disk.identity.is_complete
         reply(messages.Records(page, end, self._listing, is_complete))
 
+    def recall(self, _message: messages.Recall, reply: Reply) -> None:
+        """Tell what was known of the platform last."""
+        reply(messages.Recalled(self.group, self.disk.notes))
+
     def take_records(self, message: messages.Give, reply: Reply) -> None:
         """Keep records that another member hands over."""
         self._submit(self.ledger.unknown(message.records), messages.Done, reply)
@@ -166,6 +170,7 @@
     'Fetch': Keeper.fetch,
     'Finish': Keeper.finish,
     'Give': Keeper.take_records,
+    'Recall': Keeper.recall,
     'Presence': Keeper.note_presence,
 }
 _FENCED = frozenset((Keeper.begin, Keeper.finish))
--- a/src/carobfork/storage/links.py
+++ b/src/carobfork/storage/links.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import contextlib
 import itertools
 import socket as sockets
 from collections.abc import Callable
@@ -213,6 +214,27 @@
     )
 
 
+def ask_once(address: tuple[str, int], message: Any) -> Any:
+    """Ask a host on a connection of its own.
+
+    :raises OSError: it can't be reached or does not answer in time.
+    :raises BadRequestError: its answer is malformed.
+    """
+    timeout_seconds = clock.to_seconds(CONNECT_TIMEOUT_MS)
+    connected = socket.create_connection(address, timeout=timeout_seconds)
+    with contextlib.closing(connected):
+        connected.sendall(messages.encode(messages.Envelope(1, 0, message)))
+        buffered = bytearray()
+        frames: list[bytes] = []
+        while not frames:
+            received = connected.recv(_READ_BYTES)
+            if not received:
+                raise ConnectionResetError('the host closed the connection')
+            buffered.extend(received)
+            frames = messages.take_frames(buffered)
+    return messages.decode(frames[0]).message
+
+
 class Links:
     """Links to the members of a group, opened and closed as it changes.
 
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -109,6 +109,21 @@
     group: groups.Group
 
 
+@register
+@attrs.frozen
+class Recall:
+    """Ask for what a host knew of the platform last."""
+
+
+@register
+@attrs.frozen
+class Recalled:
+    """The group, and the objects of other kinds, encoded by their kind."""
+
+    group: groups.Group
+    notes: dict[str, bytes]
+
+
 @register
 @attrs.frozen
 class Fetch:
