--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -246,6 +246,9 @@
                 other=answer.told.attempt,
                 worker=run.worker,
             )
+            if not answer.told.attempt:
+                # It answers nobody; waiting for another would be vain.
+                break
             connection.reader.read_body(answer.shape, MAX_ANSWER_BYTES)
         raise framing.FramingError('no answer to the request', step=_STEP)
 
--- a/src/carobfork/roles.py
+++ b/src/carobfork/roles.py
@@ -182,6 +182,15 @@
         self.server.start()
         return self
 
+    def __exit__(self, *failure) -> None:
+        """Close the listeners and end all greenlets."""
+        self.server.stop_accepting()
+        for endpoint in self._endpoints:
+            endpoint.stop()
+        self.links.close()
+        self.relay.exchanger.pool.close()
+        super().__exit__(*failure)
+
     def is_ready(self) -> bool:
         """Tell whether callers should come here."""
         return (
@@ -326,6 +335,13 @@
         self.repeat(self._report_retirement, SETTINGS_POLL_MS / 4)
         return self
 
+    def __exit__(self, *failure) -> None:
+        """Close the listener and the disk and end all greenlets."""
+        self.listener.stop()
+        self.links.close()
+        super().__exit__(*failure)
+        self.disk.close()
+
     def _note(
         self, kind: str, found: list[decoding.StoredObject], _was_away: bool
     ) -> None:
--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -162,26 +162,15 @@
             operation.send(self._links, requests)
             if operation.wait(until_ms, self._timer):
                 return Outcome(operation.replies)
-            self._learn(operation)
-            is_changed = self.group.epoch != epoch
-            may_repeat = is_changed or operation.is_worth_repeating
-            if not may_repeat or self._timer.now_ms() > until_ms:
+            for refused in operation.refused.values():
+                self.apply(refused.group)
+            if self.group.epoch == epoch or self._timer.now_ms() > until_ms:
                 raise exceptions.NotRunError(
                     f'too few store hosts answered: {operation.describe()}',
                     step=_STEP,
                 )
             requests = _readdress(requests, self.group)
 
-    def _learn(self, operation: '_Operation') -> None:
-        """Take a newer group over, or tell members of the own one."""
-        for disk, refused in operation.refused.items():
-            link = self._links.get(disk)
-            if refused.reason == 'stale':
-                self.apply(refused.group)
-            elif refused.reason == 'behind' and link is not None:
-                link.ask(messages.Adopt(self.group), _ignore)
-                operation.is_worth_repeating = True
-
 
 def _readdress(requests: dict[str, Any], group: groups.Group) -> dict[str, Any]:
     """Return the requests for the members of another group."""
@@ -199,7 +188,8 @@
     def __init__(self, group: groups.Group, losses: int, is_read: bool) -> None:
         self.replies: dict[str, Any] = {}
         self.refused: dict[str, messages.Refused] = {}
-        self.is_worth_repeating = False
+        self._is_outdated = False
+        self._requests: dict[str, tuple[links.Link, Any]] = {}
         self._failed: set[str] = set()
         self._is_read = is_read
         self._group = group
@@ -212,13 +202,14 @@
             if link is None:
                 self._inbox.put((disk, None))
             else:
+                self._requests[disk] = (link, request)
                 link.ask(request, self._receiver(disk))
 
     def wait(self, until_ms: float, timer: clock.Clock) -> bool:
         """Tell whether enough members answered in time."""
         while not self._is_done():
             left_ms = until_ms - timer.now_ms()
-            if left_ms <= 0 or self._quorum.is_lost(self._failed):
+            if left_ms <= 0 or self._is_hopeless():
                 return False
             try:
                 self._take(*self._inbox.get(timeout=clock.to_seconds(left_ms)))
@@ -241,18 +232,32 @@
             return False
         return self._quorum.is_written(set(self.replies))
 
+    def _is_hopeless(self) -> bool:
+        return self._is_outdated or self._quorum.is_lost(self._failed)
+
     def _receiver(self, disk: str):
         return lambda reply: self._inbox.put((disk, reply))
 
     def _take(self, disk: str, reply: Any) -> None:
         if isinstance(reply, messages.Refused):
-            self.refused[disk] = reply
-            self._failed.add(disk)
+            self._take_refusal(disk, reply)
         elif reply is None:
             self._failed.add(disk)
         else:
             self.replies[disk] = reply
 
+    def _take_refusal(self, disk: str, refused: messages.Refused) -> None:
+        """Ask a member again that did not know the group; else give it up."""
+        is_first = disk not in self.refused
+        self.refused[disk] = refused
+        if refused.reason == 'behind' and is_first:
+            link, request = self._requests[disk]
+            link.ask(messages.Adopt(self._group), _ignore)
+            link.ask(request, self._receiver(disk))
+            return
+        self._is_outdated = refused.reason == 'stale'
+        self._failed.add(disk)
+
 
 def _merge(answers) -> messages.Begun:
     charges: dict[str, tuple[int, bool]] = {}
--- a/src/carobfork/storage/listeners.py
+++ b/src/carobfork/storage/listeners.py
@@ -1,5 +1,8 @@
 """Listeners: the store host's end of the links."""
 
+import contextlib
+import socket as sockets
+
 import gevent
 import structlog
 from gevent import server, socket
@@ -27,6 +30,7 @@
         """Prepare the listener."""
         self._keeper = keeper
         self._server = server.StreamServer(address, self._serve)
+        self._open: set[socket.socket] = set()
 
     def start(self) -> None:
         """Begin to listen."""
@@ -35,16 +39,21 @@
     def stop(self) -> None:
         """Close the listener and its connections."""
         self._server.stop(timeout=0)
+        for sock in self._open:
+            with contextlib.suppress(OSError):
+                sock.shutdown(sockets.SHUT_RDWR)
 
     def _serve(self, sock: socket.socket, address: tuple) -> None:
         links.prepare(sock)
         sock.settimeout(None)
         outgoing = _Outgoing(sock)
+        self._open.add(sock)
         try:
             self._read(sock, outgoing)
         except (OSError, exceptions.BadRequestError) as error:
             logger.info('link broke', peer=address[0], reason=str(error))
         finally:
+            self._open.discard(sock)
             outgoing.close()
             sock.close()
 
--- a/src/carobfork/storage/memberships.py
+++ b/src/carobfork/storage/memberships.py
@@ -75,6 +75,11 @@
         self._timer = clock.SystemClock()
         self._leaving_since_ms = 0
 
+    @property
+    def disk(self) -> str:
+        """The own disk."""
+        return self._me.disk
+
     @property
     def is_outside(self) -> bool:
         """Whether the group is known and does without this host."""
--- /dev/null
+++ b/tests/backends.py
@@ -0,0 +1,109 @@
+"""Backends: stand-ins for the platform's backend servers.
+
+Each counts how often an attempt ran, streams numbered events, and can be
+full, slow, or break off where a test says so.
+"""
+
+import collections
+import json
+
+import attrs
+import gevent
+from gevent import pywsgi
+from werkzeug import Request, Response
+from werkzeug import exceptions as http_exceptions
+from werkzeug.routing import Rule
+
+from carobfork_standins import web
+
+EVENTS = 4
+_EVENT_SECONDS = 0.005
+_SHED = 503
+_MISDIRECTED = 421
+
+
+@attrs.define
+class BackendFaults:
+    """What is wrong with a server at the moment."""
+
+    full: bool = False
+    break_after: int | None = None
+    """Events after which the next streams break off."""
+    drop_answer: bool = False
+    """Whether calls run and their connections end without an answer."""
+    stray_attempt: str = ''
+    """Another attempt that the answers echo."""
+    delay_ms: int = 0
+
+
+class BackendApplication(web.Application):
+    """Serve calls and streams of one server.
+
+    :param instance: the server's identifier.
+    """
+
+    def __init__(self, instance: str) -> None:
+        """Start without calls."""
+        super().__init__([Rule('/<path:path>', endpoint=self._run)])
+        self.instance = instance
+        self.faults = BackendFaults()
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.bodies: dict[str, bytes] = {}
+        self.heads: dict[str, dict] = {}
+        self.cancelled = 0
+
+    def _run(self, request: Request, path: str) -> Response:
+        attempt = request.headers['X-Attempt-Id']
+        expected = request.headers.get('X-Expect-Instance')
+        if expected != self.instance:
+            return Response(
+                status=_MISDIRECTED,
+                headers={'X-Instance-Id': self.instance},
+            )
+        if self.faults.full:
+            return Response(
+                status=_SHED,
+                headers={'X-Not-Run': '1', 'X-Attempt-Id': attempt},
+            )
+        self.runs[attempt] += 1
+        self.bodies[attempt] = request.get_data()
+        self.heads[attempt] = dict(request.headers)
+        gevent.sleep(self.faults.delay_ms / 1000)
+        if self.faults.drop_answer:
+            raise http_exceptions.BadGateway
+        headers = {
+            'X-Attempt-Id': self.faults.stray_attempt or attempt,
+            'X-Response-Stamp': f'{self.instance}.{attempt}',
+            'X-Server-Load': '1,0,8',
+        }
+        if request.headers.get('Accept') == 'text/event-stream':
+            first = int(request.headers.get('Last-Event-Id') or 0) + 1
+            return Response(
+                self._events(first),
+                headers=headers,
+                content_type='text/event-stream',
+            )
+        body = json.dumps({'server': self.instance, 'path': path})
+        return Response(body, headers=headers)
+
+    def _events(self, first: int):
+        breaking = self.faults.break_after
+        finished = False
+        try:
+            for number in range(first, EVENTS + 1):
+                if breaking is not None and number > breaking:
+                    raise ConnectionResetError('broken off by the test')
+                gevent.sleep(_EVENT_SECONDS + self.faults.delay_ms / 1000)
+                yield f'id: {number}\ndata: word{number}\n\n'.encode()
+            finished = True
+        finally:
+            self.cancelled += not finished
+
+
+def serve(
+    application: BackendApplication, address: tuple[str, int]
+) -> pywsgi.WSGIServer:
+    """Return a started server of a backend."""
+    server = pywsgi.WSGIServer(address, application, log=None, error_log=None)
+    server.start()
+    return server
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,32 +1,75 @@
-"""Run all tests, or those named, and exit with 1 where one fails."""
+"""Run all tests, or those named, and exit with 1 where one fails.
 
+Units of tests run side by side in processes of their own: each scenario by
+itself, and each other module as a whole.
+"""
+
+import os
+import pathlib
+import re
+import subprocess
 import sys
+from concurrent import futures
 
-from gevent import monkey
+SCENARIOS = 'tests.test_scenarios'
+CORES_PER_WORKER = 2
+"""A scenario keeps several processes busy."""
+COUNTS = re.compile(
+    r'^(\d+) passed, (\d+) failed, (\d+) skipped$', re.MULTILINE
+)
+FOLDER = pathlib.Path(__file__).parent
 
-monkey.patch_all()
 
-import nose2  # noqa: E402
+def all_units():
+    """Return what runs in one process each, scenarios first."""
+    scenarios = sorted(
+        f'{SCENARIOS}.ScenarioTest.test_{path.stem}'
+        for path in (FOLDER / 'scenarios').glob('*.scn')
+    )
+    modules = sorted(f'tests.{path.stem}' for path in FOLDER.glob('test_*.py'))
+    modules.remove(SCENARIOS)
+    return [*scenarios, *modules]
 
-from tests import known_red  # noqa: E402
 
+def run_unit(name):
+    """Run one unit in a process of its own."""
+    return subprocess.run(
+        [sys.executable, '-m', 'tests.run_unit', name],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
 
-def is_counter(plugin):
-    """Tell whether a plugin is the one that counts outcomes."""
-    return isinstance(plugin, known_red.KnownRed)
 
+def run(units):
+    """Run units side by side and return the exit code."""
+    workers = max(1, (os.cpu_count() or 1) // CORES_PER_WORKER)
+    with futures.ThreadPoolExecutor(workers) as pool:
+        finished = zip(units, pool.map(run_unit, units), strict=True)
+        outputs = [report(name, done) for name, done in finished]
+    counts = [found for found in outputs if found]
+    broken = len(units) - len(counts)
+    passed, failed, skipped = map(sum, zip((0, 0, 0), *counts, strict=True))
+    write(f'{passed} passed, {failed + broken} failed, {skipped} skipped')
+    return 1 if broken or failed or not passed else 0
 
-def main():
-    """Run the tests; those of KNOWN-RED.txt do not count."""
-    names = sys.argv[1:] or ['tests']
-    program = nose2.discover(
-        argv=['nose2', '-s', '.', '-v', *names],
-        plugins=['tests.known_red'],
-        exit=False,
-    )
-    counter = next(filter(is_counter, program.session.plugins))
-    sys.exit(1 if counter.unexpected or not counter.counts['passed'] else 0)
+
+def report(name, done):
+    """Show a unit's output and return its counts, if it has any."""
+    write(done.stdout)
+    counts = COUNTS.findall(done.stdout)
+    if done.returncode:
+        write(f'failed: {name}')
+    if not counts or (done.returncode and not int(counts[-1][1])):
+        return None
+    return [int(count) for count in counts[-1]]
+
+
+def write(text):
+    """Write a line to standard output."""
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
 
 
 if __name__ == '__main__':
-    main()
+    sys.exit(run(sys.argv[1:] or all_units()))
--- /dev/null
+++ b/tests/test_gateway_decisions.py
@@ -0,0 +1,260 @@
+"""Gateway decisions on a manual clock: who waits, runs, is refused."""
+
+import unittest
+
+from carobfork import clock
+from carobfork.gateway import budgets, calls, desks, placements, routes, workers
+
+SERVICE = 'engines'
+
+
+def entry(instance, slots=4, **fields):
+    """Return a backend server's entry."""
+    return workers.Entry(
+        instance, SERVICE, '127.0.0.1', 1, 'a', slots, **fields
+    )
+
+
+def make_route(rank=0, kind=routes.Kind.safe):
+    """Return a route to the service."""
+    return routes.Route(
+        'r', 'h', '/', kind, (routes.Backend(SERVICE, 1),), rank=rank
+    )
+
+
+class WorkersTest(unittest.TestCase):
+    """Two-stage membership: the registry and what servers show."""
+
+    def setUp(self):
+        """Start with two servers."""
+        self.timer = clock.ManualClock()
+        self.table = workers.WorkerTable(self.timer)
+        self.apply('a', 'b')
+
+    def apply(self, *instances, was_away=False):
+        """Take over a listing."""
+        self.table.apply([entry(name) for name in instances], was_away)
+
+    def usable(self):
+        """Return the names of those that may get calls."""
+        return [worker.instance for worker in self.table.usable(SERVICE)]
+
+    def test_a_server_that_is_gone(self):
+        """Others serve in its place at once."""
+        self.apply('b')
+        self.assertEqual(self.usable(), ['b'])
+
+    def test_all_entries_lapse(self):
+        """Servers whose entries vanish together serve on for a while."""
+        self.apply()
+        self.assertEqual(self.usable(), ['a', 'b'])
+        self.timer.advance(workers.HOLD_MS + 1)
+        self.assertEqual(self.usable(), [])
+
+    def test_entries_come_back_after_an_outage(self):
+        """Those that lapsed in it have time to return, then are gone."""
+        self.apply(was_away=True)
+        self.timer.advance(workers.HOLD_MS + 1)
+        self.assertEqual(self.usable(), ['a', 'b'])
+        self.apply('a')
+        self.assertEqual(self.usable(), ['a'])
+        self.timer.advance(workers.RETURN_MS)
+        self.apply('a')
+        self.assertIsNone(self.table.get('b'))
+
+    def test_a_draining_server(self):
+        """It gets nothing new."""
+        self.table.apply([entry('a', is_draining=True), entry('b')], False)
+        self.assertEqual(self.usable(), ['b'])
+
+    def test_a_restart_under_the_same_name(self):
+        """What was seen of the process before says nothing of the next."""
+        self.table.get('a').note_failure(self.timer.now_ms())
+        self.table.apply([entry('a', started_ms=5), entry('b')], False)
+        self.assertEqual(self.table.get('a').failures, 0)
+
+    def test_failures_keep_calls_away(self):
+        """Longer each time, and never from the last server left."""
+        failing = self.table.get('a')
+        failing.note_failure(self.timer.now_ms())
+        self.assertEqual(self.usable(), ['b'])
+        self.timer.advance(workers.FIRST_AVOID_MS)
+        self.assertEqual(self.usable(), ['a', 'b'])
+        failing.note_failure(self.timer.now_ms())
+        self.timer.advance(workers.FIRST_AVOID_MS)
+        self.assertEqual(self.usable(), ['b'])
+        self.apply('a')
+        self.assertEqual(self.usable(), ['a'])
+
+    def test_load_of_other_hosts(self):
+        """Sums of all hosts count without the own part, while fresh."""
+        worker = self.table.get('a')
+        worker.in_flight = 1
+        self.table.note_shared({'a': 5}, {'a': 2})
+        self.assertEqual(worker.load(self.timer.now_ms()), 4)
+        self.timer.advance(workers.SHARED_FRESH_MS + 1)
+        self.assertEqual(worker.load(self.timer.now_ms()), 1)
+
+
+class PlacementTest(unittest.TestCase):
+    """Programs stay where their prompts are, until that place is full."""
+
+    def setUp(self):
+        """Start with four idle servers."""
+        self.candidates = [workers.Worker(entry(name)) for name in 'wxyz']
+        self.place = placements.PLACEMENTS['home']
+
+    def test_a_program_comes_home(self):
+        """The same server for the same program, whatever the order."""
+        call = calls.Call('a', program='p')
+        first = self.place(call, self.candidates, 0)
+        again = self.place(call, list(reversed(self.candidates)), 0)
+        self.assertIs(first, again)
+
+    def test_a_full_home_is_left(self):
+        """Near its limit a home is left for a free server."""
+        call = calls.Call('a', program='p')
+        home = self.place(call, self.candidates, 0)
+        home.in_flight = 4
+        self.assertIsNot(self.place(call, self.candidates, 0), home)
+
+    def test_all_full(self):
+        """Nothing is placed on full servers."""
+        for worker in self.candidates:
+            worker.in_flight = 4
+        self.assertIsNone(self.place(calls.Call('a'), self.candidates, 0))
+
+    def test_overflow_takes_the_shortest_queue(self):
+        """In a burst the least filled server's own queue is used."""
+        for number, worker in enumerate(self.candidates):
+            worker.in_flight = 7 - number % 2
+        chosen = placements.place_overflow(self.candidates, 0)
+        self.assertEqual(chosen.in_flight, 6)
+        for worker in self.candidates:
+            worker.in_flight = 8
+        self.assertIsNone(placements.place_overflow(self.candidates, 0))
+
+
+class DeskTest(unittest.TestCase):
+    """Bursts at one service with two servers of two slots."""
+
+    def setUp(self):
+        """Start with idle servers."""
+        self.timer = clock.ManualClock()
+        self.table = workers.WorkerTable(self.timer)
+        self.table.apply([entry('a', 2), entry('b', 2)], False)
+        self.desk = desks.Desk(
+            SERVICE, self.table, self.timer, placements.PLACEMENTS['home']
+        )
+        self.granted = []
+        self.refused = []
+
+    def submit(self, name, rank=0, left_ms=3000, finish_ms=None):
+        """Submit a call."""
+
+        def resolve(worker):
+            chosen = self.refused if worker is None else self.granted
+            chosen.append((name, worker))
+
+        call = calls.Call(name, finish_ms=finish_ms)
+        ticket = desks.Ticket(call, make_route(rank), left_ms, resolve)
+        self.desk.submit(ticket)
+        return ticket
+
+    def names(self):
+        """Return the granted calls in order."""
+        return [name for name, _worker in self.granted]
+
+    def fill(self):
+        """Take all slots."""
+        for number in range(4):
+            self.submit(f'first-{number}')
+        self.granted.clear()
+
+    def test_idle_servers_take_calls_at_once(self):
+        """No call waits while a slot is free."""
+        self.fill()
+        self.assertEqual(self.desk.waiting, [])
+        self.assertFalse(self.refused)
+
+    def test_urgent_calls_go_first(self):
+        """A burst of routine calls does not delay an urgent one."""
+        self.fill()
+        for number in range(3):
+            self.submit(f'routine-{number}', rank=2)
+        self.submit('urgent', rank=0)
+        self.desk.release(self.table.get('a'), 100)
+        self.assertEqual(self.names(), ['urgent'])
+
+    def test_within_a_rank_the_tightest_program_goes_first(self):
+        """Programs that must finish soon go before those with time."""
+        self.fill()
+        self.submit('later', finish_ms=9000)
+        self.submit('sooner', finish_ms=1000)
+        self.desk.release(self.table.get('a'), 100)
+        self.assertEqual(self.names(), ['sooner'])
+
+    def test_long_waits_overflow_to_the_servers(self):
+        """Calls whose time here is up join the shortest server queue."""
+        self.fill()
+        self.submit('waiting')
+        self.timer.advance(desks.MOST_PATIENCE_MS + 200)
+        self.desk.serve()
+        self.assertEqual(self.names(), ['waiting'])
+
+    def test_what_cannot_be_served_is_refused_at_once(self):
+        """A flood is refused as it comes, not after it has waited."""
+        self.fill()
+        for number in range(80):
+            self.submit(f'flood-{number}')
+        self.assertTrue(self.refused)
+        self.assertEqual(self.timer.now_ms(), 0)
+        waiting = len(self.desk.waiting)
+        self.assertLess(waiting * desks.FIRST_HOLD_MS / 4, 1000)
+
+    def test_returns_are_spread(self):
+        """Refused calls come back spread, within a third of their time."""
+        self.fill()
+        pauses = {
+            self.desk.retry_after_ms(3000, spread / 10) for spread in range(10)
+        }
+        self.assertEqual(len(pauses), 10)
+        self.assertLessEqual(max(pauses), 1000)
+        self.assertLessEqual(self.desk.retry_after_ms(30, 1), 10)
+
+    def test_callers_that_leave(self):
+        """A call whose caller left gets no slot."""
+        self.fill()
+        ticket = self.submit('gone')
+        self.desk.withdraw(ticket)
+        self.desk.release(self.table.get('a'), 100)
+        self.assertEqual(self.names(), [])
+
+    def test_no_servers(self):
+        """Without any server a call is refused at once."""
+        self.table.apply([], False)
+        self.timer.advance(workers.HOLD_MS + 1)
+        self.submit('vain')
+        self.assertEqual(len(self.refused), 1)
+
+
+class BudgetTest(unittest.TestCase):
+    """Charges of a program against its budget."""
+
+    def covers(self, charges, budget=100, most=40):
+        """Tell whether one more turn is covered."""
+        call = calls.Call('me', budget_tokens=budget, output_tokens=most)
+        return budgets.covers(call, charges)
+
+    def test_unsettled_turns_count_with_their_most(self):
+        """Turns under way are charged as if they used all they may."""
+        self.assertTrue(self.covers({'a': (60, False)}))
+        self.assertFalse(self.covers({'a': (61, False)}))
+
+    def test_the_own_reservation_counts_once(self):
+        """The turn's own charge is not added to itself."""
+        self.assertTrue(self.covers({'me': (40, False), 'a': (60, True)}))
+
+    def test_no_budget(self):
+        """A call without a budget is covered."""
+        self.assertTrue(self.covers({'a': (900, True)}, budget=None))
--- /dev/null
+++ b/tests/test_gateway_framing.py
@@ -0,0 +1,140 @@
+"""Framing: heads and bodies, whole, cut, and meant to deceive."""
+
+import unittest
+
+from gevent import socket
+
+from carobfork import exceptions
+from carobfork.gateway import events, framing
+
+
+def parse(text):
+    """Return the head of a request with these header lines."""
+    return framing.parse_head(f'POST / HTTP/1.1\r\n{text}'.encode('latin-1'))
+
+
+class HeadTest(unittest.TestCase):
+    """Heads and the lengths that they declare."""
+
+    def test_ambiguous_lengths(self):
+        """Whatever two readers may frame differently is refused."""
+        for text in (
+            'Content-Length: 3\r\nTransfer-Encoding: chunked',
+            'Content-Length: 3\r\nContent-Length: 4',
+            'Content-Length: +3',
+            'Content-Length: 3, 3',
+            'Content-Length: ',
+            'Transfer-Encoding: gzip',
+            'Transfer-Encoding: chunked, identity',
+            'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked',
+        ):
+            with self.subTest(text), self.assertRaises(framing.FramingError):
+                framing.request_shape(parse(text))
+
+    def test_malformed_heads(self):
+        """Folded lines, blanks before colons and bare line ends."""
+        for text in (
+            'A : b',
+            ' A: b',
+            'A: b\r\n folded',
+            'no colon',
+            'A: b\nB: c',
+            'A\0: b',
+        ):
+            with self.subTest(text), self.assertRaises(framing.FramingError):
+                parse(text)
+
+    def test_headers_of_one_connection(self):
+        """Those, and what Connection names, are not passed on."""
+        head = parse('Connection: keep-alive, X-Mine\r\nX-Mine: 1\r\nA: b')
+        self.assertEqual(head.end_to_end(), [('A', 'b')])
+
+    def test_bodies_of_responses(self):
+        """Without a length a response ends with its connection."""
+        head = framing.parse_head(b'HTTP/1.1 200 OK\r\nA: b')
+        shape = framing.response_shape(head, 'GET')
+        self.assertTrue(shape.ends_with_connection)
+        self.assertEqual(framing.response_shape(head, 'HEAD').length, 0)
+
+
+class ReaderTest(unittest.TestCase):
+    """Messages read from a socket."""
+
+    def reader(self, sent):
+        """Return a reader of these bytes and then the end."""
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        theirs.sendall(sent)
+        theirs.close()
+        return framing.Reader(ours)
+
+    def test_two_messages(self):
+        """What follows a body is the next head."""
+        reader = self.reader(
+            b'GET /1 HTTP/1.1\r\nContent-Length: 2\r\n\r\nab'
+            b'GET /2 HTTP/1.1\r\nA: b\r\n\r\n'
+        )
+        first = reader.read_head(1000)
+        body = reader.read_body(framing.request_shape(first), 10)
+        self.assertEqual(body, b'ab')
+        self.assertEqual(reader.read_head(1000).first[1], '/2')
+        self.assertIsNone(reader.read_head(1000))
+
+    def test_chunks(self):
+        """Chunks are joined; their trailer is dropped."""
+        reader = self.reader(
+            b'2\r\nab\r\n3;x=y\r\ncde\r\n0\r\nT: 1\r\n\r\nrest'
+        )
+        shape = framing.BodyShape(is_chunked=True)
+        self.assertEqual(reader.read_body(shape, 10), b'abcde')
+        self.assertEqual(bytes(reader.buffered), b'rest')
+
+    def test_bad_chunks(self):
+        """Sizes that are none, and chunks longer than they say."""
+        shape = framing.BodyShape(is_chunked=True)
+        for sent in (b'0x2\r\nab\r\n', b'\r\n', b'1\r\nab\r\n', b'-1\r\n'):
+            with self.subTest(sent), self.assertRaises(framing.FramingError):
+                self.reader(sent).read_body(shape, 10)
+
+    def test_ends_inside(self):
+        """A connection that ends inside a message is an error."""
+        with self.assertRaises(EOFError):
+            self.reader(b'GET / HT').read_head(1000)
+        with self.assertRaises(EOFError):
+            self.reader(b'ab').read_body(framing.BodyShape(length=3), 10)
+
+    def test_limits(self):
+        """Heads and bodies above their limits."""
+        with self.assertRaises(framing.HeadTooLargeError):
+            self.reader(b'GET / HTTP/1.1\r\nA: bbbb\r\n\r\n').read_head(9)
+        with self.assertRaises(exceptions.TooLargeError):
+            self.reader(b'abc').read_body(framing.BodyShape(length=3), 2)
+
+
+class EventsTest(unittest.TestCase):
+    """Events of a stream, in order and whole."""
+
+    def test_cut_at_borders(self):
+        """Events come out whole, wherever the bytes were cut."""
+        raw = b'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda'
+        for cut in range(len(raw) + 1):  # noqa: WPS518
+            splitter = events.EventSplitter()
+            found = splitter.feed(raw[:cut])
+            found.extend(splitter.feed(raw[cut:]))
+            self.assertEqual([event.number for event in found], [1, 2])
+            self.assertEqual(bytes(splitter.rest), b'id: 3\nda')
+
+    def test_data(self):
+        """The data of an event, its lines joined."""
+        event = events.Event(b'x: 1\nid: 1\ndata: a b\ndata:c\n\n', 1)
+        self.assertEqual(event.payload, b'a b\nc')
+
+    def test_resumed_streams(self):
+        """Events that the caller has are left out; a gap is an error."""
+        log = events.EventLog('3')
+        self.assertFalse(log.accept(events.Event(b'', 3)))
+        self.assertTrue(log.accept(events.Event(b'data: d\n\n', 4)))
+        self.assertEqual((log.last, log.count), ('4', 1))
+        self.assertEqual(log.content(), b'd\n')
+        with self.assertRaises(events.EventOrderError):
+            log.accept(events.Event(b'', 6))
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,265 @@
+"""Platform path: requests of all kinds through a deployment's hosts."""
+
+import contextlib
+import unittest
+
+import gevent
+
+from tests import platform_hosts
+from tests.platform_hosts import wait_until
+
+
+class PathTest(unittest.TestCase):
+    """One deployment for all cases that don't disturb each other."""
+
+    @classmethod
+    def setUpClass(cls):
+        """Start the deployment."""
+        cls.stack = contextlib.ExitStack()
+        cls.hosts = cls.stack.enter_context(platform_hosts.Deployment())
+
+    @classmethod
+    def tearDownClass(cls):
+        """Stop the deployment."""
+        cls.stack.close()
+
+    def tearDown(self):
+        """Mend the backends."""
+        for backend in self.hosts.backends.values():
+            backend.faults = type(backend.faults)()
+
+    def set_faults(self, prefix, **faults):
+        """Disturb the backends whose names begin so."""
+        for instance, backend in self.hosts.backends.items():
+            if instance.startswith(prefix):
+                for name, setting in faults.items():
+                    setattr(backend.faults, name, setting)
+
+    def cancelled(self):
+        """Return how many streams were cancelled."""
+        backends = self.hosts.backends.values()
+        return sum(backend.cancelled for backend in backends)
+
+    def test_a_call_reaches_its_service_unchanged(self):
+        """The longest prefix routes; body and signature stay as they are."""
+        attempt = platform_hosts.new_attempt()
+        answer = self.hosts.ask(
+            '/order/7?a=b', method='POST', body=b'{}', attempt=attempt
+        )
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.head.get('x-response-stamp').startswith('t'))
+        bodies = [
+            backend.bodies[attempt]
+            for backend in self.hosts.backends.values()
+            if attempt in backend.bodies
+        ]
+        self.assertEqual(bodies, [b'{}'])
+
+    def test_headers_of_the_system_are_not_the_callers(self):
+        """What only the system may set does not pass."""
+        attempt = platform_hosts.new_attempt()
+        headers = {'X-Hold': 'h', 'Kv-From': 'a', 'X-Expect-Instance': 'e9'}
+        answer = self.hosts.ask('/look/1', headers=headers, attempt=attempt)
+        self.assertEqual(answer.status, 200)
+        seen = next(
+            backend.heads[attempt]
+            for backend in self.hosts.backends.values()
+            if attempt in backend.heads
+        )
+        self.assertNotIn('X-Hold', seen)
+        self.assertNotIn('Kv-From', seen)
+        self.assertLessEqual(int(seen['X-Deadline-Ms']), 3000)
+
+    def test_no_route(self):
+        """A path that no route has is answered 404."""
+        self.assertEqual(self.hosts.ask('/none/1').status, 404)
+
+    def test_a_turn_gets_its_history(self):
+        """The backend gets inputs and outputs before, then the new input."""
+        first = platform_hosts.new_attempt()
+        answer = self.hosts.turn('p1', body=b'one', attempt=first)
+        self.assertTrue(answer.is_whole)
+        second = platform_hosts.new_attempt()
+        headers = {'X-Previous-Turn': first}
+        self.hosts.turn('p1', body=b'two', attempt=second, headers=headers)
+        bodies = [
+            backend.bodies.get(second)
+            for backend in self.hosts.backends.values()
+        ]
+        self.assertIn(b'oneword1\nword2\nword3\nword4\ntwo', bodies)
+
+    def test_an_unknown_turn(self):
+        """A turn that never was is answered 404 and reaches no backend."""
+        attempt = platform_hosts.new_attempt()
+        headers = {'X-Previous-Turn': 'never'}
+        answer = self.hosts.turn('p2', attempt=attempt, headers=headers)
+        self.assertEqual(answer.status, 404)
+        self.assertEqual(self.hosts.runs(attempt), 0)
+
+    def test_a_broken_turn_is_not_kept(self):
+        """A stream that breaks off ends visibly and can't be continued."""
+        self.set_faults('e', break_after=2)
+        attempt = platform_hosts.new_attempt()
+        answer = self.hosts.turn('p3', body=b'x', attempt=attempt)
+        self.assertFalse(answer.is_whole)
+        self.tearDown()
+        headers = {'X-Previous-Turn': attempt}
+        follower = self.hosts.turn('p3', headers=headers)
+        self.assertEqual(follower.status, 404)
+
+    def test_budgets_end(self):
+        """Turns run until the budget holds no further one."""
+        statuses = [
+            self.hosts.turn('p4', budget=100, most=40).status for _ in range(4)
+        ]
+        self.assertEqual(statuses, [200, 200, 402, 402])
+
+    def test_refused_turns_cost_nothing(self):
+        """A turn that no backend ran does not count in the budget."""
+        self.set_faults('e', full=True)
+        refused = self.hosts.turn('p5', budget=100, most=80)
+        self.assertEqual(refused.status, 429)
+        self.tearDown()
+        wait_until(
+            lambda: self.hosts.turn('p5', budget=100, most=80).status == 200,
+            'the reservation given back',
+        )
+
+    def test_resumed_streams_have_no_seam(self):
+        """A resumable stream goes on elsewhere behind its last event."""
+        attempt = platform_hosts.new_attempt()
+        self.set_faults('e0', break_after=2)
+        self.set_faults('e1', break_after=3)
+        answer = self.hosts.turn('p6', path='/ask/1', attempt=attempt)
+        self.assertEqual(self.hosts.runs(attempt), 2)
+        numbers = [
+            line for line in answer.body.splitlines() if line.startswith(b'id:')
+        ]
+        self.assertEqual(numbers, sorted(set(numbers)))
+
+    def test_an_unsafe_call_is_sent_once(self):
+        """A lost answer is reported as unknown and not sent again."""
+        self.set_faults('t', stray_attempt='other')
+        attempt = platform_hosts.new_attempt()
+        answer = self.hosts.ask('/order/1', method='POST', attempt=attempt)
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(self.hosts.runs(attempt), 1)
+
+    def test_a_safe_call_is_repeated(self):
+        """A safe call goes to another backend when the first one fails."""
+        self.set_faults('t', drop_answer=True)
+        attempt = platform_hosts.new_attempt()
+        answer = self.hosts.ask('/look/1', attempt=attempt)
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.hosts.runs(attempt), 2)
+
+    def test_full_backends_refuse_truly(self):
+        """A refusal says when to come back, and nothing has run."""
+        self.set_faults('t', full=True)
+        attempt = platform_hosts.new_attempt()
+        answer = self.hosts.ask('/order/1', method='POST', attempt=attempt)
+        self.assertEqual(answer.status, 429)
+        self.assertGreater(float(answer.head.get('retry-after')), 0)
+        self.assertEqual(self.hosts.runs(attempt), 0)
+
+    def test_the_time_of_a_route_is_kept(self):
+        """A call that runs too long gets its final answer."""
+        self.set_faults('t', delay_ms=2000)
+        answer = self.hosts.ask('/order/slow/1', method='POST')
+        self.assertEqual(answer.status, 504)
+
+    def test_a_caller_that_leaves(self):
+        """The backend's stream is cancelled when its caller is gone."""
+        self.set_faults('e', delay_ms=300)
+        address = self.hosts.address('front-0')
+        before = self.cancelled()
+        attempt = platform_hosts.new_attempt()
+        headers = {'Accept': 'text/event-stream'}
+        with contextlib.closing(
+            gevent.socket.create_connection(address)
+        ) as sock:
+            sock.sendall(
+                platform_hosts.encode(
+                    '/ask/1', method='POST', headers=headers, attempt=attempt
+                )
+            )
+            wait_until(lambda: self.hosts.runs(attempt), 'the run')
+        wait_until(
+            lambda: self.cancelled() > before,
+            'the cancellation',
+        )
+
+    def test_two_lengths_are_refused(self):
+        """A request that could hide another one is not passed on."""
+        attempt = platform_hosts.new_attempt()
+        headers = {'Content-Length': '3', 'Transfer-Encoding': 'chunked'}
+        answer = self.hosts.ask('/order/1', headers=headers, attempt=attempt)
+        self.assertEqual(answer.status, 400)
+        self.assertEqual(self.hosts.runs(attempt), 0)
+
+    def test_large_bodies_are_refused(self):
+        """A body above the configured limit is answered 413."""
+        answer = self.hosts.ask('/order/1', method='POST', body=b'x' * 100_001)
+        self.assertEqual(answer.status, 413)
+
+
+class ChangeTest(unittest.TestCase):
+    """Deployments that change while they serve."""
+
+    def test_draining_backends_get_nothing(self):
+        """A backend that leaves gets no new call."""
+        with platform_hosts.Deployment(stores=2) as hosts:
+            hosts.register('t0', platform_hosts.TOOLS, State='draining')
+            table = hosts.fronts['front-0'].table
+            wait_until(lambda: table.get('t0').entry.is_draining, 'the drain')
+            for _ in range(6):
+                self.assertEqual(hosts.ask('/look/1').status, 200)
+            self.assertFalse(hosts.backends['t0'].runs)
+
+    def test_unreadable_entries_name_no_backend(self):
+        """An entry of another writer is left out; the others hold."""
+        with platform_hosts.Deployment(stores=2) as hosts:
+            hosts.store.put('servers', 'odd', {'Service': 5, 'Slots': 'many'})
+            hosts.store.put('servers', 'worse', 'no map')
+            hosts.store.put('servers', 'list', [1])
+            hosts.add_backend('t9', platform_hosts.TOOLS)
+            table = hosts.fronts['front-0'].table
+            wait_until(lambda: table.get('t9'), 'the new backend')
+            self.assertIsNone(table.get('odd'))
+            self.assertEqual(hosts.ask('/look/1').status, 200)
+
+    def test_configurations_never_go_back(self):
+        """A newer configuration is taken at once, an older one never."""
+        with platform_hosts.Deployment(stores=2) as hosts:
+            front = hosts.fronts['front-0']
+            hosts.store.put('config', 'main', platform_hosts.configuration(9))
+            wait_until(lambda: front.relay.routes.version == 9, 'version 9')
+            hosts.store.put('config', 'main', platform_hosts.configuration(4))
+            hosts.store.compact()
+            hosts.add_backend('t9', platform_hosts.TOOLS)
+            wait_until(lambda: front.table.get('t9'), 'the new backend')
+            self.assertEqual(front.relay.routes.version, 9)
+
+    def test_a_start_in_an_outage(self):
+        """An entry host recalls from store hosts what the platform hides."""
+        with platform_hosts.Deployment() as hosts:
+            hosts.store.faults.down = True
+            hosts.stop_front('front-0')
+            hosts.start_front('front-1')
+            self.assertEqual(hosts.ask('/look/1').status, 200)
+
+    def test_leaving_hosts_finish(self):
+        """A host that stops is not ready, and ends what it has begun."""
+        with platform_hosts.Deployment(stores=2) as hosts:
+            front = hosts.fronts['front-0']
+            for instance in ('e0', 'e1'):
+                hosts.backends[instance].faults.delay_ms = 300
+            running = gevent.spawn(hosts.turn, 'p1', path='/ask/1')
+            wait_until(lambda: front.server.counts.in_progress, 'the request')
+            stopping = gevent.spawn(front.stop)
+            wait_until(lambda: not front.is_ready(), 'not ready')
+            late = hosts.ask('/look/1', headers={'Connection': ''})
+            self.assertEqual(late.status, 200)
+            self.assertEqual(late.head.get('connection'), 'close')
+            self.assertTrue(running.get(timeout=30).is_whole)
+            stopping.get(timeout=30)
--- /dev/null
+++ b/tests/test_storage_hosts.py
@@ -0,0 +1,148 @@
+"""Storage hosts: turns and budgets while disks and hosts come and go."""
+
+import unittest
+
+import gevent
+
+from tests import platform_hosts
+from tests.platform_hosts import wait_until
+
+
+class StorageHostsTest(unittest.TestCase):
+    """Deployments whose store hosts are lost, replaced and emptied."""
+
+    def keep(self, hosts, program='p1', previous='', body=b'kept', **options):
+        """Run a turn that is kept and return its attempt."""
+        attempt = platform_hosts.new_attempt()
+        headers = {'X-Previous-Turn': previous} if previous else {}
+        answer = hosts.turn(
+            program, body=body, attempt=attempt, headers=headers, **options
+        )
+        self.assertEqual(answer.status, 200)
+        return attempt
+
+    def continues(self, hosts, previous, **options):
+        """Tell whether a turn can be continued."""
+        headers = {'X-Previous-Turn': previous}
+        return hosts.turn('p1', headers=headers, **options).status == 200
+
+    def test_one_lost_disk_at_a_time(self):
+        """Each disk is lost in turn, and every turn is still known."""
+        with platform_hosts.Deployment() as hosts:
+            turns = [self.keep(hosts)]
+            for name in ('store-0', 'store-1', 'store-2'):
+                self.lose_disk(hosts, name)
+                turns.append(self.keep(hosts, previous=turns[-1]))
+            for turn in turns:
+                self.assertTrue(self.continues(hosts, turn))
+
+    def test_all_restart(self):
+        """Turns and budgets outlive the end of all processes."""
+        with platform_hosts.Deployment() as hosts:
+            turn = self.keep(hosts, budget=100, most=40)
+            hosts.stop_front('front-0')
+            for name in list(hosts.keepers):
+                hosts.stop_keeper(name)
+            for number in range(3):
+                hosts.start_keeper(f'store-{number}')
+            hosts.start_front('front-1')
+            self.assertTrue(self.continues(hosts, turn, budget=100, most=40))
+            self.assertEqual(hosts.turn('p1', budget=100).status, 402)
+
+    def test_a_minority_is_enough_to_lose(self):
+        """With one of three store hosts away, turns go on and are kept."""
+        with platform_hosts.Deployment() as hosts:
+            hosts.stop_keeper('store-1')
+            turn = self.keep(hosts)
+            self.assertTrue(self.continues(hosts, turn))
+
+    def test_a_hung_disk(self):
+        """A store host that lives but can't write holds nobody up."""
+        with platform_hosts.Deployment() as hosts:
+            for name in ('store-0', 'store-1', 'store-2'):
+                disk = hosts.keepers[name].disk
+                disk.submit = lambda _submission: None
+                turn = self.keep(hosts)
+                self.assertTrue(self.continues(hosts, turn))
+                del disk.submit  # noqa: WPS420
+
+    def test_too_few_store_hosts(self):
+        """Without a quorum a turn is refused, truly, and runs nowhere."""
+        with platform_hosts.Deployment() as hosts:
+            hosts.stop_keeper('store-1')
+            hosts.stop_keeper('store-2')
+            attempt = platform_hosts.new_attempt()
+            answer = hosts.turn('p1', attempt=attempt)
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(hosts.runs(attempt), 0)
+
+    def test_a_lost_host_is_replaced(self):
+        """A host at another address takes a lost one's place."""
+        with platform_hosts.Deployment() as hosts:
+            turn = self.keep(hosts)
+            hosts.stop_keeper('store-0')
+            hosts.start_keeper('store-9')
+            wait_until(
+                lambda: (
+                    'store-9'
+                    in [member['node'] for member in hosts.group()['members']]
+                ),
+                'the replacement',
+            )
+            hosts.stop_keeper('store-1')
+            self.assertTrue(self.continues(hosts, turn))
+
+    def test_a_host_is_emptied_into_a_spare(self):
+        """A retirement is completed once a spare host holds the records."""
+        with platform_hosts.Deployment() as hosts:
+            turn = self.keep(hosts)
+            hosts.start_keeper('store-9')
+            hosts.store.put('retirements', 'store-0', {'DurationS': 10})
+            self.wait_for_retirement(hosts, 'store-0')
+            hosts.stop_keeper('store-0')
+            hosts.stop_keeper('store-1')
+            self.assertTrue(self.continues(hosts, turn))
+
+    def test_a_host_is_emptied_without_a_spare(self):
+        """Without a spare, the others copy from each other first."""
+        with platform_hosts.Deployment() as hosts:
+            turn = self.keep(hosts)
+            hosts.store.put('retirements', 'store-0', {'DurationS': 10})
+            self.wait_for_retirement(hosts, 'store-0')
+            hosts.stop_keeper('store-0')
+            self.assertEqual(len(hosts.group()['members']), 2)
+            self.assertTrue(self.continues(hosts, turn))
+
+    def test_the_last_tokens_go_to_one(self):
+        """Turns that start together on two hosts don't share the rest."""
+        with platform_hosts.Deployment(fronts=2) as hosts:
+            for number in range(5):
+                program = f'race-{number}'
+                turns = [
+                    gevent.spawn(
+                        hosts.turn, program, budget=100, most=80, front=front
+                    )
+                    for front in hosts.fronts
+                ]
+                statuses = [turn.get(timeout=30).status for turn in turns]
+                self.assertLessEqual(statuses.count(200), 1)
+
+    def lose_disk(self, hosts, name):
+        """Empty a store host's disk and wait until it is a member again."""
+        disk = hosts.keepers[name].membership.disk
+        hosts.stop_keeper(name)
+        hosts.start_keeper(name, wiped=True)
+        wait_until(lambda: disk not in hosts.members(), 'the new disk')
+        hosts.wait_for_members(3)
+
+    def wait_for_retirement(self, hosts, node):
+        """Wait until a retirement is written as completed."""
+        wait_until(
+            lambda: (
+                (hosts.store.get('retirements', node)['Status'] or {}).get(
+                    'State'
+                )
+                == 'completed'
+            ),
+            'the retirement',
+        )
