Serve counts and latencies of entry and store hosts

Cause: on-call engineers had logs only.

Change: counters, gauges and histograms of request and queue times in the text form of Prometheus, on the second inner port of each host. Log lines dropped by rate or lost by a slow reader are counted there.

Measured: tests only.

--- /dev/null
+++ b/src/carobfork/gateway/measures.py
@@ -0,0 +1,59 @@
+"""Measures: counts and latencies of a host, in the text form of Prometheus.
+
+Parts count in plain integers; text is made when it is asked for.
+"""
+
+import bisect
+from collections.abc import Iterator, Mapping
+
+LATENCY_BOUNDS_MS = (5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000)
+"""From the quickest tool to the longest deadline of an interactive caller."""
+PREFIX = 'carobfork_'
+
+
+class Histogram:
+    """Count durations by upper bounds.
+
+    :param bounds_ms: the bounds, ascending; longer durations count, too.
+    """
+
+    def __init__(
+        self, bounds_ms: tuple[float, ...] = LATENCY_BOUNDS_MS
+    ) -> None:
+        """Start with nothing counted."""
+        self._bounds_ms = bounds_ms
+        self._counts = [0 for _bound in (*bounds_ms, None)]
+        self._total_ms = 0
+
+    def observe(self, span_ms: float) -> None:
+        """Count a duration."""
+        self._counts[bisect.bisect_left(self._bounds_ms, span_ms)] += 1
+        self._total_ms += span_ms
+
+    def lines(self, name: str) -> Iterator[str]:
+        """Yield the lines of the text form, with bounds in ms."""
+        yield f'# TYPE {name} histogram'
+        below = 0
+        bounds = (*(f'{bound:g}' for bound in self._bounds_ms), '+Inf')
+        for bound, count in zip(bounds, self._counts, strict=True):
+            below += count
+            yield f'{name}_bucket{{le="{bound}"}} {below}'
+        yield f'{name}_sum {self._total_ms:g}'
+        yield f'{name}_count {below}'
+
+
+def render(
+    counters: Mapping[str, float],
+    gauges: Mapping[str, float],
+    histograms: Mapping[str, Histogram],
+) -> bytes:
+    """Return all measures as text."""
+    lines: list[str] = []
+    for kind, numbers in (('counter', counters), ('gauge', gauges)):
+        for name, number in numbers.items():
+            lines.append(f'# TYPE {PREFIX}{name} {kind}')
+            lines.append(f'{PREFIX}{name} {number:g}')
+    for name, histogram in histograms.items():
+        lines.extend(histogram.lines(PREFIX + name))
+    lines.append('')
+    return '\n'.join(lines).encode()
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -16,6 +16,7 @@
     desks,
     events,
     exchanges,
+    measures,
     placements,
     routes,
     turns,
@@ -76,6 +77,8 @@
         self._timer = timer
         self._policy = placements.PLACEMENTS[policy]
         self._desks: dict[str, desks.Desk] = {}
+        self.latencies = measures.Histogram()
+        self.queue_times = measures.Histogram()
 
     def desk(self, service: str) -> desks.Desk:
         """Return the desk of a service."""
@@ -164,6 +167,9 @@
     def _close(self, run: exchanges.Run) -> None:
         if run.turn is not None:
             self._turns.close(run.turn, run.log.count)
+        took_ms = self._timer.now_ms() - run.request.arrived_ms
+        self.latencies.observe(took_ms)
+        self.queue_times.observe(run.queued_ms)
         logger.info(
             'request ended',
             request=run.call.attempt,
@@ -175,7 +181,7 @@
             refusals=run.refusals,
             events=run.log.count,
             queued_ms=round(run.queued_ms),
-            took_ms=round(self._timer.now_ms() - run.request.arrived_ms),
+            took_ms=round(took_ms),
         )
 
     def _try_once(self, run: exchanges.Run, caller: exchanges.Caller) -> bool:
--- a/src/carobfork/host_logs.py
+++ b/src/carobfork/host_logs.py
@@ -34,6 +34,7 @@
     def __init__(self, timer: clock.Clock) -> None:
         """Start with a full allowance."""
         self.dropped = 0
+        self.total = 0
         self._timer = timer
         self._second = 0
         self._counts: collections.Counter[str] = collections.Counter()
@@ -48,6 +49,7 @@
         self._counts[name] += 1
         if method == 'info' and self._counts[name] > LINES_PER_SECOND:
             self.dropped += 1
+            self.total += 1
             raise structlog.DropEvent
         if self.dropped:
             fields['dropped_lines'] = self.dropped
@@ -106,6 +108,12 @@
 
 
 _writer = Writer()
+_filter = RateFilter(clock.SystemClock())
+
+
+def lost_lines() -> int:
+    """Return the lines that were not written."""
+    return _writer.lost + _filter.total
 
 
 def configure() -> None:
@@ -114,7 +122,7 @@
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
-            RateFilter(clock.SystemClock()),
+            _filter,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
             _render,
         ],
--- a/src/carobfork/roles.py
+++ b/src/carobfork/roles.py
@@ -20,6 +20,7 @@
 from carobfork import clock, exceptions, host_logs
 from carobfork.gateway import (
     directories,
+    measures,
     relays,
     servers,
     turns,
@@ -91,6 +92,25 @@
         self.store = objects.ObjectStore(known.platform)
         self.timer = clock.SystemClock()
         self._greenlets: list[gevent.Greenlet] = []
+        self._metrics = endpoints.EndpointServer(
+            (known.ip, known.inner_ports[0] + 1),
+            endpoints.metrics_endpoint(self.render_measures),
+        )
+
+    def render_measures(self) -> bytes:
+        """Return the host's counts and latencies as text."""
+        counters = {
+            'platform_calls': self.store.calls,
+            'log_lines_lost': host_logs.lost_lines(),
+        }
+        return measures.render(counters, {}, {})
+
+    def serve_measures(self) -> None:
+        """Serve counts and latencies on the second inner port."""
+        try:
+            self._metrics.start()
+        except OSError as error:
+            logger.warning('no metrics are served', reason=str(error))
 
     def __exit__(
         self,
@@ -99,6 +119,7 @@
         trace: TracebackType | None,
     ) -> None:
         """End all greenlets."""
+        self._metrics.stop()
         gevent.killall(self._greenlets, block=False)
 
     def spawn(self, task: Callable[[], None]) -> None:
@@ -193,6 +214,7 @@
         for endpoint in self._endpoints:
             endpoint.start()
         self.server.start()
+        self.serve_measures()
         return self
 
     def __exit__(self, *failure) -> None:
@@ -224,6 +246,33 @@
         while self.server.counts.in_progress and self.timer.now_ms() < until_ms:
             gevent.sleep(clock.to_seconds(SERVE_EVERY_MS))
 
+    def render_measures(self) -> bytes:
+        """Return the entry host's counts and latencies as text."""
+        counts = self.server.counts
+        counters = {
+            'requests_answered': counts.answered,
+            'requests_refused': counts.refused,
+            'responses_broken': counts.broken,
+            'server_connections_opened': self.relay.exchanger.pool.opened,
+            'platform_calls': self.store.calls,
+            'log_lines_lost': host_logs.lost_lines(),
+        }
+        gauges = {
+            'ready': self.is_ready(),
+            'requests_in_progress': counts.in_progress,
+            'requests_waiting': sum(self.relay.waiting().values()),
+            'caller_connections': counts.connections,
+            'storage_epoch': self.storage.group.epoch,
+            'configuration_version': (
+                self.relay.routes.version if self.relay.routes else 0
+            ),
+        }
+        histograms = {
+            'request_ms': self.relay.latencies,
+            'queue_ms': self.relay.queue_times,
+        }
+        return measures.render(counters, gauges, histograms)
+
     def _presence(self, member: groups.Member) -> messages.Presence:
         ip, port = self.settings.front
         self._told = self.table.in_flight()
@@ -377,8 +426,23 @@
         self.links.apply(self.keeper.group, self.disk.identity.disk)
         self.spawn(self.membership.run)
         self.repeat(self._report_retirement, SETTINGS_POLL_MS / 4)
+        self.serve_measures()
         return self
 
+    def render_measures(self) -> bytes:
+        """Return the store host's counts as text."""
+        gauges = {
+            'storage_epoch': self.keeper.group.epoch,
+            'storage_complete': self.disk.identity.is_complete,
+            **self.disk.ledger.describe(),
+        }
+        counters = {
+            'platform_calls': self.store.calls,
+            'synced_batches': self.disk.synced_batches,
+            'log_lines_lost': host_logs.lost_lines(),
+        }
+        return measures.render(counters, gauges, {})
+
     def __exit__(self, *failure) -> None:
         """Close the listener and the disk and end all greenlets."""
         self.listener.stop()
--- a/tests/platform_hosts.py
+++ b/tests/platform_hosts.py
@@ -142,7 +142,7 @@
             'ip': '127.0.0.1',
             'zone': 'a',
             'region': 'r',
-            'inner_ports': (free_port(), 0),
+            'inner_ports': (free_port() - 1, 0),
             'platform': '{}:{}'.format(*self._store_address),
             'seeds': tuple(self._ports.values()),
         }
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -189,6 +189,18 @@
             'the cancellation',
         )
 
+    def test_measures(self):
+        """Counts, gauges and latencies are served as text."""
+        front = self.hosts.fronts['front-0']
+        self.hosts.ask('/look/1')
+        address = ('127.0.0.1', front.settings.inner_ports[0] + 1)
+        text = platform_hosts.ask(address, '/metrics').body.decode()
+        self.assertIn('carobfork_ready 1', text)
+        self.assertIn('carobfork_configuration_version 3', text)
+        self.assertIn('carobfork_request_ms_bucket{le="+Inf"}', text)
+        lost = [line for line in text.splitlines() if 'lines_lost 0' in line]
+        self.assertEqual(len(lost), 1)
+
     def test_two_lengths_are_refused(self):
         """A request that could hide another one is not passed on."""
         attempt = platform_hosts.new_attempt()
