Log a request's outcome and reason beside its identifier

Cause: the reason of a refusal stood in a line without the identifier, so the way that the operations page tells had to guess by order.

--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -105,6 +105,7 @@
     :param is_sent: whether a server may be at work on it.
     :param runs: sends that broke off.
     :param refusals: servers that did not run it.
+    :param failure: why the caller got no server's answer, if it got none.
     """
 
     request: Request
@@ -121,6 +122,7 @@
     avoided: frozenset[str] = frozenset()
     worker: str = ''
     queued_ms: float = 0
+    failure: exceptions.CarobforkError | None = None
 
     def may_repeat(self) -> bool:
         """Tell whether it may be sent again after a run that failed."""
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -117,7 +117,11 @@
         except gevent.Timeout as expired:
             if expired is not timeout:
                 raise
-            raise _deadline_error(run) from None
+            run.failure = _deadline_error(run)
+            raise run.failure from None
+        except exceptions.CarobforkError as error:
+            run.failure = error
+            raise
         finally:
             self._close(run)
 
@@ -182,6 +186,8 @@
             events=run.log.count,
             queued_ms=round(run.queued_ms),
             took_ms=round(took_ms),
+            outcome=run.failure.outcome.value if run.failure else 'answered',
+            reason=str(run.failure or ''),
         )
 
     def _try_once(self, run: exchanges.Run, caller: exchanges.Caller) -> bool:
