--- /dev/null
+++ b/src/carobfork/roles/__main__.py
@@ -0,0 +1,59 @@
+"""Run a role: ``python3 -m carobfork.roles front``."""
+
+import importlib
+import os
+import signal
+import sys
+
+import gevent
+import structlog
+from gevent import event
+
+from carobfork import exceptions, host_logs
+from carobfork.platform import settings
+from carobfork.roles import hosts
+
+NAMES = ('front', 'store')
+
+logger = structlog.get_logger(part='host')
+
+
+def run(name: str) -> None:
+    """Run a role until SIGTERM or SIGINT."""
+    importlib.import_module(f'carobfork.roles.{name}')
+    known = settings.load()
+    host_logs.configure()
+    logger.info('start', role=name, node=known.node, zone=known.zone)
+    host = hosts.ROLES[name](known)
+    stopped = event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopped.set)
+    gevent.signal_handler(signal.SIGHUP, host.reload)
+    host.repeat(host.reload, hosts.SETTINGS_POLL_MS)
+    with host:
+        logger.info('started', pid=os.getpid())
+        stopped.wait()
+        logger.info('stopping')
+        host.stop()
+    logger.info('stopped')
+    host_logs.flush()
+
+
+def main() -> None:
+    """Run the role that the command line names.
+
+    Exits with 1 and a line on standard error where the words or the settings
+    are wrong; nothing was started then.
+    """
+    if len(sys.argv) != 2 or sys.argv[1] not in NAMES:
+        sys.exit(f'usage: python3 -m carobfork.roles {"|".join(NAMES)}')
+    try:
+        run(sys.argv[1])
+    except exceptions.SettingsError as error:
+        sys.exit(f'carobfork: {error}')
+    # Threads of the pool and connections that hang must not hold the end.
+    os._exit(0)  # noqa: WPS437
+
+
+if __name__ == '__main__':
+    main()
--- a/src/carobfork/roles.py
+++ b/src/carobfork/roles/front.py
@@ -1,21 +1,7 @@
-"""Roles: the processes that run on the platform, and how they are wired.
-
-Run one with ``python3 -m carobfork.roles front``. Each role imports what it
-needs and no more, since memory is priced.
-"""
-
-import contextlib
-import functools
-import os
-import pathlib
-import signal
-import sys
-from collections.abc import Callable
-from types import TracebackType
+"""Front: the role of entry hosts, which serve callers."""
 
 import gevent
 import structlog
-from gevent import event
 
 from carobfork import clock, exceptions, host_logs
 from carobfork.gateway import (
@@ -32,23 +18,12 @@
     followers,
     heads,
     names,
-    objects,
     registers,
     settings,
 )
-from carobfork.storage import (
-    clients,
-    disks,
-    groups,
-    keepers,
-    links,
-    listeners,
-    memberships,
-    messages,
-)
+from carobfork.roles import hosts
+from carobfork.storage import clients, groups, links, messages
 
-SETTINGS_POLL_MS = 1000
-"""The settings file may change without a signal."""
 SERVE_EVERY_MS = 20
 """Between looks at what waits, beside those when a slot comes free."""
 TRIM_EVERY_MS = 500
@@ -66,102 +41,9 @@
 
 logger = structlog.get_logger(part='host')
 
-Role = Callable[[settings.HostSettings], contextlib.AbstractContextManager]
-ROLES: dict[str, Role] = {}  # noqa: WPS407
-
-
-def register(name: str) -> Callable[[Role], Role]:
-    """Register a role under its name."""
 
-    def decorator(role: Role) -> Role:  # noqa: WPS430
-        ROLES[name] = role
-        return role
-
-    return decorator
-
-
-class Host:
-    """What all roles have: greenlets, followers and reloaded settings.
-
-    :param known: the settings.
-    """
-
-    def __init__(self, known: settings.HostSettings) -> None:
-        """Start nothing yet."""
-        self.settings = known
-        self.store = objects.ObjectStore(known.platform)
-        self.timer = clock.SystemClock()
-        self._greenlets: list[gevent.Greenlet] = []
-        self._metrics = endpoints.EndpointServer(
-            (known.ip, known.inner_ports[0] + 1),
-            endpoints.metrics_endpoint(self.render_measures),
-        )
-
-    def render_measures(self) -> bytes:
-        """Return the host's counts and latencies as text."""
-        counters = {
-            'platform_calls': self.store.calls,
-            'log_lines_lost': host_logs.lost_lines(),
-        }
-        return measures.render(counters, {}, {})
-
-    def serve_measures(self) -> None:
-        """Serve counts and latencies on the second inner port."""
-        try:
-            self._metrics.start()
-        except OSError as error:
-            logger.warning('no metrics are served', reason=str(error))
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """End all greenlets."""
-        self._metrics.stop()
-        gevent.killall(self._greenlets, block=False)
-
-    def spawn(self, task: Callable[[], None]) -> None:
-        """Run a task for as long as the host lives."""
-        self._greenlets.append(gevent.spawn(task))
-
-    def repeat(self, task: Callable[[], None], every_ms: float) -> None:
-        """Run a task again and again."""
-
-        def run() -> None:  # noqa: WPS430
-            while True:
-                gevent.sleep(clock.to_seconds(every_ms))
-                task()
-
-        self.spawn(run)
-
-    def follow(
-        self, kind: str, on_snapshot: followers.OnSnapshot, **options
-    ) -> followers.Follower:
-        """Follow a kind of the platform's objects."""
-        follower = followers.Follower(self.store, kind, on_snapshot, **options)
-        self.spawn(follower.run)
-        return follower
-
-    def reload(self) -> None:
-        """Read the settings again; what can't change is kept."""
-        try:
-            fresh = settings.load()
-        except exceptions.SettingsError as error:
-            logger.warning('settings not reloaded', reason=error.message)
-            return
-        if fresh != self.settings:
-            logger.info('settings changed', platform=fresh.platform)
-            self.settings = fresh
-            self.store.address = fresh.platform
-
-    def stop(self) -> None:
-        """Prepare to end."""
-
-
-@register('front')
-class FrontRole(Host):
+@hosts.register('front')
+class FrontRole(hosts.Host):
     """Serve callers.
 
     :param known: the settings.
@@ -374,126 +256,3 @@
         for stored in seen.present:
             if stored.name == registers.GROUP_NAME:
                 self.storage.apply(registers.decode_group(stored))
-
-
-@register('store')
-class StoreRole(Host):
-    """Keep turns and budgets on a disk.
-
-    :param known: the settings.
-    """
-
-    def __init__(self, known: settings.HostSettings) -> None:
-        """Open the disk and wire the parts."""
-        super().__init__(known)
-        folder = pathlib.Path(known.data_folder)
-        self.disk = disks.Disk(folder, clock.WallClock())
-        self.keeper = keepers.Keeper(self.disk)
-        address = known.control or (known.ip, known.inner_ports[0])
-        self.listener = listeners.Listener(address, self.keeper)
-        self.register = registers.GroupRegister(self.store)
-        self.retirement = registers.Retirement(self.store, known.node)
-        self.links = links.Links(
-            self.timer,
-            lambda _member: messages.Adopt(self.keeper.group),
-            _ignore,
-        )
-        self.membership = memberships.Membership(
-            groups.Member(
-                known.node, self.disk.identity.disk, *address, known.zone
-            ),
-            self.keeper,
-            self.register,
-            self.links,
-            known.losses,
-            lambda: self.retirement.is_asked,
-        )
-
-    def __enter__(self) -> 'StoreRole':
-        """Listen, follow the platform and take part in the group."""
-        self.listener.start()
-        self.spawn(self.disk.run)
-        self.spawn(self.disk.run_expiry)
-        self.follow(names.KIND_STORAGE, self.register.take)
-        self.follow(names.KIND_RETIREMENTS, self.retirement.take)
-        noted = [
-            self.follow(kind, functools.partial(self._note, kind))
-            for kind in (names.KIND_CONFIG, names.KIND_SERVERS)
-        ]
-        self.keeper.is_fresh = lambda: all(
-            follower.is_fresh for follower in noted
-        )
-        self.links.apply(self.keeper.group, self.disk.identity.disk)
-        self.spawn(self.membership.run)
-        self.repeat(self._report_retirement, SETTINGS_POLL_MS / 4)
-        self.serve_measures()
-        return self
-
-    def render_measures(self) -> bytes:
-        """Return the store host's counts as text."""
-        gauges = {
-            'storage_epoch': self.keeper.group.epoch,
-            'storage_complete': self.disk.identity.is_complete,
-            **self.disk.ledger.describe(),
-        }
-        counters = {
-            'platform_calls': self.store.calls,
-            'synced_batches': self.disk.synced_batches,
-            'log_lines_lost': host_logs.lost_lines(),
-        }
-        return measures.render(counters, gauges, {})
-
-    def __exit__(self, *failure) -> None:
-        """Close the listener and the disk and end all greenlets."""
-        self.listener.stop()
-        self.links.close()
-        super().__exit__(*failure)
-        self.disk.close()
-
-    def _note(self, kind: str, seen: followers.Snapshot) -> None:
-        """Keep what entry hosts need to know of the platform."""
-        encoded = decoding.encode_objects(seen.present)
-        self.keeper.note(kind, seen.revision, encoded, seen.was_away)
-
-    def _report_retirement(self) -> None:
-        try:
-            self.retirement.report(self.membership.is_outside)
-        except exceptions.PlatformError as error:
-            logger.info('retirement not reported', reason=error.message)
-
-
-def run(name: str) -> None:
-    """Run a role until SIGTERM or SIGINT."""
-    known = settings.load()
-    host_logs.configure()
-    logger.info('start', role=name, node=known.node, zone=known.zone)
-    host = ROLES[name](known)
-    stopped = event.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, stopped.set)
-    gevent.signal_handler(signal.SIGHUP, host.reload)
-    host.repeat(host.reload, SETTINGS_POLL_MS)
-    with host:
-        logger.info('started', pid=os.getpid())
-        stopped.wait()
-        logger.info('stopping')
-        host.stop()
-    logger.info('stopped')
-    host_logs.flush()
-
-
-def main() -> None:
-    """Run the role that the command line names."""
-    if len(sys.argv) != 2 or sys.argv[1] not in ROLES:
-        sys.exit(f'usage: python3 -m carobfork.roles {"|".join(ROLES)}')
-    run(sys.argv[1])
-    # Threads of the pool and connections that hang must not hold the end.
-    os._exit(0)  # noqa: WPS437
-
-
-def _ignore(_member: groups.Member, _reply: messages.Done) -> None:
-    """Take the answer to a beat that says no more than that it came."""
-
-
-if __name__ == '__main__':
-    main()
--- /dev/null
+++ b/src/carobfork/roles/store.py
@@ -0,0 +1,121 @@
+"""Store: the role of store hosts, which keep turns and budgets."""
+
+import functools
+import pathlib
+
+import structlog
+
+from carobfork import clock, exceptions, host_logs
+from carobfork.gateway import measures
+from carobfork.platform import (
+    decoding,
+    followers,
+    names,
+    registers,
+    settings,
+)
+from carobfork.roles import hosts
+from carobfork.storage import (
+    disks,
+    groups,
+    keepers,
+    links,
+    listeners,
+    memberships,
+    messages,
+)
+
+RETIREMENT_POLL_MS = 250
+"""Short against the time in which a host is to be emptied."""
+
+logger = structlog.get_logger(part='host')
+
+
+@hosts.register('store')
+class StoreRole(hosts.Host):
+    """Keep turns and budgets on a disk.
+
+    :param known: the settings.
+    """
+
+    def __init__(self, known: settings.HostSettings) -> None:
+        """Open the disk and wire the parts."""
+        super().__init__(known)
+        folder = pathlib.Path(known.data_folder)
+        self.disk = disks.Disk(folder, clock.WallClock())
+        self.keeper = keepers.Keeper(self.disk)
+        address = known.control or (known.ip, known.inner_ports[0])
+        self.listener = listeners.Listener(address, self.keeper)
+        self.register = registers.GroupRegister(self.store)
+        self.retirement = registers.Retirement(self.store, known.node)
+        self.links = links.Links(
+            self.timer,
+            lambda _member: messages.Adopt(self.keeper.group),
+            _ignore,
+        )
+        self.membership = memberships.Membership(
+            groups.Member(
+                known.node, self.disk.identity.disk, *address, known.zone
+            ),
+            self.keeper,
+            self.register,
+            self.links,
+            known.losses,
+            lambda: self.retirement.is_asked,
+        )
+
+    def __enter__(self) -> 'StoreRole':
+        """Listen, follow the platform and take part in the group."""
+        self.listener.start()
+        self.spawn(self.disk.run)
+        self.spawn(self.disk.run_expiry)
+        self.follow(names.KIND_STORAGE, self.register.take)
+        self.follow(names.KIND_RETIREMENTS, self.retirement.take)
+        noted = [
+            self.follow(kind, functools.partial(self._note, kind))
+            for kind in (names.KIND_CONFIG, names.KIND_SERVERS)
+        ]
+        self.keeper.is_fresh = lambda: all(
+            follower.is_fresh for follower in noted
+        )
+        self.links.apply(self.keeper.group, self.disk.identity.disk)
+        self.spawn(self.membership.run)
+        self.repeat(self._report_retirement, RETIREMENT_POLL_MS)
+        self.serve_measures()
+        return self
+
+    def render_measures(self) -> bytes:
+        """Return the store host's counts as text."""
+        gauges = {
+            'storage_epoch': self.keeper.group.epoch,
+            'storage_complete': self.disk.identity.is_complete,
+            **self.disk.ledger.describe(),
+        }
+        counters = {
+            'platform_calls': self.store.calls,
+            'synced_batches': self.disk.synced_batches,
+            'log_lines_lost': host_logs.lost_lines(),
+        }
+        return measures.render(counters, gauges, {})
+
+    def __exit__(self, *failure) -> None:
+        """Close the listener and the disk and end all greenlets."""
+        self.listener.stop()
+        self.links.close()
+        super().__exit__(*failure)
+        self.disk.close()
+
+    def _note(self, kind: str, seen: followers.Snapshot) -> None:
+        """Keep what entry hosts need to know of the platform."""
+        encoded = decoding.encode_objects(seen.present)
+        self.keeper.note(kind, seen.revision, encoded, seen.was_away)
+
+    def _report_retirement(self) -> None:
+        try:
+            self.retirement.report(self.membership.is_outside)
+        except exceptions.PlatformError as error:
+            logger.info('retirement not reported', reason=error.message)
+
+
+def _ignore(_member: groups.Member, _reply: messages.Done) -> None:
+    """Take the answer to a beat that says no more than that it came."""
--- a/tests/platform_hosts.py
+++ b/tests/platform_hosts.py
@@ -10,9 +10,10 @@
 import attrs
 import gevent
 
-from carobfork import roles
 from carobfork.gateway import framing
 from carobfork.platform import settings
+from carobfork.roles import front as front_role
+from carobfork.roles import store as store_role
 from tests import backends, object_store
 
 PORT = 7100
@@ -150,7 +151,7 @@
 
     def start_front(self, name):
         """Start an entry host and wait until it is ready."""
-        front = roles.FrontRole(
+        front = front_role.FrontRole(
             self.settings(
                 name,
                 front=('127.0.0.1', free_port()),
@@ -174,7 +175,7 @@
             self._stack.callback(folder.cleanup)
             self._folders[name] = folder.name
         self._ports.setdefault(name, ('127.0.0.1', free_port()))
-        keeper = roles.StoreRole(
+        keeper = store_role.StoreRole(
             self.settings(
                 name,
                 control=self._ports[name],
