Start a restarted worker's count of calls at 0

Cause (found by reading): a worker that came back under its name took the count of calls of the process before, which nothing gave back, so that its slots were lost for good.

Change: the count starts anew; calls of the process before give their slots back to the object that they took them from.

--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -215,8 +215,9 @@
                 draining=entry.is_draining,
                 restarted=known is not None,
             )
-            in_flight = known.in_flight if known else 0
-            self._workers[entry.instance] = Worker(entry, in_flight)
+            # Calls of the process before give their slots back to its own
+            # object, which is not looked at any more.
+            self._workers[entry.instance] = Worker(entry)
             return
         if known.entry.is_draining != entry.is_draining:
             logger.info(
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -69,9 +69,12 @@
 
     def test_a_restart_under_the_same_name(self):
         """What was seen of the process before says nothing of the next."""
-        self.table.get('a').note_failure(self.timer.now_ms())
+        before = self.table.get('a')
+        before.note_failure(self.timer.now_ms())
+        before.in_flight = 3
         self.table.apply([entry('a', started_ms=5), entry('b')], False)
-        self.assertEqual(self.table.get('a').failures, 0)
+        after = self.table.get('a')
+        self.assertEqual((after.failures, after.in_flight), (0, 0))
 
     def test_failures_keep_calls_away(self):
         """Longer each time, and never from the last server left."""
