Let idle entry hosts sleep

Cause: on the grown sites an entry host has three calls a second and woke some 90 times: 50 looks at empty queues, 30 looks at whether the platform must be followed, and a parse of unchanged settings. Change: desks are served while something waits, followers wait for an event, settings are parsed when their text has changed.

--- a/src/carobfork/gateway/desks.py
+++ b/src/carobfork/gateway/desks.py
@@ -27,6 +27,10 @@
 logger = structlog.get_logger(part='desk')
 
 
+def _ignore() -> None:
+    """Do nothing for a desk that is served by its owner."""
+
+
 @attrs.define(eq=False)
 class Ticket:
     """A call that wants a slot.
@@ -66,6 +70,7 @@
     :param table: all servers.
     :param timer: the clock that arrival times refer to.
     :param policy: the placement policy.
+    :param on_wait: called when a call begins to wait.
     """
 
     def __init__(
@@ -74,9 +79,11 @@
         table: workers.WorkerTable,
         timer: clock.Clock,
         policy: placements.Placement,
+        on_wait: Callable[[], None] = _ignore,
     ) -> None:
         """Start with no call waiting."""
         self.waiting: list[Ticket] = []
+        self._on_wait = on_wait
         self._service = service
         self._table = table
         self._timer = timer
@@ -91,6 +98,7 @@
         is_in_time = self.expected_wait_ms(ticket) <= ticket.patience_ms
         if is_in_time and self._candidates(ticket):
             self.waiting.append(ticket)
+            self._on_wait()
         else:
             ticket.resolve(None)
 
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -23,6 +23,8 @@
     workers,
 )
 
+SERVE_EVERY_MS = 20
+"""Between looks at calls that wait: slots come free at other hosts, too."""
 MOST_REFUSALS = 4
 """Servers that may say 'not run', or be out of reach, for one request."""
 _SPREADS = 1000
@@ -77,6 +79,7 @@
         self._timer = timer
         self._policy = placements.PLACEMENTS[policy]
         self._desks: dict[str, desks.Desk] = {}
+        self._has_waiting = event.Event()
         self.latencies = measures.Histogram()
         self.queue_times = measures.Histogram()
 
@@ -84,7 +87,11 @@
         """Return the desk of a service."""
         if service not in self._desks:
             self._desks[service] = desks.Desk(
-                service, self._table, self._timer, self._policy
+                service,
+                self._table,
+                self._timer,
+                self._policy,
+                self._has_waiting.set,
             )
         return self._desks[service]
 
@@ -101,6 +108,18 @@
         for desk in list(self._desks.values()):
             desk.serve()
 
+    def run_desks(self) -> None:
+        """Serve what waits, until the greenlet is killed.
+
+        Sleeps where nothing waits, as is usual on most hosts.
+        """
+        while True:
+            self._has_waiting.wait()
+            self.serve_desks()
+            if not self.waiting():
+                self._has_waiting.clear()
+            gevent.sleep(clock.to_seconds(SERVE_EVERY_MS))
+
     def handle(
         self, request: exchanges.Request, caller: exchanges.Caller
     ) -> None:
--- a/src/carobfork/platform/followers.py
+++ b/src/carobfork/platform/followers.py
@@ -6,6 +6,7 @@
 import attrs
 import gevent
 import structlog
+from gevent import event
 
 from carobfork import clock, exceptions
 from carobfork.platform import decoding, objects
@@ -16,8 +17,6 @@
 
 logger = structlog.get_logger(part='platform')
 
-NEED_POLL_MS = 100
-
 
 @attrs.frozen
 class Snapshot:
@@ -35,17 +34,14 @@
 OnSnapshot = Callable[[Snapshot], None]
 
 
-def _always() -> bool:
-    return True
-
-
 class Follower:
     """Follow a kind of objects.
 
     :param store: where they live.
     :param kind: their kind.
     :param on_snapshot: takes the objects after each change.
-    :param is_needed: tells whether nobody else tells of the objects.
+    :param needed: set while nobody else tells of the objects; by default
+        it always is.
     """
 
     def __init__(
@@ -53,13 +49,13 @@
         store: objects.ObjectStore,
         kind: str,
         on_snapshot: OnSnapshot,
-        is_needed: Callable[[], bool] = _always,
+        needed: event.Event | None = None,
     ) -> None:
         """Start without objects."""
         self._store = store
         self._kind = kind
         self._on_snapshot = on_snapshot
-        self._is_needed = is_needed
+        self._needed = needed
         self._present: dict[str, decoding.StoredObject] = {}
         self._revision: int | None = None
         self._failures = 0
@@ -85,9 +81,9 @@
         return self._revision is not None
 
     def _wait_until_needed(self) -> None:
-        while not self._is_needed():
+        if self._needed is not None and not self._needed.is_set():
             self._revision = None
-            gevent.sleep(clock.to_seconds(NEED_POLL_MS))
+            self._needed.wait()
 
     def _step(self) -> None:
         was_away = self._failures > 0
--- a/src/carobfork/platform/settings.py
+++ b/src/carobfork/platform/settings.py
@@ -63,19 +63,33 @@
     :param path: the file, by default what the environment names.
     :raises SettingsError: it can't be read or lacks a field.
     """
+    return parse(read(path))
+
+
+def read(path: str = '') -> str:
+    """Return the settings file's text.
+
+    :param path: the file, by default what the environment names.
+    :raises SettingsError: it can't be read.
+    """
     name = path or os.environ.get(SETTINGS_VARIABLE, '')
     try:
-        fields = tomllib.loads(pathlib.Path(name).read_text(encoding='utf-8'))
+        return pathlib.Path(name).read_text(encoding='utf-8')
     except (OSError, ValueError) as error:
         raise exceptions.SettingsError(
             f'{name or SETTINGS_VARIABLE}: {error}', step=_STEP
         ) from error
+
+
+def parse(text: str) -> HostSettings:
+    """Return the settings that a file's text holds.
+
+    :raises SettingsError: the text is malformed or lacks a field.
+    """
     try:
-        return _decode(fields)
+        return _decode(tomllib.loads(text))
     except _MALFORMED as error:
-        raise exceptions.SettingsError(
-            f'{name}: {error!r}', step=_STEP
-        ) from error
+        raise exceptions.SettingsError(f'{error!r}', step=_STEP) from error
 
 
 def _decode(fields: Mapping[str, Any]) -> HostSettings:
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -2,6 +2,7 @@
 
 import gevent
 import structlog
+from gevent import event
 
 from carobfork import clock, exceptions, host_logs
 from carobfork.gateway import (
@@ -24,11 +25,9 @@
 from carobfork.roles import hosts
 from carobfork.storage import clients, groups, links, messages
 
-SERVE_EVERY_MS = 20
-"""Between looks at what waits, beside those when a slot comes free."""
 TRIM_EVERY_MS = 500
-RECALL_EVERY_MS = 300
-"""Between questions to the seeds of a host that knows too little to serve."""
+CHECK_EVERY_MS = 250
+"""A beat: between looks at what store hosts tell."""
 UNTOLD_MS = 700
 """Nearly three beats: then an entry host follows the platform itself."""
 LEAVE_PART = 0.38
@@ -64,8 +63,8 @@
         )
         self.server = servers.Server(known.front, self.relay, self.timer)
         self._told: dict[str, int] = {}
-        self._told_ms = float('-inf')
-        self._started_ms = self.timer.now_ms()
+        self._told_ms = self.timer.now_ms()
+        self._is_untold = event.Event()
         self._revisions: dict[str, int] = {}
         self._takers: dict[str, followers.OnSnapshot] = {
             names.KIND_CONFIG: self._take_config,
@@ -88,10 +87,10 @@
     def __enter__(self) -> 'FrontRole':
         """Listen and learn from store hosts, or from the platform."""
         for kind, take in self._takers.items():
-            self.follow(kind, take, is_needed=self._is_untold)
-        self.spawn(self._recall)
-        self.repeat(self._recall, RECALL_EVERY_MS)
-        self.repeat(self.relay.serve_desks, SERVE_EVERY_MS)
+            self.follow(kind, take, needed=self._is_untold)
+        self.spawn(self._recall_until_known)
+        self.repeat(self._check, CHECK_EVERY_MS)
+        self.spawn(self.relay.run_desks)
         self.repeat(self.relay.exchanger.pool.trim, TRIM_EVERY_MS)
         for endpoint in self._endpoints:
             endpoint.start()
@@ -126,7 +125,7 @@
         gevent.sleep(clock.to_seconds(leave_ms))
         self.server.stop_accepting()
         while self.server.counts.in_progress and self.timer.now_ms() < until_ms:
-            gevent.sleep(clock.to_seconds(SERVE_EVERY_MS))
+            gevent.sleep(clock.to_seconds(relays.SERVE_EVERY_MS))
 
     def render_measures(self) -> bytes:
         """Return the entry host's counts and latencies as text."""
@@ -170,10 +169,13 @@
             self.directory.version,
         )
 
+    def _recall_until_known(self) -> None:
+        """Ask store hosts until this host knows enough to serve."""
+        while self.relay.routes is None or not self.table.is_known:
+            self._recall()
+            gevent.sleep(clock.to_seconds(CHECK_EVERY_MS))
+
     def _recall(self) -> None:
-        """Ask store hosts for what the platform does not tell."""
-        if self.relay.routes is not None and self.table.is_known:
-            return
         for seed in self.settings.seeds:
             try:
                 told = links.ask_once(seed, messages.Recall())
@@ -195,10 +197,13 @@
                     followers.Snapshot(found, revision, was_away)
                 )
 
-    def _is_untold(self) -> bool:
-        """Tell whether no store host tells what the platform has."""
+    def _check(self) -> None:
+        """Follow the platform where no store host tells of it."""
         now_ms = self.timer.now_ms()
-        return now_ms - max(self._told_ms, self._started_ms) > UNTOLD_MS
+        if now_ms - self._told_ms > UNTOLD_MS:
+            self._is_untold.set()
+        else:
+            self._is_untold.clear()
 
     def _take_hosts(self, member: groups.Member, told: messages.Hosts) -> None:
         if told.version:
--- a/src/carobfork/roles/hosts.py
+++ b/src/carobfork/roles/hosts.py
@@ -41,6 +41,7 @@
         self.settings = known
         self.store = objects.ObjectStore(known.platform)
         self.timer = clock.SystemClock()
+        self._settings_text = ''
         self._greenlets: list[gevent.Greenlet] = []
         self._metrics = endpoints.EndpointServer(
             (known.ip, known.inner_ports[0] + 1),
@@ -97,10 +98,14 @@
     def reload(self) -> None:
         """Read the settings again; what can't change is kept."""
         try:
-            fresh = settings.load()
+            text = settings.read()
+            if text == self._settings_text:
+                return
+            fresh = settings.parse(text)
         except exceptions.SettingsError as error:
             logger.warning('settings not reloaded', reason=error.message)
             return
+        self._settings_text = text
         if fresh != self.settings:
             logger.info('settings changed', platform=fresh.platform)
             self.settings = fresh
