Let entry hosts tell one store host, and store hosts each other

Cause: each entry host sent its whole state to all members four times a second, so 73 entry hosts and five members made 1,460 messages a second, and each store host summed 73 states for a hundred answers a second. Listings of all backend servers were sent whole at each change. Change: state goes to the nearest member, which reports it to the others; other links carry one beat a second, and a lost connection makes all links look at once. Changes of the platform's objects are told as differences, also between store hosts, so one that is cut off from the platform stays useful. A request waits for a change of the group or a reconnection, a turn's end longer than its begin, and a refusal tells when to come back.

--- a/src/carobfork/gateway/desks.py
+++ b/src/carobfork/gateway/desks.py
@@ -131,8 +131,7 @@
         ahead = sum(
             other.urgency() <= ticket.urgency() for other in self.waiting
         )
-        elsewhere = self._table.waiting(self._service) - len(self.waiting)
-        ahead += max(0, elsewhere)
+        ahead += self._table.waiting(self._service)
         slots = sum(worker.entry.slots for worker in self._candidates(ticket))
         return (ahead + 1) * self._hold_ms / max(slots, 1)
 
@@ -142,7 +141,7 @@
         :param left_ms: time that its caller still waits.
         :param spread: from 0 to 1; spreads the return of a burst.
         """
-        waiting = max(len(self.waiting), self._table.waiting(self._service))
+        waiting = len(self.waiting) + self._table.waiting(self._service)
         backlog_ms = waiting * self._hold_ms
         slots = sum(
             worker.entry.slots for worker in self._table.usable(self._service)
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -4,7 +4,7 @@
 an outage of the platform's store, and what the servers' answers show.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 import structlog
@@ -117,7 +117,7 @@
         self._timer = timer
         self._workers: dict[str, Worker] = {}
         self._returning_until_ms = float('-inf')
-        self._waiting: dict[str, int] = {}
+        self._waiting: Mapping[str, int] = {}
         self._shared_ms = float('-inf')
 
     def __iter__(self) -> Iterator[Worker]:
@@ -145,27 +145,22 @@
                 self._note_missing(worker, now_ms)
 
     def note_shared(
-        self,
-        totals: dict[str, int],
-        own: dict[str, int],
-        waiting: dict[str, int],
+        self, in_flight: Mapping[str, int], waiting: Mapping[str, int]
     ) -> None:
-        """Take the sums of all hosts' calls.
+        """Take the sums of all other hosts' calls.
 
-        :param totals: calls by server.
-        :param own: what this host had told when the sums were made.
+        :param in_flight: calls by server.
         :param waiting: calls that wait for a slot, by service.
         """
         now_ms = self._timer.now_ms()
         self._shared_ms = now_ms
         self._waiting = waiting
         for worker in self._workers.values():
-            total = totals.get(worker.instance, 0)
-            worker.elsewhere = max(0, total - own.get(worker.instance, 0))
+            worker.elsewhere = in_flight.get(worker.instance, 0)
             worker.elsewhere_at_ms = now_ms
 
     def waiting(self, service: str) -> int:
-        """Return the calls that wait at all hosts, as last told."""
+        """Return the calls that wait at other hosts, as last told."""
         if self._timer.now_ms() - self._shared_ms > SHARED_FRESH_MS:
             return 0
         return self._waiting.get(service, 0)
--- a/src/carobfork/platform/decoding.py
+++ b/src/carobfork/platform/decoding.py
@@ -10,6 +10,7 @@
 from carobfork import clock, exceptions
 from carobfork.gateway import routes, workers
 from carobfork.platform import names
+from carobfork.storage import notes
 
 logger = structlog.get_logger(part='platform')
 
@@ -116,18 +117,27 @@
         )
 
 
-def encode_objects(found: Sequence[StoredObject]) -> bytes:
-    """Return objects in a form that ``decode_objects`` reads."""
-    return msgspec.msgpack.encode(found)
+def encode_note(found: Sequence[StoredObject], revision: int) -> notes.Note:
+    """Return objects in a form that ``decode_note`` reads."""
+    return notes.Note(
+        revision,
+        {
+            stored.name: (stored.revision, msgspec.msgpack.encode(stored))
+            for stored in found
+        },
+    )
 
 
-def decode_objects(encoded: bytes) -> list[StoredObject]:
+def decode_note(note: notes.Note) -> list[StoredObject]:
     """Return objects that another host has kept.
 
     :raises BadRequestError: they are malformed.
     """
     try:
-        return msgspec.msgpack.decode(encoded, type=list[StoredObject])
+        return [
+            msgspec.msgpack.decode(content, type=StoredObject)
+            for _revision, content in note.entries.values()
+        ]
     except msgspec.MsgspecError as error:
         raise exceptions.BadRequestError(
             f'kept objects are malformed: {error}', step=_STEP
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -2,7 +2,6 @@
 
 import gevent
 import structlog
-from gevent import event
 
 from carobfork import clock, exceptions, host_logs
 from carobfork.gateway import (
@@ -13,23 +12,13 @@
     turns,
     workers,
 )
-from carobfork.platform import (
-    decoding,
-    endpoints,
-    followers,
-    heads,
-    names,
-    registers,
-    settings,
-)
-from carobfork.roles import hosts
+from carobfork.platform import endpoints, heads, settings
+from carobfork.roles import hosts, updates
 from carobfork.storage import clients, groups, links, messages
 
 TRIM_EVERY_MS = 500
 CHECK_EVERY_MS = 250
 """A beat: between looks at what store hosts tell."""
-UNTOLD_MS = 700
-"""Nearly three beats: then an entry host follows the platform itself."""
 LEAVE_PART = 0.38
 """Of the grace time in which new requests are still served."""
 MOST_LEAVE_MS = 3000
@@ -54,23 +43,20 @@
         ip, port = known.front
         self.directory = directories.Directory(known.node, f'{ip}:{port}')
         self.table = workers.WorkerTable(self.timer)
-        self.links = links.Links(self.timer, self._presence, self._take_hosts)
+        self.links = links.Links(
+            self.timer,
+            links.Beats(self._compose, self._take_answer, self._pace_ms),
+        )
         self.storage = clients.Client(
-            self.links, known.losses, known.zone, self.timer
+            self.links, known.losses, known.node, known.zone, self.timer
         )
         self.relay = relays.Relay(
             heads, self.table, turns.TurnDesk(self.storage), self.timer
         )
         self.server = servers.Server(known.front, self.relay, self.timer)
-        self._told: dict[str, int] = {}
-        self._told_ms = self.timer.now_ms()
-        self._is_untold = event.Event()
-        self._revisions: dict[str, int] = {}
-        self._takers: dict[str, followers.OnSnapshot] = {
-            names.KIND_CONFIG: self._take_config,
-            names.KIND_SERVERS: self._take_workers,
-            names.KIND_STORAGE: self._take_group,
-        }
+        self.updates = updates.Updates(
+            updates.Learners(self.relay, self.table, self.storage), self.timer
+        )
         self._endpoints = [
             endpoints.EndpointServer(
                 known.ready, endpoints.ready_endpoint(self.is_ready)
@@ -86,10 +72,10 @@
 
     def __enter__(self) -> 'FrontRole':
         """Listen and learn from store hosts, or from the platform."""
-        for kind, take in self._takers.items():
-            self.follow(kind, take, needed=self._is_untold)
+        for kind, take in self.updates.sources().items():
+            self.follow(kind, take, needed=self.updates.needed)
         self.spawn(self._recall_until_known)
-        self.repeat(self._check, CHECK_EVERY_MS)
+        self.repeat(self.updates.check, CHECK_EVERY_MS)
         self.spawn(self.relay.run_desks)
         self.repeat(self.relay.exchanger.pool.trim, TRIM_EVERY_MS)
         for endpoint in self._endpoints:
@@ -154,24 +140,43 @@
         }
         return measures.render(counters, gauges, histograms)
 
-    def _presence(self, member: groups.Member) -> messages.Presence:
+    def _compose(
+        self, member: groups.Member
+    ) -> messages.Presence | messages.Beat:
+        """Return what a store host is told: all goes to the nearest one."""
+        epoch = self.storage.group.epoch
+        if member.disk != self.storage.nearest():
+            return messages.Beat(epoch)
         ip, port = self.settings.front
-        self._told = self.table.in_flight()
         return messages.Presence(
             self.settings.node,
             f'{ip}:{port}',
             self.settings.zone,
             not self.is_ready(),
-            self._told,
+            self.table.in_flight(),
             self.relay.waiting(),
-            self.storage.group.epoch,
-            member.disk == self.storage.nearest(),
+            epoch,
             self.directory.version,
         )
 
+    def _pace_ms(self, member: groups.Member) -> float:
+        if member.disk == self.storage.nearest():
+            return links.BEAT_MS
+        return links.CALM_BEAT_MS
+
+    def _take_answer(
+        self, member: groups.Member, told: messages.Hosts | messages.News
+    ) -> None:
+        news = told
+        if isinstance(told, messages.Hosts):
+            self.directory.take(told)
+            self.table.note_shared(told.in_flight, told.waiting)
+            news = told.news
+        self.updates.take_news(self.links.get(member.disk), news)
+
     def _recall_until_known(self) -> None:
         """Ask store hosts until this host knows enough to serve."""
-        while self.relay.routes is None or not self.table.is_known:
+        while not self.updates.is_complete:
             self._recall()
             gevent.sleep(clock.to_seconds(CHECK_EVERY_MS))
 
@@ -182,82 +187,4 @@
             except (OSError, exceptions.BadRequestError) as error:
                 logger.info('nothing recalled', peer=seed, reason=str(error))
                 continue
-            self._take_recalled(told)
-
-    def _take_recalled(self, told: messages.Recalled | None) -> None:
-        if told is None:
-            return
-        self.storage.apply(told.group)
-        was_away = told.since_outage_ms < workers.RETURN_MS
-        for kind, (revision, content) in told.notes.items():
-            if revision > self._revisions.get(kind, -1):
-                logger.info('recalled', kind=kind, revision=revision)
-                found = decoding.decode_objects(content)
-                self._takers[kind](
-                    followers.Snapshot(found, revision, was_away)
-                )
-
-    def _check(self) -> None:
-        """Follow the platform where no store host tells of it."""
-        now_ms = self.timer.now_ms()
-        if now_ms - self._told_ms > UNTOLD_MS:
-            self._is_untold.set()
-        else:
-            self._is_untold.clear()
-
-    def _take_hosts(self, member: groups.Member, told: messages.Hosts) -> None:
-        if told.version:
-            self.directory.take(told)
-            self.table.note_shared(told.in_flight, self._told, told.waiting)
-        if told.group is not None:
-            self.storage.apply(told.group)
-        if told.is_fresh:
-            self._told_ms = self.timer.now_ms()
-        is_news = any(
-            revision > self._revisions.get(kind, -1)
-            for kind, revision in told.revisions.items()
-        )
-        link = self.links.get(member.disk)
-        if is_news and link is not None:
-            link.ask(messages.Recall(), self._take_recalled)
-
-    def _take_config(self, seen: followers.Snapshot) -> None:
-        if not self._is_newer(names.KIND_CONFIG, seen):
-            return
-        for stored in seen.present:
-            if stored.name == names.CONFIG_NAME:
-                self._take_table(stored)
-
-    def _is_newer(self, kind: str, seen: followers.Snapshot) -> bool:
-        if seen.revision < self._revisions.get(kind, -1):
-            return False
-        self._revisions[kind] = seen.revision
-        return True
-
-    def _take_table(self, stored: decoding.StoredObject) -> None:
-        known = self.relay.routes
-        try:
-            table = decoding.decode_table(stored.spec)
-        except (exceptions.SettingsError, AttributeError) as error:
-            logger.warning('configuration not taken', reason=str(error))
-            return
-        if known is None or table.version > known.version:
-            logger.info(
-                'configuration in force',
-                version=table.version,
-                before=known.version if known else None,
-                routes=len(table.routes),
-            )
-            self.relay.routes = table
-
-    def _take_workers(self, seen: followers.Snapshot) -> None:
-        if not self._is_newer(names.KIND_SERVERS, seen):
-            return
-        entries = [decoding.decode_worker(stored) for stored in seen.present]
-        self.table.apply([entry for entry in entries if entry], seen.was_away)
-        self.relay.serve_desks()
-
-    def _take_group(self, seen: followers.Snapshot) -> None:
-        for stored in seen.present:
-            if stored.name == registers.GROUP_NAME:
-                self.storage.apply(registers.decode_group(stored))
+            self.updates.take_recalled(told)
--- a/src/carobfork/roles/store.py
+++ b/src/carobfork/roles/store.py
@@ -50,8 +50,9 @@
         self.retirement = registers.Retirement(self.store, known.node)
         self.links = links.Links(
             self.timer,
-            lambda _member: messages.Adopt(self.keeper.group),
-            _ignore,
+            links.Beats(
+                lambda _member: self.keeper.informer.report(), self._take_news
+            ),
         )
         self.membership = memberships.Membership(
             groups.Member(
@@ -75,7 +76,7 @@
             self.follow(kind, functools.partial(self._note, kind))
             for kind in (names.KIND_CONFIG, names.KIND_SERVERS)
         ]
-        self.keeper.is_fresh = lambda: all(
+        self.keeper.informer.is_following = lambda: all(
             follower.is_fresh for follower in noted
         )
         self.links.apply(self.keeper.group, self.disk.identity.disk)
@@ -107,15 +108,28 @@
 
     def _note(self, kind: str, seen: followers.Snapshot) -> None:
         """Keep what entry hosts need to know of the platform."""
-        encoded = decoding.encode_objects(seen.present)
-        self.keeper.note(kind, seen.revision, encoded, seen.was_away)
+        note = decoding.encode_note(seen.present, seen.revision)
+        self.keeper.informer.note(kind, note, seen.was_away)
+
+    def _take_news(self, member: groups.Member, news: messages.News) -> None:
+        """Ask a peer for what it knows and this host does not."""
+        if self.keeper.informer.note_news(news):
+            known = self.disk.notebook.revisions()
+            self._recall(member, messages.Recall(known))
+
+    def _recall(self, member: groups.Member, question: messages.Recall) -> None:
+        link = self.links.get(member.disk)
+        if link is not None:
+            link.ask(question, functools.partial(self._take_recalled, member))
+
+    def _take_recalled(
+        self, member: groups.Member, told: messages.Recalled | None
+    ) -> None:
+        if told is not None and not self.keeper.informer.note_recalled(told):
+            self._recall(member, messages.Recall())
 
     def _report_retirement(self) -> None:
         try:
             self.retirement.report(self.membership.is_outside)
         except exceptions.PlatformError as error:
             logger.info('retirement not reported', reason=error.message)
-
-
-def _ignore(_member: groups.Member, _reply: messages.Done) -> None:
-    """Take the answer to a beat that says no more than that it came."""
--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -5,6 +5,7 @@
 entry hosts never both believe that the last tokens are theirs.
 """
 
+import zlib
 from typing import Any
 
 import attrs
@@ -17,6 +18,10 @@
 
 OPERATION_MS = 1200
 """Longest wait: over the silence after which a link counts as gone."""
+BEGIN_PATIENCE_MS = 250
+"""Until links or the group have changed: a turn can still go elsewhere."""
+RETRY_AFTER_MS = 300
+"""A lost connection is open again, or a group has changed, within this time."""
 EPOCH_POLL_MS = 50
 """Between looks at whether the group has changed while answers are due."""
 SETTLE_TRIES = 4
@@ -39,17 +44,24 @@
 
     :param linked: links to its hosts.
     :param losses: disks that may be lost at a time.
+    :param node: the own host, which spreads hosts over members.
     :param zone: the own failure domain, preferred for reads.
     :param timer: measures waits.
     """
 
     def __init__(
-        self, linked: links.Links, losses: int, zone: str, timer: clock.Clock
+        self,
+        linked: links.Links,
+        losses: int,
+        node: str,
+        zone: str,
+        timer: clock.Clock,
     ) -> None:
         """Start without a group."""
         self.group = groups.Group()
         self._links = linked
         self._losses = losses
+        self._node = node
         self._zone = zone
         self._timer = timer
 
@@ -90,6 +102,7 @@
                 for disk in self.group.everyone()
             },
             is_read=True,
+            patience_ms=BEGIN_PATIENCE_MS,
         )
         merged = _merge(outcome.replies.values())
         if message.previous and merged.chain is None:
@@ -103,7 +116,9 @@
         :raises NotRunError: too few members have synced it.
         """
         self._operate(
-            {disk: message for disk in self.group.everyone()}, is_read=False
+            {disk: message for disk in self.group.everyone()},
+            is_read=False,
+            patience_ms=OPERATION_MS,
         )
 
     def settle(self, message: messages.Finish) -> None:
@@ -129,8 +144,12 @@
             link for link in usable if self.group.holds(link.member.disk)
         ] or usable
         near = [link for link in usable if link.member.zone == self._zone]
-        chosen = near or usable
-        return chosen[0].member.disk if chosen else ''
+        disks = [link.member.disk for link in near or usable]
+        return min(disks, key=self._distance, default='')
+
+    def _distance(self, disk: str) -> int:
+        """Return a disk's place in this host's own order."""
+        return zlib.crc32(disk.encode(), zlib.crc32(self._node.encode()))
 
     def _fetch_chain(self, message: messages.Begin, outcome: Outcome) -> bytes:
         """Return a chain from any member that holds it."""
@@ -155,25 +174,43 @@
             return None
         return getattr(reply, 'chain', None)
 
-    def _operate(self, requests: dict[str, Any], is_read: bool) -> Outcome:
-        """Send requests, once more where the group has changed."""
-        until_ms = self._timer.now_ms() + OPERATION_MS
+    def _operate(
+        self, requests: dict[str, Any], is_read: bool, patience_ms: float
+    ) -> Outcome:
+        """Send requests, again where the group or the links have changed."""
+        started_ms = self._timer.now_ms()
         while True:
             self._links.wait_for_opening()
             epoch = self.group.epoch
             operation = _Operation(self.group, self._losses, is_read)
             operation.send(self._links, requests)
-            if self._await(operation, epoch, until_ms):
+            if self._await(operation, epoch, started_ms + OPERATION_MS):
                 return Outcome(operation.replies)
             for refused in operation.refused.values():
                 self.apply(refused.group)
-            if self.group.epoch == epoch or self._timer.now_ms() > until_ms:
+            is_over = self._timer.now_ms() > started_ms + OPERATION_MS
+            until_ms = started_ms + patience_ms
+            if is_over or not self._wait_for_change(epoch, until_ms):
                 raise exceptions.NotRunError(
                     f'too few store hosts answered: {operation.describe()}',
                     step=_STEP,
+                    retry_after_ms=RETRY_AFTER_MS,
                 )
             requests = _readdress(requests, self.group)
 
+    def _wait_for_change(self, epoch: int, until_ms: float) -> bool:
+        """Tell whether a newer group or another link came in time."""
+        before = self._links.connected_disks()
+        if self.group.epoch == epoch:
+            self._links.hurry()
+        while self.group.epoch == epoch:
+            if self._links.connected_disks() - before:
+                return True
+            if self._timer.now_ms() > until_ms:
+                return False
+            gevent.sleep(clock.to_seconds(EPOCH_POLL_MS))
+        return True
+
     def _await(
         self, operation: '_Operation', epoch: int, until_ms: float
     ) -> bool:
--- a/src/carobfork/storage/disks.py
+++ b/src/carobfork/storage/disks.py
@@ -17,15 +17,13 @@
 from gevent import event
 
 from carobfork import clock
-from carobfork.storage import groups, ledgers, segments
+from carobfork.storage import groups, ledgers, notes, segments
 
 EXPIRE_EVERY_MS = 5000
 _IDENTITY = 'identity'
 _NOTES = 'notes'
 _DISK_BYTES = 8
 
-Notes = dict[str, tuple[int, bytes]]
-
 logger = structlog.get_logger(part='disk')
 
 
@@ -67,7 +65,7 @@
         self.identity = _load_identity(folder)
         self._files = segments.Segments(folder)
         self.ledger = ledgers.Ledger(self._files, timer)
-        self.notes = _load_notes(folder)
+        self.notebook = notes.Notebook(_load_notes(folder))
         self.synced_batches = 0
         self._waiting: list[Submission] = []
         self._wakened = event.Event()
@@ -92,17 +90,11 @@
             logger.info('copy complete' if is_complete else 'copy begun')
             self.save(attrs.evolve(self.identity, is_complete=is_complete))
 
-    def note(self, kind: str, revision: int, content: bytes) -> None:
-        """Keep what was learnt of the platform, for other hosts.
-
-        :param kind: what the content describes; the last one stands.
-        """
-        known = self.notes.get(kind)
-        if known is None or known[1] != content:
-            self.notes[kind] = (revision, content)
-            segments.write_file(
-                self._folder / _NOTES, msgspec.msgpack.encode(self.notes)
-            )
+    def save_notes(self) -> None:
+        """Keep what was learnt of the platform, for hosts that start."""
+        segments.write_file(
+            self._folder / _NOTES, msgspec.msgpack.encode(self.notebook.notes)
+        )
 
     def submit(self, submission: Submission) -> None:
         """Write records, if there are any, and answer then."""
@@ -162,10 +154,12 @@
         return places
 
 
-def _load_notes(folder: pathlib.Path) -> Notes:
+def _load_notes(folder: pathlib.Path) -> dict[str, notes.Note]:
     path = folder / _NOTES
     if path.exists():
-        return msgspec.msgpack.decode(path.read_bytes(), type=Notes)
+        return msgspec.msgpack.decode(
+            path.read_bytes(), type=dict[str, notes.Note]
+        )
     return {}
 
 
--- a/src/carobfork/storage/keepers.py
+++ b/src/carobfork/storage/keepers.py
@@ -8,7 +8,7 @@
 from gevent import event
 
 from carobfork import clock
-from carobfork.storage import disks, groups, ledgers, messages, presences
+from carobfork.storage import disks, groups, informers, ledgers, messages
 
 PAGE_BYTES = 262_144
 """Bytes of one page of a copy: a few ms on the slowest link of a store host."""
@@ -28,10 +28,9 @@
         """Start with the group that the disk knows."""
         self.disk = disk
         self.ledger = disk.ledger
-        self.presences = presences.Presences(clock.SystemClock())
-        self.is_fresh: Callable[[], bool] = _never
-        self._timer = clock.SystemClock()
-        self._outage_ms = float('-inf')
+        self.informer = informers.Informer(
+            disk, self.adopt, clock.SystemClock()
+        )
         self._listed: list = []
         self._listing = 0
 
@@ -54,24 +53,18 @@
 
     def receive(self, envelope: messages.Envelope, reply: Reply) -> None:
         """Carry out a request; the reply may come later."""
-        handler = _HANDLERS[type(envelope.message).__name__]
+        kind = type(envelope.message).__name__
+        informing = _INFORMING.get(kind)
+        if informing is not None:
+            informing(self.informer, envelope.message, reply)
+            return
+        handler = _HANDLERS[kind]
         if handler in _FENCED and envelope.epoch != self.group.epoch:
             is_stale = envelope.epoch < self.group.epoch
             reply(self._refuse('stale' if is_stale else 'behind'))
             return
         handler(self, envelope.message, reply)
 
-    def note(
-        self, kind: str, revision: int, content: bytes, was_away: bool
-    ) -> None:
-        """Note what the platform tells, for entry hosts.
-
-        :param was_away: whether the platform was out of reach before.
-        """
-        if was_away:
-            self._outage_ms = self._timer.now_ms()
-        self.disk.note(kind, revision, content)
-
     def store(self, records: list[bytes]) -> None:
         """Write copied records that are not known yet and wait for them."""
         done = event.Event()
@@ -125,29 +118,10 @@
         is_complete = self.disk.identity.is_complete
         reply(messages.Records(page, end, self._listing, is_complete))
 
-    def recall(self, _message: messages.Recall, reply: Reply) -> None:
-        """Tell what was known of the platform last."""
-        since_ms = self._timer.now_ms() - self._outage_ms
-        reply(messages.Recalled(self.group, self.disk.notes, since_ms))
-
     def take_records(self, message: messages.Give, reply: Reply) -> None:
         """Keep records that another member hands over."""
         self._submit(self.ledger.unknown(message.records), messages.Done, reply)
 
-    def note_presence(self, message: messages.Presence, reply: Reply) -> None:
-        """Note an entry host's beat and tell of the others."""
-        is_behind = message.epoch < self.group.epoch
-        reply(
-            attrs.evolve(
-                self.presences.note(message),
-                group=self.group if is_behind else None,
-                revisions={
-                    kind: note[0] for kind, note in self.disk.notes.items()
-                },
-                is_fresh=self.is_fresh(),
-            )
-        )
-
     def _begun(self, message: messages.Begin) -> Any:
         if not self.disk.identity.is_complete:
             return self._refuse('filling')
@@ -179,17 +153,17 @@
         )
 
 
-def _never() -> bool:
-    return False
-
-
 _HANDLERS = {  # noqa: WPS407
     'Adopt': Keeper.take_group,
     'Begin': Keeper.begin,
     'Fetch': Keeper.fetch,
     'Finish': Keeper.finish,
     'Give': Keeper.take_records,
-    'Recall': Keeper.recall,
-    'Presence': Keeper.note_presence,
 }
 _FENCED = frozenset((Keeper.begin, Keeper.finish))
+_INFORMING = {  # noqa: WPS407
+    'Beat': informers.Informer.take_beat,
+    'Presence': informers.Informer.take_presence,
+    'Recall': informers.Informer.recall,
+    'Report': informers.Informer.take_report,
+}
--- a/src/carobfork/storage/links.py
+++ b/src/carobfork/storage/links.py
@@ -7,12 +7,14 @@
 
 import collections
 import contextlib
+import functools
 import itertools
 import socket as sockets
 from collections.abc import Callable
 from types import TracebackType
 from typing import Any
 
+import attrs
 import gevent
 import structlog
 from gevent import event, queue, socket
@@ -23,9 +25,13 @@
 CONNECT_TIMEOUT_MS = 500
 """Several round trips between failure domains, with room for a lost packet."""
 BEAT_MS = 250
-"""A dead peer shows within a few beats; four beats a second cost little."""
-SILENCE_MS = 900
-"""Three beats without an answer."""
+"""Of links that carry news: a dead peer shows within a few beats."""
+CALM_BEAT_MS = 1000
+"""Of other links: a beat at the end of another link shows a loss earlier."""
+SILENCE_MS = 650
+"""Beyond the next beat: two more beats without an answer."""
+PROBE_MS = 400
+"""A peer that answers a probe no sooner is gone: many round trips."""
 RECONNECT_MS = 150
 OPENING_POLL_MS = 5
 USER_TIMEOUT_MS = 1000
@@ -35,8 +41,29 @@
 logger = structlog.get_logger(part='links')
 
 Callback = Callable[[Any], None]
-Beat = Callable[[groups.Member], Any]
-BeatCallback = Callable[[groups.Member, Any], None]
+
+
+def _every_beat(_member: groups.Member) -> float:
+    return BEAT_MS
+
+
+@attrs.frozen
+class Beats:
+    """What links send regularly.
+
+    :param compose: returns the message to a member.
+    :param take: takes a member and its answer.
+    :param pace_ms: returns the time until the next beat to a member.
+    """
+
+    compose: Callable[[groups.Member], Any]
+    take: Callable[[groups.Member, Any], None]
+    pace_ms: Callable[[groups.Member], float] = _every_beat
+
+    def deliver(self, member: groups.Member, reply: Any) -> None:
+        """Take an answer, if there is one."""
+        if reply is not None:
+            self.take(member, reply)
 
 
 class Link:
@@ -44,16 +71,16 @@
 
     :param member: the host.
     :param timer: measures silences.
-    :param beat: returns the message to send to a member at each beat.
-    :param on_beat: takes members and their answers to beats.
+    :param beats: what is sent regularly.
+    :param on_end: called when the connection has ended.
     """
 
     def __init__(
         self,
         member: groups.Member,
         timer: clock.Clock,
-        beat: Beat,
-        on_beat: BeatCallback,
+        beats: Beats,
+        on_end: Callable[[], None],
     ) -> None:
         """Prepare the link; entering it connects."""
         self.member = member
@@ -62,8 +89,9 @@
         self.is_connected = False
         self.is_opening = True
         self._timer = timer
-        self._beat = beat
-        self._on_beat = on_beat
+        self._beats = beats
+        self._on_end = on_end
+        self._hurried = event.Event()
         self._numbers = itertools.count(1)
         self._waiting: dict[int, Callback] = {}
         self._outgoing: collections.deque[bytes] = collections.deque()
@@ -104,6 +132,11 @@
         self._outgoing.append(messages.encode(envelope))
         self._wakened.set()
 
+    def hurry(self) -> None:
+        """Send the next beat now; end the link where nothing answers it."""
+        if self.is_connected:
+            self._hurried.set()
+
     def request(self, message: Any, timeout_ms: float) -> Any:
         """Send a request and return its answer.
 
@@ -142,7 +175,7 @@
         try:
             self._begin(connected)
             helpers.append(gevent.spawn(self._write, connected))
-            helpers.append(gevent.spawn(self._send_beats))
+            helpers.append(gevent.spawn(self._send_beats, connected))
             self._read(connected)
         finally:
             gevent.killall(helpers, block=False)
@@ -170,11 +203,13 @@
         self._waiting.clear()
         for on_reply in waiting:
             on_reply(None)
+        self._on_end()
 
     def _read(self, connected: socket.socket) -> None:
-        connected.settimeout(clock.to_seconds(SILENCE_MS))
         buffered = bytearray()
         while True:
+            silence_ms = self._beats.pace_ms(self.member) + SILENCE_MS
+            connected.settimeout(clock.to_seconds(silence_ms))
             received = connected.recv(_READ_BYTES)
             if not received:
                 return
@@ -201,14 +236,25 @@
                 connected.close()
                 return
 
-    def _send_beats(self) -> None:
+    def _send_beats(self, connected: socket.socket) -> None:
         while True:
-            self.ask(self._beat(self.member), self._take_beat)
-            gevent.sleep(clock.to_seconds(BEAT_MS))
+            self.ask(
+                self._beats.compose(self.member),
+                functools.partial(self._beats.deliver, self.member),
+            )
+            if self._hurried.is_set():
+                self._hurried.clear()
+                gevent.spawn_later(
+                    clock.to_seconds(PROBE_MS), self._end_if_silent, connected
+                )
+            self._hurried.wait(
+                clock.to_seconds(self._beats.pace_ms(self.member))
+            )
 
-    def _take_beat(self, reply: Any) -> None:
-        if reply is not None:
-            self._on_beat(self.member, reply)
+    def _end_if_silent(self, connected: socket.socket) -> None:
+        if self.silent_ms() >= PROBE_MS:
+            # The reader meets the closed connection and ends the link.
+            connected.close()
 
 
 def prepare(connected: socket.socket) -> None:
@@ -244,20 +290,13 @@
     """Links to the members of a group, opened and closed as it changes.
 
     :param timer: measures silences.
-    :param beat: returns the message to send to a member at each beat.
-    :param on_beat: takes members and their answers to beats.
+    :param beats: what is sent regularly.
     """
 
-    def __init__(
-        self,
-        timer: clock.Clock,
-        beat: Beat,
-        on_beat: BeatCallback,
-    ) -> None:
+    def __init__(self, timer: clock.Clock, beats: Beats) -> None:
         """Start without links."""
         self._timer = timer
-        self._beat = beat
-        self._on_beat = on_beat
+        self._beats = beats
         self._links: dict[str, Link] = {}
 
     def apply(self, group: groups.Group, own_disk: str = '') -> None:
@@ -268,8 +307,7 @@
             self._links.pop(disk).__exit__(None, None, None)
         for disk, member in wanted.items():
             if disk not in self._links:
-                link = Link(member, self._timer, self._beat, self._on_beat)
-                self._links[disk] = link.__enter__()
+                self._links[disk] = self._open(member)
             self._links[disk].epoch = group.epoch
 
     def wait_for_opening(self) -> None:
@@ -297,6 +335,14 @@
         """Return the disks whose hosts can be asked now."""
         return {disk for disk, link in self._links.items() if link.is_connected}
 
+    def hurry(self) -> None:
+        """Ask all hosts for news, and whether they are still there."""
+        for link in self.all():
+            link.hurry()
+
     def close(self) -> None:
         """Close all links."""
         self.apply(groups.Group())
+
+    def _open(self, member: groups.Member) -> Link:
+        return Link(member, self._timer, self._beats, self.hurry).__enter__()
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from carobfork import exceptions
-from carobfork.storage import groups
+from carobfork.storage import groups, notes
 
 MAX_FRAME_BYTES = 16_777_216
 """Longest frame: a page of records with the largest body of a request."""
@@ -112,20 +112,24 @@
 @register
 @attrs.frozen
 class Recall:
-    """Ask for what a host knew of the platform last."""
+    """Ask for what a host knows of the platform.
+
+    :param revisions: what the asker knows, by kind.
+    """
+
+    revisions: dict[str, int] = attrs.Factory(dict)
 
 
 @register
 @attrs.frozen
 class Recalled:
-    """The group, and the objects of other kinds.
+    """The group, and what the asker lacks of other kinds.
 
-    :param notes: encoded objects and the revision they are of, by kind.
     :param since_outage_ms: since the platform was last out of reach.
     """
 
     group: groups.Group
-    notes: dict[str, tuple[int, bytes]]
+    changes: dict[str, notes.Change]
     since_outage_ms: float
 
 
@@ -164,16 +168,41 @@
     records: list[bytes]
 
 
+@register
+@attrs.frozen
+class Beat:
+    """A host is alive and asks for news.
+
+    :param epoch: the storage group that it knows.
+    """
+
+    epoch: int
+
+
+@register
+@attrs.frozen
+class News:
+    """What a store host knows, in short.
+
+    :param group: the storage group, where the asker's is older.
+    :param revisions: of what it knows of the platform, by kind.
+    :param is_fresh: whether it follows the platform at present.
+    """
+
+    group: groups.Group | None
+    revisions: dict[str, int]
+    is_fresh: bool
+
+
 @register
 @attrs.frozen
 class Presence:
-    """An entry host is alive.
+    """An entry host is alive and tells one store host what it does.
 
     :param address: where callers reach it.
     :param in_flight: its calls by backend server.
     :param waiting: its calls that wait for a slot, by service.
     :param epoch: the storage group that it knows.
-    :param wants_hosts: whether the answer should tell of the others.
     :param hosts_version: the set of hosts that it was told before.
     """
 
@@ -181,34 +210,41 @@
     address: str
     zone: str
     is_leaving: bool
-    in_flight: dict[str, int]
+    in_flight: dict[str, int] = attrs.Factory(dict)
     waiting: dict[str, int] = attrs.Factory(dict)
     epoch: int = 0
-    wants_hosts: bool = True
     hosts_version: int = 0
 
 
 @register
 @attrs.frozen
 class Hosts:
-    """Entry hosts heard of lately, and the group where the asker's is older.
+    """What a store host heard of all entry hosts.
 
     :param version: identifies the set of hosts.
     :param hosts: address, zone and whether it is leaving, by node; nothing
         where the asker has this version.
-    :param in_flight: calls of all entry hosts by backend server.
-    :param waiting: calls of all entry hosts that wait, by service.
-    :param revisions: of what the store host knows of the platform, by kind.
-    :param is_fresh: whether it follows the platform at present.
+    :param in_flight: calls of all other entry hosts by backend server.
+    :param waiting: calls of all other entry hosts that wait, by service.
     """
 
-    version: int = 0
-    hosts: dict[str, tuple[str, str, bool]] | None = None
-    in_flight: dict[str, int] = attrs.Factory(dict)
-    waiting: dict[str, int] = attrs.Factory(dict)
-    group: groups.Group | None = None
-    revisions: dict[str, int] = attrs.Factory(dict)
-    is_fresh: bool = False
+    version: int
+    hosts: dict[str, tuple[str, str, bool]] | None
+    in_flight: dict[str, int]
+    waiting: dict[str, int]
+    news: News
+
+
+@register
+@attrs.frozen
+class Report:
+    """A store host tells another what it heard itself.
+
+    :param presences: entry hosts that told it of themselves lately.
+    """
+
+    group: groups.Group
+    presences: list[Presence]
 
 
 @register
--- a/tests/platform_hosts.py
+++ b/tests/platform_hosts.py
@@ -149,7 +149,7 @@
         }
         return settings.HostSettings(**{**known, **fields})
 
-    def start_front(self, name):
+    def start_front(self, name, **fields):
         """Start an entry host and wait until it is ready."""
         front = front_role.FrontRole(
             self.settings(
@@ -157,6 +157,7 @@
                 front=('127.0.0.1', free_port()),
                 ready=('127.0.0.1', free_port()),
                 directory=('127.0.0.1', free_port()),
+                **fields,
             )
         )
         self.fronts[name] = front
@@ -168,7 +169,7 @@
         """End an entry host at once."""
         self.fronts.pop(name).__exit__(None, None, None)
 
-    def start_keeper(self, name, wiped=False):
+    def start_keeper(self, name, wiped=False, **fields):
         """Start a store host, with its disk or a new one."""
         if wiped or name not in self._folders:
             folder = tempfile.TemporaryDirectory()
@@ -180,6 +181,7 @@
                 name,
                 control=self._ports[name],
                 data_folder=self._folders[name],
+                **fields,
             )
         )
         self.keepers[name] = keeper.__enter__()
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -90,10 +90,10 @@
         self.assertEqual(self.usable(), ['a'])
 
     def test_load_of_other_hosts(self):
-        """Sums of all hosts count without the own part, while fresh."""
+        """Sums of the other hosts count while they are fresh."""
         worker = self.table.get('a')
         worker.in_flight = 1
-        self.table.note_shared({'a': 5}, {'a': 2}, {SERVICE: 3})
+        self.table.note_shared({'a': 3}, {SERVICE: 3})
         self.assertEqual(self.table.waiting(SERVICE), 3)
         self.assertEqual(worker.load(self.timer.now_ms()), 4)
         self.timer.advance(workers.SHARED_FRESH_MS + 1)
@@ -210,7 +210,7 @@
     def test_queues_of_other_hosts_count(self):
         """A call is refused for what waits at other hosts, too."""
         self.fill()
-        self.table.note_shared({'a': 2, 'b': 2}, {}, {SERVICE: 99})
+        self.table.note_shared({}, {SERVICE: 99})
         self.submit('new')
         self.assertEqual([name for name, _ in self.refused], ['new'])
 
--- /dev/null
+++ b/tests/test_presences.py
@@ -0,0 +1,75 @@
+"""Presences: entry hosts as store hosts hear of them, on a manual clock."""
+
+import unittest
+
+from carobfork import clock
+from carobfork.storage import messages, presences
+
+NEWS = messages.News(None, {}, is_fresh=True)
+
+
+def presence(node, calls=0, version=0):
+    """Return what an entry host tells of itself."""
+    return messages.Presence(
+        node,
+        f'{node}:1',
+        'z',
+        is_leaving=False,
+        in_flight={'e0': calls} if calls else {},
+        waiting={'engines': calls} if calls else {},
+        hosts_version=version,
+    )
+
+
+class PresencesTest(unittest.TestCase):
+    """Two store hosts, one of which hears an entry host directly."""
+
+    def setUp(self):
+        """Start without entry hosts."""
+        self.timer = clock.ManualClock()
+        self.near = presences.Presences(self.timer)
+        self.far = presences.Presences(self.timer)
+
+    def report(self):
+        """Let the near store host tell the far one what it heard."""
+        self.far.note_reported(self.near.direct())
+
+    def test_calls_of_hosts_that_tell_another_store_host(self):
+        """All calls count but the asker's own."""
+        self.near.note(presence('a', calls=2), NEWS)
+        self.report()
+        told = self.far.note(presence('b', calls=3), NEWS)
+        self.assertEqual(told.in_flight, {'e0': 2})
+        self.assertEqual(told.waiting, {'engines': 2})
+        self.assertEqual(set(told.hosts), {'a', 'b'})
+
+    def test_own_calls_are_taken_off_as_they_were_counted(self):
+        """Sums that are used again hold what the asker told before."""
+        self.near.note(presence('a', calls=2), NEWS)
+        told = self.near.note(presence('a', calls=1), NEWS)
+        self.assertEqual(told.in_flight, {})
+
+    def test_a_host_that_falls_silent(self):
+        """It is forgotten everywhere, though reports go on."""
+        self.near.note(presence('a'), NEWS)
+        self.report()
+        for _ in range(8):
+            self.timer.advance(250)
+            self.near.note(presence('c'), NEWS)
+            self.report()
+        told = self.far.note(presence('b'), NEWS)
+        self.assertEqual(set(told.hosts), {'b', 'c'})
+
+    def test_a_direct_word_stands_against_reports(self):
+        """A report of what a host told elsewhere before is older."""
+        self.near.note(presence('a', calls=9), NEWS)
+        self.far.note(presence('a', calls=1), NEWS)
+        self.report()
+        told = self.far.note(presence('b'), NEWS)
+        self.assertEqual(told.in_flight, {'e0': 1})
+
+    def test_known_hosts_are_not_told_again(self):
+        """Only the set's version is."""
+        first = self.near.note(presence('a'), NEWS)
+        again = self.near.note(presence('a', version=first.version), NEWS)
+        self.assertIsNone(again.hosts)
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -127,6 +127,37 @@
                 statuses = [turn.get(timeout=30).status for turn in turns]
                 self.assertLessEqual(statuses.count(200), 1)
 
+    def test_a_change_of_the_group_during_a_turn(self):
+        """A turn waits while lost connections make way for a new member."""
+        with platform_hosts.Deployment() as hosts:
+            turn = self.keep(hosts)
+            front = hosts.fronts['front-0']
+            for link in front.links.all():
+                link.is_connected = False
+            opened = gevent.spawn_later(0.1, self.reconnect, front)
+            self.assertTrue(self.continues(hosts, turn))
+            opened.join()
+
+    def test_news_of_peers(self):
+        """A store host without the platform tells what its peers know."""
+        with platform_hosts.Deployment(stores=2) as hosts:
+            hosts.stop_keeper('store-0')
+            cut_off = hosts.start_keeper('store-0', platform='127.0.0.1:9')
+            hosts.store.put('config', 'main', platform_hosts.configuration(9))
+            known = hosts.store.get('config', 'main')['Metadata']['Rev']
+            wait_until(
+                lambda: (
+                    cut_off.disk.notebook.get('config').revision >= known
+                    and cut_off.membership.disk in hosts.members()
+                ),
+                'the configuration at the store host that is cut off',
+            )
+
+    def reconnect(self, front):
+        """Let an entry host's links be used again."""
+        for link in front.links.all():
+            link.is_connected = True
+
     def lose_disk(self, hosts, name):
         """Empty a store host's disk and wait until it is a member again."""
         disk = hosts.keepers[name].membership.disk
