Serve callers in their own failure domain where it is large enough

Callers were told all entry hosts, whichever domain they are in, and a program's home was any backend server. Change: the directory answers with the near hosts where there are six or more; then a program's home is one of the near servers. Calls without a prompt go where a connection was used lately, then near.

--- a/src/carobfork/gateway/directories.py
+++ b/src/carobfork/gateway/directories.py
@@ -1,8 +1,13 @@
 """Directories: which entry hosts callers should connect to."""
 
+from collections.abc import Iterator
+
 from carobfork.storage import messages
 
 MOST_ADDRESSES = 64
+NEAR_HOSTS = 6
+"""Entry hosts of one failure domain that can serve its callers by
+themselves: the loss of one still leaves most of them."""
 
 
 class Directory:
@@ -12,31 +17,49 @@
     is cut off then, and the others are probably not.
 
     :param node: this host's name.
+    :param zone: this host's failure domain.
     :param address: where callers reach this host.
     """
 
-    def __init__(self, node: str, address: str) -> None:
+    def __init__(self, node: str, zone: str, address: str) -> None:
         """Start knowing this host only."""
         self.version = 0
         self._node = node
+        self._zone = zone
         self._address = address
         self._hosts: dict[str, tuple[str, str, bool]] = {}
 
+    @property
+    def serves_near(self) -> bool:
+        """Whether callers of this failure domain come to its hosts only."""
+        return len(list(self._others(self._zone))) + 1 >= NEAR_HOSTS
+
     def take(self, told: messages.Hosts) -> None:
         """Take what a store host has heard."""
         if told.hosts is not None:
             self._hosts = told.hosts
             self.version = told.version
 
-    def addresses(self, is_self_ready: bool) -> list[str]:
-        """Return the addresses for callers, this host's first."""
-        others = [
-            address
-            for node, (address, _zone, is_leaving) in sorted(
-                self._hosts.items()
-            )
-            if node != self._node and not is_leaving
-        ]
+    def addresses(self, zone: str, is_self_ready: bool) -> list[str]:
+        """Return the addresses for callers of a failure domain.
+
+        Near hosts only, where they are enough: bytes between domains cost.
+
+        :param is_self_ready: whether this host can serve callers.
+        """
+        near = list(self._others(zone))
+        if is_self_ready and zone == self._zone:
+            near.insert(0, self._address)
+        if len(near) >= NEAR_HOSTS:
+            return near[:MOST_ADDRESSES]
+        others = list(self._others())
         if is_self_ready or not others:
             return [self._address, *others][:MOST_ADDRESSES]
         return others[:MOST_ADDRESSES]
+
+    def _others(self, zone: str = '') -> Iterator[str]:
+        """Yield the addresses of other hosts, of one domain or of all."""
+        for node, (address, placed, is_leaving) in sorted(self._hosts.items()):
+            is_wanted = placed == zone or not zone
+            if node != self._node and is_wanted and not is_leaving:
+                yield address
--- a/src/carobfork/gateway/placements.py
+++ b/src/carobfork/gateway/placements.py
@@ -17,6 +17,10 @@
 """
 CALM_SHARE = 0.5
 """Of the slots, up to which servers show no difference."""
+KEPT_MS = 1500
+"""A connection idle for longer is not used for calls that run once."""
+NEAR_SERVERS = 4
+"""Servers of one failure domain that can be the homes of its programs."""
 OVERFLOW_FACTOR = 2
 """Calls a slot that a server gets at most, running or waiting there."""
 
@@ -64,11 +68,14 @@
 
     Answers multi-turn programs with growing prompts: every host finds the
     same home from the program's name alone, and leaves it when it is nearly
-    full, since waiting costs more than reading the prompt again.
+    full, since waiting costs more than reading the prompt again. A home is
+    near, where enough servers are, and calls without a prompt have none.
     """
-    key = call.program or call.affinity
+    key = call.program if call.prompt_tokens else call.affinity
     if key:
-        for worker in sorted(candidates, key=_distance(key))[:2]:
+        near = [worker for worker in candidates if worker.is_near]
+        homes = near if len(near) >= NEAR_SERVERS else candidates
+        for worker in sorted(homes, key=_distance(key))[:2]:
             if _part(worker, now_ms) < HOME_SHARE:
                 return worker
     return place_least_loaded(call, candidates, now_ms)
@@ -104,11 +111,15 @@
     return worker.load(now_ms) / worker.entry.slots
 
 
-def _cost(worker: workers.Worker, now_ms: float) -> tuple[float, bool, float]:
+def _cost(
+    worker: workers.Worker, now_ms: float
+) -> tuple[float, bool, bool, float]:
+    """Return what a call costs there: a new connection more than the way."""
     part = _part(worker, now_ms)
     if part < CALM_SHARE:
         part = 0
-    return part, not worker.idle_connections, random.random()
+    is_kept = worker.idle_connections and now_ms - worker.kept_ms < KEPT_MS
+    return part, not is_kept, not worker.is_near, random.random()
 
 
 def _distance(key: str) -> Callable[[workers.Worker], int]:
--- a/src/carobfork/gateway/pools.py
+++ b/src/carobfork/gateway/pools.py
@@ -110,6 +110,7 @@
         if len(idle) > MOST_IDLE:
             idle.popleft().close()
         worker.idle_connections = len(idle)
+        worker.kept_ms = connection.idle_since_ms
 
     def trim(self) -> None:
         """Close connections that were idle for too long."""
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -54,6 +54,8 @@
     :param in_flight: calls of this host.
     :param elsewhere: calls of other hosts, as last told.
     :param removed_ms: when its entry vanished, if it did.
+    :param is_near: whether it is in the preferred failure domain.
+    :param kept_ms: when a connection to it was last kept.
     """
 
     entry: Entry
@@ -64,7 +66,9 @@
     avoided_until_ms: float = float('-inf')
     removed_ms: float | None = None
     idle_connections: int = 0
+    kept_ms: float = float('-inf')
     mean_ms: float = 0
+    is_near: bool = False
 
     @property
     def instance(self) -> str:
@@ -119,6 +123,7 @@
         self._returning_until_ms = float('-inf')
         self._waiting: Mapping[str, int] = {}
         self._shared_ms = float('-inf')
+        self._zone = ''
 
     def __iter__(self) -> Iterator[Worker]:
         """Iterate over all servers, also those whose entry is gone."""
@@ -128,6 +133,13 @@
         """Return a server, if it is known."""
         return self._workers.get(instance)
 
+    def prefer_zone(self, zone: str) -> None:
+        """Prefer the servers of a failure domain, or of none."""
+        if zone != self._zone:
+            self._zone = zone
+            for worker in self._workers.values():
+                worker.is_near = worker.entry.zone == zone
+
     def apply(self, entries: Iterable[Entry], was_away: bool) -> None:
         """Take over the registry's entries.
 
@@ -212,7 +224,9 @@
             )
             # Calls of the process before give their slots back to its own
             # object, which is not looked at any more.
-            self._workers[entry.instance] = Worker(entry)
+            self._workers[entry.instance] = Worker(
+                entry, is_near=entry.zone == self._zone
+            )
             return
         if known.entry.is_draining != entry.is_draining:
             logger.info(
--- a/src/carobfork/platform/endpoints.py
+++ b/src/carobfork/platform/endpoints.py
@@ -1,7 +1,7 @@
 """Endpoints: the platform's own questions to a process, over HTTP."""
 
-from collections.abc import Callable
-from urllib.parse import urlsplit
+from collections.abc import Callable, Mapping
+from urllib.parse import parse_qsl, urlsplit
 
 import gevent
 import msgspec
@@ -17,7 +17,8 @@
 _HEAD_BYTES = 16_384
 
 Answer = tuple[int, str, bytes]
-Endpoint = Callable[[], Answer]
+Endpoint = Callable[[Mapping[str, str]], Answer]
+"""Takes the fields of the query."""
 
 logger = structlog.get_logger(part='endpoints')
 
@@ -60,11 +61,12 @@
         head = reader.read_head(_HEAD_BYTES)
         if head is None:
             return False
-        endpoint = self._endpoints.get(urlsplit(head.first[1]).path)
+        asked = urlsplit(head.first[1])
+        endpoint = self._endpoints.get(asked.path)
         if endpoint is None:
             status, kind, body = _NOT_FOUND, 'text/plain', b'no such page\n'
         else:
-            status, kind, body = endpoint()
+            status, kind, body = endpoint(dict(parse_qsl(asked.query)))
         phrase = servers.PHRASES.get(status, 'Status')
         fields = [('Content-Type', kind), ('Content-Length', str(len(body)))]
         sock.sendall(
@@ -76,7 +78,7 @@
 def ready_endpoint(is_ready: Callable[[], bool]) -> dict[str, Endpoint]:
     """Return the answer to whether a process is ready."""
 
-    def answer() -> Answer:  # noqa: WPS430
+    def answer(_query: Mapping[str, str]) -> Answer:  # noqa: WPS430
         if is_ready():
             return 200, 'text/plain', b'ready\n'
         return _UNAVAILABLE, 'text/plain', b'not ready\n'
@@ -85,12 +87,15 @@
 
 
 def directory_endpoint(
-    addresses: Callable[[], list[str]], ttl_ms: float
+    addresses: Callable[[str], list[str]], ttl_ms: float
 ) -> dict[str, Endpoint]:
-    """Return the answer to where callers should connect."""
+    """Return the answer to where callers should connect.
 
-    def answer() -> Answer:  # noqa: WPS430
-        found = addresses()
+    :param addresses: returns the addresses for callers of a failure domain.
+    """
+
+    def answer(query: Mapping[str, str]) -> Answer:  # noqa: WPS430
+        found = addresses(query.get('Zone', ''))
         if not found:
             return _UNAVAILABLE, 'text/plain', b'no host is ready\n'
         # Whole seconds, in which callers keep the answer.
@@ -103,7 +108,7 @@
 def metrics_endpoint(render: Callable[[], bytes]) -> dict[str, Endpoint]:
     """Return the answer with a process's metrics."""
 
-    def answer() -> Answer:  # noqa: WPS430
+    def answer(_query: Mapping[str, str]) -> Answer:  # noqa: WPS430
         return 200, 'text/plain; version=0.0.4', render()
 
     return {'/metrics': answer}
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -41,7 +41,9 @@
         """Wire the parts."""
         super().__init__(known)
         ip, port = known.front
-        self.directory = directories.Directory(known.node, f'{ip}:{port}')
+        self.directory = directories.Directory(
+            known.node, known.zone, f'{ip}:{port}'
+        )
         self.table = workers.WorkerTable(self.timer)
         self.links = links.Links(
             self.timer,
@@ -64,7 +66,9 @@
             endpoints.EndpointServer(
                 known.directory,
                 endpoints.directory_endpoint(
-                    lambda: self.directory.addresses(self.is_ready()),
+                    lambda zone: self.directory.addresses(
+                        zone, self.is_ready()
+                    ),
                     min(DIRECTORY_TTL_MS, known.directory_ttl_ms),
                 ),
             ),
@@ -170,6 +174,8 @@
         news = told
         if isinstance(told, messages.Hosts):
             self.directory.take(told)
+            is_near = self.directory.serves_near
+            self.table.prefer_zone(self.settings.zone if is_near else '')
             self.table.note_shared(told.in_flight, told.waiting)
             news = told.news
         self.updates.take_news(self.links.get(member.disk), news)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -3,7 +3,16 @@
 import unittest
 
 from carobfork import clock
-from carobfork.gateway import budgets, calls, desks, placements, routes, workers
+from carobfork.gateway import (
+    budgets,
+    calls,
+    desks,
+    directories,
+    placements,
+    routes,
+    workers,
+)
+from carobfork.storage import messages
 
 SERVICE = 'engines'
 
@@ -111,18 +120,39 @@
 
     def test_a_program_comes_home(self):
         """The same server for the same program, whatever the order."""
-        call = calls.Call('a', program='p')
+        call = calls.Call('a', program='p', prompt_tokens=9)
         first = self.place(call, self.candidates, 0)
         again = self.place(call, list(reversed(self.candidates)), 0)
         self.assertIs(first, again)
 
     def test_a_full_home_is_left(self):
         """Near its limit a home is left for a free server."""
-        call = calls.Call('a', program='p')
+        call = calls.Call('a', program='p', prompt_tokens=9)
         home = self.place(call, self.candidates, 0)
         home.in_flight = 4
         self.assertIsNot(self.place(call, self.candidates, 0), home)
 
+    def test_homes_are_near(self):
+        """Programs of one failure domain stay in it, where it is enough."""
+        far = [workers.Worker(entry(name)) for name in 'abcd']
+        for worker in self.candidates:
+            worker.is_near = True
+        for number in range(20):
+            call = calls.Call('a', program=str(number), prompt_tokens=9)
+            home = self.place(call, [*far, *self.candidates], 0)
+            self.assertIn(home, self.candidates)
+
+    def test_calls_go_where_a_connection_is_kept(self):
+        """Tools hold no prompts; a stale connection counts for nothing."""
+        stale, fresh = self.candidates[0], self.candidates[3]
+        stale.idle_connections = 1
+        fresh.idle_connections = 1
+        stale.kept_ms = 0
+        fresh.kept_ms = placements.KEPT_MS
+        call = calls.Call('a', program='p')
+        chosen = self.place(call, self.candidates, placements.KEPT_MS + 1)
+        self.assertIs(chosen, fresh)
+
     def test_all_full(self):
         """Nothing is placed on full servers."""
         for worker in self.candidates:
@@ -140,6 +170,49 @@
         self.assertIsNone(placements.place_overflow(self.candidates, 0))
 
 
+class DirectoryTest(unittest.TestCase):
+    """Which entry hosts callers of a failure domain are told."""
+
+    def setUp(self):
+        """Start with a host of domain a."""
+        self.directory = directories.Directory('a0', 'a', 'a0:1')
+
+    def tell(self, **domains):
+        """Tell of so many entry hosts by domain."""
+        hosts = {
+            f'{zone}{number}': (f'{zone}{number}:1', zone, False)
+            for zone, count in domains.items()
+            for number in range(count)
+        }
+        news = messages.News(None, {}, is_fresh=True)
+        self.directory.take(messages.Hosts(7, hosts, {}, {}, news))
+
+    def test_large_domains_serve_themselves(self):
+        """Callers are told hosts of their own domain."""
+        self.tell(a=8, b=9)
+        self.assertTrue(self.directory.serves_near)
+        for zone, count in (('a', 8), ('b', 9)):
+            found = self.directory.addresses(zone, is_self_ready=True)
+            self.assertEqual(len(found), count)
+            self.assertTrue(all(name.startswith(zone) for name in found))
+
+    def test_small_domains_share_all_hosts(self):
+        """Too few near hosts would be lost at once."""
+        self.tell(a=2, b=9)
+        self.assertFalse(self.directory.serves_near)
+        found = self.directory.addresses('a', is_self_ready=True)
+        self.assertEqual(len(found), 11)
+
+    def test_a_host_that_is_not_ready(self):
+        """It names the others, and itself only where there is none."""
+        self.tell(a=7)
+        found = self.directory.addresses('a', is_self_ready=False)
+        self.assertNotIn('a0:1', found)
+        self.tell(a=1)
+        found = self.directory.addresses('a', is_self_ready=False)
+        self.assertEqual(found, ['a0:1'])
+
+
 class DeskTest(unittest.TestCase):
     """Bursts at one service with two servers of two slots."""
 
