Answer callers of hosts that start or are cut off as serves them best

Change: seeds are asked side by side, callers of a host that has just started wait for its configuration up to 0.8 s after the start, a directory that no store host has told lately names nobody, a host that is not ready keeps no connection, and a turn waits for links only shortly after one has ended.

--- a/src/carobfork/gateway/directories.py
+++ b/src/carobfork/gateway/directories.py
@@ -2,28 +2,36 @@
 
 from collections.abc import Iterator
 
+from carobfork import clock
 from carobfork.storage import messages
 
 MOST_ADDRESSES = 64
 NEAR_HOSTS = 6
 """Entry hosts of one failure domain that can serve its callers by
 themselves: the loss of one still leaves most of them."""
+STALE_MS = 1600
+"""Six beats: a store host that was lost has been replaced by another."""
 
 
 class Directory:
     """The entry hosts that are alive, as a store host tells.
 
-    What was told last stands while no store host can be reached: this host
-    is cut off then, and the others are probably not.
+    Where no store host has told of them lately, this host is cut off, and
+    others may be, too: callers then ask another directory.
 
     :param node: this host's name.
     :param zone: this host's failure domain.
     :param address: where callers reach this host.
+    :param timer: measures the age of what was told.
     """
 
-    def __init__(self, node: str, zone: str, address: str) -> None:
+    def __init__(
+        self, node: str, zone: str, address: str, timer: clock.Clock
+    ) -> None:
         """Start knowing this host only."""
         self.version = 0
+        self._timer = timer
+        self._told_ms = float('-inf')
         self._node = node
         self._zone = zone
         self._address = address
@@ -36,6 +44,7 @@
 
     def take(self, told: messages.Hosts) -> None:
         """Take what a store host has heard."""
+        self._told_ms = self._timer.now_ms()
         if told.hosts is not None:
             self._hosts = told.hosts
             self.version = told.version
@@ -44,17 +53,20 @@
         """Return the addresses for callers of a failure domain.
 
         Near hosts only, where they are enough: bytes between domains cost.
+        None, where this host can't tell who is alive.
 
         :param is_self_ready: whether this host can serve callers.
         """
+        if self._timer.now_ms() - self._told_ms > STALE_MS:
+            return []
         near = list(self._others(zone))
         if is_self_ready and zone == self._zone:
             near.insert(0, self._address)
         if len(near) >= NEAR_HOSTS:
             return near[:MOST_ADDRESSES]
         others = list(self._others())
-        if is_self_ready or not others:
-            return [self._address, *others][:MOST_ADDRESSES]
+        if is_self_ready:
+            others.insert(0, self._address)
         return others[:MOST_ADDRESSES]
 
     def _others(self, zone: str = '') -> Iterator[str]:
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -25,6 +25,11 @@
 
 SERVE_EVERY_MS = 20
 """Between looks at calls that wait: slots come free at other hosts, too."""
+START_WAIT_MS = 800
+"""After its start a host is told the configuration within this time."""
+START_POLL_MS = 20
+START_RETRY_MS = 300
+"""For callers of a host that waits for its first configuration."""
 MOST_REFUSALS = 4
 """Servers that may say 'not run', or be out of reach, for one request."""
 _SPREADS = 1000
@@ -80,6 +85,7 @@
         self._policy = placements.PLACEMENTS[policy]
         self._desks: dict[str, desks.Desk] = {}
         self._has_waiting = event.Event()
+        self._started_ms = timer.now_ms()
         self.latencies = measures.Histogram()
         self.queue_times = measures.Histogram()
 
@@ -145,8 +151,7 @@
             self._close(run)
 
     def _prepare(self, request: exchanges.Request) -> exchanges.Run:
-        if self.routes is None:
-            raise exceptions.NotRunError('no configuration yet', step='route')
+        self._wait_for_routes()
         head = request.head
         route = self.routes.match(head.get('host'), head.first[1])
         if route is None:
@@ -167,6 +172,22 @@
             request.body,
         )
 
+    def _wait_for_routes(self) -> None:
+        """Wait for the first configuration, if this host has just started.
+
+        Its callers have lost one host already: a refusal would cost them
+        their next attempt, too.
+        """
+        until_ms = self._started_ms + START_WAIT_MS
+        while self.routes is None:
+            if self._timer.now_ms() > until_ms:
+                raise exceptions.NotRunError(
+                    'no configuration yet',
+                    step='route',
+                    retry_after_ms=START_RETRY_MS,
+                )
+            gevent.sleep(clock.to_seconds(START_POLL_MS))
+
     def _carry_out(self, run: exchanges.Run, caller: exchanges.Caller) -> None:
         if run.route.kind == routes.Kind.stream and run.call.program:
             service = self.routes.services.get(run.service)
--- a/src/carobfork/gateway/servers.py
+++ b/src/carobfork/gateway/servers.py
@@ -121,6 +121,7 @@
     :param address: where to listen.
     :param relay: answers requests.
     :param timer: measures spans.
+    :param is_ready: tells whether callers should come here.
     """
 
     def __init__(
@@ -128,9 +129,11 @@
         address: tuple[str, int],
         relay: relays.Relay,
         timer: clock.Clock,
+        is_ready: Callable[[], bool],
     ) -> None:
         """Prepare the listener."""
         self.counts = Counts()
+        self._is_ready = is_ready
         self.is_leaving = False
         self._relay = relay
         self._timer = timer
@@ -173,7 +176,8 @@
 
     def _serve_one(self, sock: socket.socket, reader: framing.Reader) -> bool:
         """Serve one request; tell whether another may follow."""
-        caller = CallerEnd(sock, lambda: self.is_leaving)
+        # Callers that stay connected would not ask where to go instead.
+        caller = CallerEnd(sock, lambda: not self._is_ready())
         try:
             request = self._read(sock, reader)
         except exceptions.BadRequestError as error:
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -1,5 +1,7 @@
 """Front: the role of entry hosts, which serve callers."""
 
+import functools
+
 import gevent
 import structlog
 
@@ -19,6 +21,8 @@
 TRIM_EVERY_MS = 500
 CHECK_EVERY_MS = 250
 """A beat: between looks at what store hosts tell."""
+RECALL_EVERY_MS = 100
+"""Between questions to a seed: callers wait for a host that starts."""
 LEAVE_PART = 0.38
 """Of the grace time in which new requests are still served."""
 MOST_LEAVE_MS = 3000
@@ -42,7 +46,7 @@
         super().__init__(known)
         ip, port = known.front
         self.directory = directories.Directory(
-            known.node, known.zone, f'{ip}:{port}'
+            known.node, known.zone, f'{ip}:{port}', self.timer
         )
         self.table = workers.WorkerTable(self.timer)
         self.links = links.Links(
@@ -55,7 +59,9 @@
         self.relay = relays.Relay(
             heads, self.table, turns.TurnDesk(self.storage), self.timer
         )
-        self.server = servers.Server(known.front, self.relay, self.timer)
+        self.server = servers.Server(
+            known.front, self.relay, self.timer, self.is_ready
+        )
         self.updates = updates.Updates(
             updates.Learners(self.relay, self.table, self.storage), self.timer
         )
@@ -78,7 +84,8 @@
         """Listen and learn from store hosts, or from the platform."""
         for kind, take in self.updates.sources().items():
             self.follow(kind, take, needed=self.updates.needed)
-        self.spawn(self._recall_until_known)
+        for seed in self.settings.seeds:
+            self.spawn(functools.partial(self._recall_until_known, seed))
         self.repeat(self.updates.check, CHECK_EVERY_MS)
         self.spawn(self.relay.run_desks)
         self.repeat(self.relay.exchanger.pool.trim, TRIM_EVERY_MS)
@@ -180,17 +187,16 @@
             news = told.news
         self.updates.take_news(self.links.get(member.disk), news)
 
-    def _recall_until_known(self) -> None:
-        """Ask store hosts until this host knows enough to serve."""
+    def _recall_until_known(self, seed: settings.Address) -> None:
+        """Ask a store host until this host knows enough to serve."""
         while not self.updates.is_complete:
-            self._recall()
-            gevent.sleep(clock.to_seconds(CHECK_EVERY_MS))
-
-    def _recall(self) -> None:
-        for seed in self.settings.seeds:
-            try:
-                told = links.ask_once(seed, messages.Recall())
-            except (OSError, exceptions.BadRequestError) as error:
-                logger.info('nothing recalled', peer=seed, reason=str(error))
-                continue
-            self.updates.take_recalled(told)
+            self._recall(seed)
+            gevent.sleep(clock.to_seconds(RECALL_EVERY_MS))
+
+    def _recall(self, seed: settings.Address) -> None:
+        try:
+            told = links.ask_once(seed, messages.Recall())
+        except (OSError, exceptions.BadRequestError) as error:
+            logger.info('nothing recalled', peer=seed, reason=str(error))
+            return
+        self.updates.take_recalled(told)
--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -18,8 +18,9 @@
 
 OPERATION_MS = 1200
 """Longest wait: over the silence after which a link counts as gone."""
-BEGIN_PATIENCE_MS = 250
-"""Until links or the group have changed: a turn can still go elsewhere."""
+BEGIN_PATIENCE_MS = 400
+"""After a link's end or this host's start, until others are open or the group
+has changed; later a turn is refused at once, since it can go elsewhere."""
 RETRY_AFTER_MS = 300
 """A lost connection is open again, or a group has changed, within this time."""
 EPOCH_POLL_MS = 50
@@ -102,7 +103,7 @@
                 for disk in self.group.everyone()
             },
             is_read=True,
-            patience_ms=BEGIN_PATIENCE_MS,
+            until_ms=self._links.changed_ms + BEGIN_PATIENCE_MS,
         )
         merged = _merge(outcome.replies.values())
         if message.previous and merged.chain is None:
@@ -118,7 +119,7 @@
         self._operate(
             {disk: message for disk in self.group.everyone()},
             is_read=False,
-            patience_ms=OPERATION_MS,
+            until_ms=self._timer.now_ms() + OPERATION_MS,
         )
 
     def settle(self, message: messages.Finish) -> None:
@@ -175,9 +176,12 @@
         return getattr(reply, 'chain', None)
 
     def _operate(
-        self, requests: dict[str, Any], is_read: bool, patience_ms: float
+        self, requests: dict[str, Any], is_read: bool, until_ms: float
     ) -> Outcome:
-        """Send requests, again where the group or the links have changed."""
+        """Send requests, again where the group or the links have changed.
+
+        :param until_ms: how long to wait for such a change.
+        """
         started_ms = self._timer.now_ms()
         while True:
             self._links.wait_for_opening()
@@ -189,7 +193,6 @@
             for refused in operation.refused.values():
                 self.apply(refused.group)
             is_over = self._timer.now_ms() > started_ms + OPERATION_MS
-            until_ms = started_ms + patience_ms
             if is_over or not self._wait_for_change(epoch, until_ms):
                 raise exceptions.NotRunError(
                     f'too few store hosts answered: {operation.describe()}',
--- a/src/carobfork/storage/links.py
+++ b/src/carobfork/storage/links.py
@@ -294,8 +294,12 @@
     """
 
     def __init__(self, timer: clock.Clock, beats: Beats) -> None:
-        """Start without links."""
+        """Start without links.
+
+        :ivar changed_ms: when the last link ended, or at the start.
+        """
         self._timer = timer
+        self.changed_ms = timer.now_ms()
         self._beats = beats
         self._links: dict[str, Link] = {}
 
@@ -345,4 +349,11 @@
         self.apply(groups.Group())
 
     def _open(self, member: groups.Member) -> Link:
-        return Link(member, self._timer, self._beats, self.hurry).__enter__()
+        return Link(
+            member, self._timer, self._beats, self._note_end
+        ).__enter__()
+
+    def _note_end(self) -> None:
+        """Look at once whether other links have ended, too."""
+        self.changed_ms = self._timer.now_ms()
+        self.hurry()
--- a/tests/test_idle_hosts.py
+++ b/tests/test_idle_hosts.py
@@ -8,10 +8,12 @@
 import gevent
 from gevent import event
 
-from carobfork import clock
+from carobfork import clock, exceptions
 from carobfork.gateway import (
     calls,
     desks,
+    exchanges,
+    framing,
     relays,
     routes,
     turns,
@@ -83,6 +85,42 @@
         self.assertEqual(answers, [worker])
 
 
+class StartTest(unittest.TestCase):
+    """Callers that come to an entry host that has just started."""
+
+    def setUp(self):
+        """Send a request before the first configuration is known."""
+        self.timer = clock.ManualClock()
+        self.relay = relays.Relay(
+            heads,
+            workers.WorkerTable(self.timer),
+            turns.TurnDesk(mock.Mock()),
+            self.timer,
+        )
+        head = framing.parse_head(b'GET /none HTTP/1.1\r\nHost: h')
+        request = exchanges.Request(head, b'', self.timer.now_ms())
+        self.caller = gevent.spawn(self.relay.handle, request, mock.Mock())
+        gevent.sleep(0)
+
+    def outcome(self):
+        """Return why the request was refused."""
+        with self.assertRaises(exceptions.CarobforkError) as refused:
+            self.caller.get(timeout=30)
+        return refused.exception
+
+    def test_a_configuration_in_time(self):
+        """It decides about the request that has waited for it."""
+        self.relay.routes = routes.RouteTable(1, (), {}, routes.CallerLimits())
+        self.assertEqual(self.outcome().http_status, 404)
+
+    def test_no_configuration(self):
+        """The request is refused, with the time to come back."""
+        self.timer.advance(relays.START_WAIT_MS + 1)
+        refused = self.outcome()
+        self.assertEqual(refused.outcome, exceptions.Outcome.not_run)
+        self.assertEqual(refused.retry_after_ms, relays.START_RETRY_MS)
+
+
 class FollowerTest(unittest.TestCase):
     """A host that is told by others does not ask the platform."""
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -260,6 +260,17 @@
             hosts.start_front('front-1')
             self.assertEqual(hosts.ask('/look/1').status, 200)
 
+    def test_a_host_that_is_cut_off_sends_callers_away(self):
+        """It serves what needs no store host, and keeps no connection."""
+        with platform_hosts.Deployment(stores=2) as hosts:
+            front = hosts.fronts['front-0']
+            for link in front.links.all():
+                link.is_connected = False
+            self.assertFalse(front.is_ready())
+            answer = hosts.ask('/look/1', headers={'Connection': ''})
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.head.get('connection'), 'close')
+
     def test_leaving_hosts_finish(self):
         """A host that stops is not ready, and ends what it has begun."""
         with platform_hosts.Deployment(stores=2) as hosts:
