Read a chain from several members where none holds it whole

A member that was away lacks the turns of that time and stays a complete member, since quorums cover it. With three members and losses that follow one another, one lacked the first turn of a chain and another the second, and the chain was out of reach while the third was away. Test seen failing: 503.

--- a/src/carobfork/gateway/turns.py
+++ b/src/carobfork/gateway/turns.py
@@ -86,7 +86,7 @@
         if not turn.is_charged and not previous:
             return turn
         begun = self._begin(turn, previous)
-        turn.history = begun.chain or b''
+        turn.history = begun.chain
         if not budgets.covers(call, begun.charges):
             self.close(turn, 0)
             raise exceptions.BudgetExceededError(
--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -6,6 +6,7 @@
 """
 
 import zlib
+from collections.abc import Iterable
 from typing import Any
 
 import attrs
@@ -23,6 +24,8 @@
 has changed; later a turn is refused at once, since it can go elsewhere."""
 RETRY_AFTER_MS = 300
 """A lost connection is open again, or a group has changed, within this time."""
+PART_MS = 300
+"""For a part of a chain: many round trips, and another member may have it."""
 EPOCH_POLL_MS = 50
 """Between looks at whether the group has changed while answers are due."""
 SETTLE_TRIES = 4
@@ -106,10 +109,9 @@
             until_ms=self._links.changed_ms + BEGIN_PATIENCE_MS,
         )
         merged = _merge(outcome.replies.values())
-        if message.previous and merged.chain is None:
-            chain = self._fetch_chain(message, outcome)
-            merged = attrs.evolve(merged, chain=chain)
-        return merged
+        if not merged.knows_previous:
+            raise exceptions.UnknownProgramError('no such turn', step=_STEP)
+        return attrs.evolve(merged, chain=self._complete_chain(merged))
 
     def finish(self, message: messages.Finish) -> None:
         """Keep a turn and settle its attempt.
@@ -152,28 +154,40 @@
         """Return a disk's place in this host's own order."""
         return zlib.crc32(disk.encode(), zlib.crc32(self._node.encode()))
 
-    def _fetch_chain(self, message: messages.Begin, outcome: Outcome) -> bytes:
-        """Return a chain from any member that holds it."""
-        asked = attrs.evolve(message, charge=None, wants_chain=True)
-        for disk, begun in outcome.replies.items():
-            if begun.knows_previous:
-                chain = self._ask_for_chain(disk, asked)
-                if chain is not None:
-                    return chain
-        if any(begun.knows_previous for begun in outcome.replies.values()):
-            raise exceptions.NotRunError('a turn is out of reach', step=_STEP)
-        raise exceptions.UnknownProgramError('no such turn', step=_STEP)
-
-    def _ask_for_chain(self, disk: str, asked: messages.Begin) -> bytes | None:
-        link = self._links.get(disk)
-        if link is None:
-            return None
-        try:
-            reply = link.request(asked, OPERATION_MS)
-        except exceptions.ConnectionFailedError as error:
-            logger.info('chain not read', disk=disk, reason=error.message)
-            return None
-        return getattr(reply, 'chain', None)
+    def _complete_chain(self, begun: messages.Begun) -> bytes:
+        """Return a whole chain, read from several members where need be.
+
+        A member that was away lacks the turns of that time, so no single one
+        may hold them all.
+
+        :raises NotRunError: a turn is out of reach.
+        """
+        parts = [begun.chain]
+        missing = begun.missing
+        while missing:
+            found = self._fetch_part(missing)
+            if found is None:
+                raise exceptions.NotRunError(
+                    f'turn {missing} is out of reach',
+                    step=_STEP,
+                    retry_after_ms=RETRY_AFTER_MS,
+                )
+            parts.append(found.chain)
+            missing = found.missing
+        return b''.join(reversed(parts))
+
+    def _fetch_part(self, turn: str) -> messages.Begun | None:
+        """Return a turn and those before it from any member that has it."""
+        question = messages.Begin(None, previous=turn, wants_chain=True)
+        for link in self._links.all():
+            reply = None
+            try:
+                reply = link.request(question, PART_MS)
+            except exceptions.ConnectionFailedError as error:
+                logger.info('chain not read', turn=turn, reason=str(error))
+            if isinstance(reply, messages.Begun) and reply.knows_previous:
+                return reply
+        return None
 
     def _operate(
         self, requests: dict[str, Any], is_read: bool, until_ms: float
@@ -316,13 +330,15 @@
         self._failed.add(disk)
 
 
-def _merge(answers) -> messages.Begun:
+def _merge(answers: Iterable[messages.Begun]) -> messages.Begun:
+    """Return what all members know; the longest chain stands."""
     charges: dict[str, tuple[int, bool]] = {}
     knows = False
-    chain = None
+    longest = messages.Begun({})
     for begun in answers:
         knows = knows or begun.knows_previous
-        chain = begun.chain if chain is None else chain
+        if len(begun.chain) >= len(longest.chain):
+            longest = begun
         fresh = {
             attempt: charge
             for attempt, charge in begun.charges.items()
@@ -330,4 +346,4 @@
             if charge[1] or attempt not in charges
         }
         charges.update(fresh)
-    return messages.Begun(charges, knows, chain)
+    return attrs.evolve(longest, charges=charges, knows_previous=knows)
--- a/src/carobfork/storage/keepers.py
+++ b/src/carobfork/storage/keepers.py
@@ -125,15 +125,16 @@
     def _begun(self, message: messages.Begin) -> Any:
         if not self.disk.identity.is_complete:
             return self._refuse('filling')
-        chain = None
+        chain, missing = b'', message.previous
         knows = True
         if message.previous:
             knows = self.ledger.knows_turn(message.previous)
             self.ledger.extend(message.previous, message.retain_ms)
             if message.wants_chain:
-                chain = self.ledger.chain(message.previous)
+                chain, missing = self.ledger.chain(message.previous)
         program = message.charge.program if message.charge else ''
-        return messages.Begun(self.ledger.charges(program), knows, chain)
+        charges = self.ledger.charges(program)
+        return messages.Begun(charges, knows, chain, missing)
 
     def _refuse(self, reason: str) -> messages.Refused:
         return messages.Refused(reason, self.group)
--- a/src/carobfork/storage/ledgers.py
+++ b/src/carobfork/storage/ledgers.py
@@ -110,21 +110,22 @@
                 fresh.append(record)
         return fresh
 
-    def chain(self, attempt: str) -> bytes | None:
+    def chain(self, attempt: str) -> tuple[bytes, str]:
         """Return the bytes of a turn and those before it, oldest first.
 
-        Nothing, where a turn of the chain is missing here.
+        :return: as much of the chain as is here, and the name of the first
+            turn, from the newest on, that is not.
         """
         pieces: list[bytes] = []
         name = attempt
-        while name:
+        while name and len(pieces) < MAX_CHAIN:
             kept = self._turns.get(name)
-            if kept is None or len(pieces) >= MAX_CHAIN:
-                return None
+            if kept is None:
+                break
             turn = decode_record(self._files.read(kept.place)).entry
             pieces.append(turn.request + turn.events)
             name = kept.previous
-        return b''.join(reversed(pieces))
+        return b''.join(reversed(pieces)), name
 
     def extend(self, attempt: str, retain_ms: float) -> None:
         """Keep a chain for as long as a turn that continues it may last."""
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -78,11 +78,13 @@
 
     :param charges: tokens by attempt, and whether they are settled.
     :param chain: the bytes of the turns before, oldest first.
+    :param missing: the turn before those of the chain, if it is not here.
     """
 
     charges: dict[str, tuple[int, bool]]
     knows_previous: bool = True
-    chain: bytes | None = None
+    chain: bytes = b''
+    missing: str = ''
 
 
 @register
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -127,6 +127,32 @@
                 statuses = [turn.get(timeout=30).status for turn in turns]
                 self.assertLessEqual(statuses.count(200), 1)
 
+    def test_a_chain_that_no_member_holds_whole(self):
+        """Its parts are read from the members that have them."""
+        with platform_hosts.Deployment() as hosts:
+            hosts.stop_keeper('store-2')
+            first = self.keep(hosts, body=b'one')
+            self.restart(hosts, 'store-2')
+            hosts.stop_keeper('store-1')
+            second = self.keep(hosts, previous=first, body=b'two')
+            self.restart(hosts, 'store-1')
+            hosts.stop_keeper('store-0')
+            third = self.keep(hosts, previous=second, body=b'three')
+            bodies = [
+                backend.bodies.get(third) for backend in hosts.backends.values()
+            ]
+            output = b'word1\nword2\nword3\nword4\n'
+            expected = b'one%btwo%bthree' % (output, output)
+            self.assertIn(expected, bodies)
+
+    def restart(self, hosts, name):
+        """Start a store host again and wait until it is reached."""
+        hosts.start_keeper(name)
+        front = hosts.fronts['front-0']
+        wait_until(
+            lambda: len(front.links.connected_disks()) == 3, f'{name} linked'
+        )
+
     def test_a_change_of_the_group_during_a_turn(self):
         """A turn waits while lost connections make way for a new member."""
         with platform_hosts.Deployment() as hosts:
