Spread the calls of hosts with the same outdated view

Sums are up to 0.75 s old then, and all hosts chose the one server that seemed least loaded, such as one that had come back. Change: of servers without a kept connection two are drawn and compared; the beats that carry state come each 100 ms while calls wait anywhere. Test seen failing: the returning server got 100 of 100 calls.

--- a/src/carobfork/gateway/placements.py
+++ b/src/carobfork/gateway/placements.py
@@ -21,6 +21,9 @@
 """A connection idle for longer is not used for calls that run once."""
 NEAR_SERVERS = 4
 """Servers of one failure domain that can be the homes of its programs."""
+CHOICES = 2
+"""Servers that are compared: one of two is near the best of all, and spreads
+the calls that many hosts place by the same outdated view."""
 OVERFLOW_FACTOR = 2
 """Calls a slot that a server gets at most, running or waiting there."""
 
@@ -44,20 +47,25 @@
 def place_least_loaded(
     _call: calls.Call, candidates: Sequence[workers.Worker], now_ms: float
 ) -> workers.Worker | None:
-    """Choose the server with the smallest part of its slots taken.
+    """Choose the less loaded of two servers drawn at random.
 
-    Answers calls without a shared prefix at any load. Below half load a
-    server is as quick as an idle one, so one with a kept connection is
-    better: many hosts before many servers would else connect anew each time.
+    Answers calls without a shared prefix at any load. Many hosts with the
+    same view, some hundred ms old, would all choose the one server that seems
+    idle. Below half load a server is as quick as an idle one, so one with a
+    kept connection is better: many hosts before many servers would else
+    connect anew each time.
     """
     free = [
         worker
         for worker in candidates
         if worker.load(now_ms) < worker.entry.slots
     ]
-    if not free:
-        return None
-    return min(free, key=lambda worker: _cost(worker, now_ms))
+    calm = [worker for worker in free if _part(worker, now_ms) < CALM_SHARE]
+    kept = [worker for worker in calm if _is_kept(worker, now_ms)]
+    if kept:
+        return _draw(_nearest(kept), now_ms)
+    has_calm_near = any(worker.is_near for worker in calm)
+    return _draw(_nearest(free) if has_calm_near else free, now_ms)
 
 
 @register('home')
@@ -102,24 +110,27 @@
         for worker in candidates
         if worker.load(now_ms) < worker.entry.slots * OVERFLOW_FACTOR
     ]
-    if not room:
-        return None
-    return min(room, key=lambda worker: _part(worker, now_ms))
+    return min(room, key=lambda worker: _part(worker, now_ms), default=None)
 
 
 def _part(worker: workers.Worker, now_ms: float) -> float:
     return worker.load(now_ms) / worker.entry.slots
 
 
-def _cost(
-    worker: workers.Worker, now_ms: float
-) -> tuple[float, bool, bool, float]:
-    """Return what a call costs there: a new connection more than the way."""
-    part = _part(worker, now_ms)
-    if part < CALM_SHARE:
-        part = 0
-    is_kept = worker.idle_connections and now_ms - worker.kept_ms < KEPT_MS
-    return part, not is_kept, not worker.is_near, random.random()
+def _is_kept(worker: workers.Worker, now_ms: float) -> bool:
+    """Tell whether a connection was used lately."""
+    return bool(worker.idle_connections and now_ms - worker.kept_ms < KEPT_MS)
+
+
+def _nearest(found: list[workers.Worker]) -> list[workers.Worker]:
+    """Return the near ones, or all where none is."""
+    return [worker for worker in found if worker.is_near] or found
+
+
+def _draw(found: list[workers.Worker], now_ms: float) -> workers.Worker | None:
+    """Return the less loaded of a few drawn at random."""
+    drawn = random.sample(found, min(len(found), CHOICES))
+    return min(drawn, key=lambda worker: _part(worker, now_ms), default=None)
 
 
 def _distance(key: str) -> Callable[[workers.Worker], int]:
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -171,6 +171,11 @@
             worker.elsewhere = in_flight.get(worker.instance, 0)
             worker.elsewhere_at_ms = now_ms
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether calls of any service wait at other hosts."""
+        return any(self.waiting(service) for service in self._waiting)
+
     def waiting(self, service: str) -> int:
         """Return the calls that wait at other hosts, as last told."""
         if self._timer.now_ms() - self._shared_ms > SHARED_FRESH_MS:
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -171,9 +171,10 @@
         )
 
     def _pace_ms(self, member: groups.Member) -> float:
-        if member.disk == self.storage.nearest():
-            return links.BEAT_MS
-        return links.CALM_BEAT_MS
+        if member.disk != self.storage.nearest():
+            return links.CALM_BEAT_MS
+        is_busy = self.relay.waiting() or self.table.is_awaited
+        return links.BUSY_BEAT_MS if is_busy else links.BEAT_MS
 
     def _take_answer(
         self, member: groups.Member, told: messages.Hosts | messages.News
--- a/src/carobfork/roles/store.py
+++ b/src/carobfork/roles/store.py
@@ -51,7 +51,9 @@
         self.links = links.Links(
             self.timer,
             links.Beats(
-                lambda _member: self.keeper.informer.report(), self._take_news
+                lambda _member: self.keeper.informer.report(),
+                self._take_news,
+                self._pace_ms,
             ),
         )
         self.membership = memberships.Membership(
@@ -111,6 +113,10 @@
         note = decoding.encode_note(seen.present, seen.revision)
         self.keeper.informer.note(kind, note, seen.was_away)
 
+    def _pace_ms(self, _member: groups.Member) -> float:
+        is_busy = self.keeper.informer.has_waiting()
+        return links.BUSY_BEAT_MS if is_busy else links.BEAT_MS
+
     def _take_news(self, member: groups.Member, news: messages.News) -> None:
         """Ask a peer for what it knows and this host does not."""
         if self.keeper.informer.note_news(news):
--- a/src/carobfork/storage/informers.py
+++ b/src/carobfork/storage/informers.py
@@ -73,6 +73,10 @@
         group = self._disk.identity.group
         return messages.Report(group, self._presences.direct())
 
+    def has_waiting(self) -> bool:
+        """Tell whether calls wait at any entry host."""
+        return self._presences.has_waiting()
+
     def recall(self, message: messages.Recall, reply: Reply) -> None:
         """Tell what the asker does not know of the platform."""
         since_ms = self._timer.now_ms() - self._outage_ms
--- a/src/carobfork/storage/links.py
+++ b/src/carobfork/storage/links.py
@@ -26,6 +26,8 @@
 """Several round trips between failure domains, with room for a lost packet."""
 BEAT_MS = 250
 """Of links that carry news: a dead peer shows within a few beats."""
+BUSY_BEAT_MS = 100
+"""Of links that carry news while calls wait: less than half a short turn."""
 CALM_BEAT_MS = 1000
 """Of other links: a beat at the end of another link shows a loss earlier."""
 SILENCE_MS = 650
--- a/src/carobfork/storage/presences.py
+++ b/src/carobfork/storage/presences.py
@@ -104,6 +104,10 @@
             if heard.is_direct and now_ms - heard.at_ms <= DIRECT_MS
         ]
 
+    def has_waiting(self) -> bool:
+        """Tell whether calls wait at any entry host."""
+        return bool(self._fresh_sums(self._timer.now_ms()).waiting)
+
     def _fresh_sums(self, now_ms: float) -> _Sums:
         if now_ms - self._sums.at_ms > SUM_MS:
             self._forget(now_ms)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -1,5 +1,6 @@
 """Gateway decisions on a manual clock: who waits, runs, is refused."""
 
+import random
 import unittest
 
 from carobfork import clock
@@ -153,6 +154,18 @@
         chosen = self.place(call, self.candidates, placements.KEPT_MS + 1)
         self.assertIs(chosen, fresh)
 
+    def test_a_server_that_comes_back_in_a_burst(self):
+        """Hosts with the same outdated view don't all send to it."""
+        random.seed(1)
+        busy = [workers.Worker(entry(f'b{number}')) for number in range(20)]
+        for worker in busy:
+            worker.note_load(3, 0)
+        fresh = workers.Worker(entry('back'))
+        chosen = [
+            self.place(calls.Call('a'), [*busy, fresh], 0) for _ in range(100)
+        ]
+        self.assertLess(chosen.count(fresh), 20)
+
     def test_all_full(self):
         """Nothing is placed on full servers."""
         for worker in self.candidates:
--- a/tests/test_presences.py
+++ b/tests/test_presences.py
@@ -43,6 +43,14 @@
         self.assertEqual(told.waiting, {'engines': 2})
         self.assertEqual(set(told.hosts), {'a', 'b'})
 
+    def test_calls_that_wait_elsewhere_hurry_reports(self):
+        """A store host learns of them through a report, too."""
+        self.assertFalse(self.far.has_waiting())
+        self.near.note(presence('a', calls=2), NEWS)
+        self.report()
+        self.timer.advance(presences.SUM_MS + 1)
+        self.assertTrue(self.far.has_waiting())
+
     def test_own_calls_are_taken_off_as_they_were_counted(self):
         """Sums that are used again hold what the asker told before."""
         self.near.note(presence('a', calls=2), NEWS)
