Place turns by a count of open turns that store hosts keep

Entry hosts judged by sums that are up to 0.75 s old, three times a turn. Change: a turn's begin, which goes to all members anyway, names the server it will probably run on, and the nearest member's answer counts the open turns of all hosts by server; a turn that goes elsewhere says so. Ruled out: beats alone, since nobody waits where all believe in free slots. Also there: unsafe calls failed on connections that a flapping server had dropped. They take connections used in the last 0.4 s only, a failure closes the others to that server, and unacknowledged bytes count as lost after 1.2 s. Slots of all services moved from relays to admissions.

--- a/src/carobfork/gateway/desks.py
+++ b/src/carobfork/gateway/desks.py
@@ -102,6 +102,13 @@
         else:
             ticket.resolve(None)
 
+    def preview(self, ticket: Ticket) -> str:
+        """Return the server that a call would get now, if any."""
+        worker = self._policy(
+            ticket.call, self._candidates(ticket), self._timer.now_ms()
+        )
+        return worker.instance if worker else ''
+
     def withdraw(self, ticket: Ticket) -> None:
         """Forget a call whose caller has left."""
         if ticket in self.waiting:
--- a/src/carobfork/gateway/placements.py
+++ b/src/carobfork/gateway/placements.py
@@ -8,7 +8,7 @@
 import zlib
 from collections.abc import Callable, Sequence
 
-from carobfork.gateway import calls, workers
+from carobfork.gateway import calls, pools, workers
 
 HOME_SHARE = 0.85
 """Of a home's slots that may be taken before a program goes elsewhere.
@@ -17,8 +17,7 @@
 """
 CALM_SHARE = 0.5
 """Of the slots, up to which servers show no difference."""
-KEPT_MS = 1500
-"""A connection idle for longer is not used for calls that run once."""
+KEPT_MS = pools.UNSAFE_IDLE_MS
 NEAR_SERVERS = 4
 """Servers of one failure domain that can be the homes of its programs."""
 CHOICES = 2
@@ -63,7 +62,7 @@
     calm = [worker for worker in free if _part(worker, now_ms) < CALM_SHARE]
     kept = [worker for worker in calm if _is_kept(worker, now_ms)]
     if kept:
-        return _draw(_nearest(kept), now_ms)
+        return max(_nearest(kept), key=lambda worker: worker.kept_ms)
     has_calm_near = any(worker.is_near for worker in calm)
     return _draw(_nearest(free) if has_calm_near else free, now_ms)
 
--- a/src/carobfork/gateway/pools.py
+++ b/src/carobfork/gateway/pools.py
@@ -20,11 +20,14 @@
 """Of the server's idle time-out that a connection is kept."""
 IDLE_MS = 2000
 """For servers that don't tell their time-out."""
-UNSAFE_IDLE_MS = 1500
-"""For calls that run at most once: a server may close as we send."""
+UNSAFE_IDLE_MS = 400
+"""For calls that run at most once: a server may have dropped the connection
+without a word, and then nobody knows whether the call ran."""
 STREAM_IDLE_MS = 4000
 """For turns that run at most once: callers send a turn again from its start."""
-USER_TIMEOUT_MS = 2000
+USER_TIMEOUT_MS = 1200
+"""For unacknowledged bytes: above the second after which a lost packet is
+sent again."""
 MOST_IDLE = 24
 """Kept connections to one server: as many as one host's calls in a burst."""
 
@@ -112,6 +115,12 @@
         worker.idle_connections = len(idle)
         worker.kept_ms = connection.idle_since_ms
 
+    def discard(self, worker: workers.Worker) -> None:
+        """Close all kept connections to a server that has failed."""
+        for connection in self._idle.pop(_key(worker), ()):
+            connection.close()
+        worker.idle_connections = 0
+
     def trim(self) -> None:
         """Close connections that were idle for too long."""
         for key, idle in list(self._idle.items()):
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -4,27 +4,20 @@
 it did not run it.
 """
 
-import contextlib
-from collections.abc import Iterator
-
 import gevent
 import structlog
-from gevent import event
 
 from carobfork import clock, exceptions
 from carobfork.gateway import (
-    desks,
+    admissions,
     events,
     exchanges,
     measures,
-    placements,
     routes,
     turns,
     workers,
 )
 
-SERVE_EVERY_MS = 20
-"""Between looks at calls that wait: slots come free at other hosts, too."""
 START_WAIT_MS = 800
 """After its start a host is told the configuration within this time."""
 START_POLL_MS = 20
@@ -32,7 +25,6 @@
 """For callers of a host that waits for its first configuration."""
 MOST_REFUSALS = 4
 """Servers that may say 'not run', or be out of reach, for one request."""
-_SPREADS = 1000
 
 logger = structlog.get_logger(part='relay')
 
@@ -82,50 +74,11 @@
         self._table = table
         self._turns = turn_desk
         self._timer = timer
-        self._policy = placements.PLACEMENTS[policy]
-        self._desks: dict[str, desks.Desk] = {}
-        self._has_waiting = event.Event()
+        self.admission = admissions.Admission(table, timer, policy)
         self._started_ms = timer.now_ms()
         self.latencies = measures.Histogram()
         self.queue_times = measures.Histogram()
 
-    def desk(self, service: str) -> desks.Desk:
-        """Return the desk of a service."""
-        if service not in self._desks:
-            self._desks[service] = desks.Desk(
-                service,
-                self._table,
-                self._timer,
-                self._policy,
-                self._has_waiting.set,
-            )
-        return self._desks[service]
-
-    def waiting(self) -> dict[str, int]:
-        """Return the calls that wait for a slot, by service."""
-        return {
-            name: len(desk.waiting)
-            for name, desk in self._desks.items()
-            if desk.waiting
-        }
-
-    def serve_desks(self) -> None:
-        """Let all desks look at what waits."""
-        for desk in list(self._desks.values()):
-            desk.serve()
-
-    def run_desks(self) -> None:
-        """Serve what waits, until the greenlet is killed.
-
-        Sleeps where nothing waits, as is usual on most hosts.
-        """
-        while True:
-            self._has_waiting.wait()
-            self.serve_desks()
-            if not self.waiting():
-                self._has_waiting.clear()
-            gevent.sleep(clock.to_seconds(SERVE_EVERY_MS))
-
     def handle(
         self, request: exchanges.Request, caller: exchanges.Caller
     ) -> None:
@@ -190,14 +143,7 @@
 
     def _carry_out(self, run: exchanges.Run, caller: exchanges.Caller) -> None:
         if run.route.kind == routes.Kind.stream and run.call.program:
-            service = self.routes.services.get(run.service)
-            run.turn = self._turns.open(
-                run.call,
-                run.route,
-                service.event_tokens if service else 1,
-                run.request.body,
-            )
-            run.body = run.turn.history + run.request.body
+            self._open_turn(run)
         while not self._try_once(run, caller):
             logger.info(
                 'trying another worker',
@@ -208,6 +154,20 @@
                 last_event=run.log.last,
             )
 
+    def _open_turn(self, run: exchanges.Run) -> None:
+        """Reserve a turn and learn of the turns of other hosts."""
+        service = self.routes.services.get(run.service)
+        run.turn = self._turns.open(
+            run.call,
+            run.route,
+            service.event_tokens if service else 1,
+            run.request.body,
+            self.admission.preview(run),
+        )
+        run.body = run.turn.history + run.request.body
+        if run.turn.open_turns is not None:
+            self._table.note_open_turns(run.turn.open_turns, run.turn.worker)
+
     def _close(self, run: exchanges.Run) -> None:
         if run.turn is not None:
             self._turns.close(run.turn, run.log.count)
@@ -232,14 +192,17 @@
 
     def _try_once(self, run: exchanges.Run, caller: exchanges.Caller) -> bool:
         """Send the request to one server; tell whether it was answered."""
-        with self._slot(run) as worker:
+        with self.admission.slot(run) as worker:
             run.worker = worker.instance
+            if run.turn is not None:
+                self._turns.place(run.turn, run.worker)
             try:
                 self.exchanger.exchange(run, worker, caller)
             except exchanges.ServerRefusedError as error:
                 self._note_refusal(run, error)
             except exceptions.ConnectionFailedError as error:
                 worker.note_failure(self._timer.now_ms())
+                self.exchanger.pool.discard(worker)
                 self._note_failure(run, error)
             else:
                 return True
@@ -251,7 +214,7 @@
     ) -> None:
         run.refusals += 1
         if run.refusals >= MOST_REFUSALS:
-            raise self._refusal(run, error.message) from error
+            raise self.admission.refusal(run, error.message) from error
 
     def _note_failure(
         self, run: exchanges.Run, error: exceptions.ConnectionFailedError
@@ -267,59 +230,6 @@
             ) from error
         run.runs += 1
 
-    @contextlib.contextmanager
-    def _slot(self, run: exchanges.Run) -> Iterator[workers.Worker]:
-        """Hold a slot of a server.
-
-        :raises OverloadedError: there is none in time.
-        """
-        desk = self.desk(run.service)
-        worker = self._wait_for_slot(run, desk)
-        taken_ms = self._timer.now_ms()
-        try:
-            yield worker
-        finally:
-            desk.release(worker, self._timer.now_ms() - taken_ms)
-
-    def _wait_for_slot(
-        self, run: exchanges.Run, desk: desks.Desk
-    ) -> workers.Worker:
-        asked_ms = self._timer.now_ms()
-        granted = event.AsyncResult()
-        ticket = desks.Ticket(
-            run.call,
-            run.route,
-            run.until_ms - asked_ms,
-            granted.set,
-            run.avoided,
-        )
-        desk.submit(ticket)
-        try:
-            worker = granted.get()
-        except BaseException:
-            desk.withdraw(ticket)
-            if granted.ready() and granted.value is not None:
-                desk.release(granted.value, 0)
-            raise
-        run.queued_ms += self._timer.now_ms() - asked_ms
-        if worker is None:
-            raise self._refusal(run, 'no free slot')
-        return worker
-
-    def _refusal(
-        self, run: exchanges.Run, reason: str
-    ) -> exceptions.CarobforkError:
-        desk = self.desk(run.service)
-        left_ms = run.until_ms - self._timer.now_ms()
-        # Attempts are random, so their hashes spread a burst's return.
-        spread = (hash(run.call.attempt) % _SPREADS) / _SPREADS
-        return exceptions.OverloadedError(
-            f'{reason}; {len(desk.waiting)} wait',
-            step='admit',
-            peer=run.service,
-            retry_after_ms=int(desk.retry_after_ms(left_ms, spread)),
-        )
-
 
 def _deadline_error(run: exchanges.Run) -> exceptions.CarobforkError:
     if run.is_sent:
--- a/src/carobfork/gateway/turns.py
+++ b/src/carobfork/gateway/turns.py
@@ -1,5 +1,6 @@
 """Turns: budget and history of a program's calls, before and after a run."""
 
+from collections.abc import Mapping
 from typing import Protocol
 
 import attrs
@@ -25,19 +26,27 @@
     def settle(self, message: messages.Finish) -> None:
         """Settle an attempt, trying a few times."""
 
+    def place(self, attempt: str, worker: str) -> None:
+        """Tell on which server a turn runs."""
+
 
 @attrs.define(eq=False)
 class Turn:
     """A turn that may run.
 
+    :param worker: the server that it was announced for.
     :param history: the chain's bytes, which go before the new input.
+    :param open_turns: turns of all hosts by server, its own included, where
+        store hosts told of them.
     """
 
     call: calls.Call
     route: routes.Route
     event_tokens: int
     request: bytes
+    worker: str = ''
     history: bytes = b''
+    open_turns: Mapping[str, int] | None = None
     is_open: bool = True
 
     @property
@@ -74,19 +83,23 @@
         route: routes.Route,
         event_tokens: int,
         request: bytes,
+        worker: str = '',
     ) -> Turn:
         """Reserve a turn's tokens and read its history.
 
+        :param worker: the server that it will probably run on.
+
         :raises BudgetExceededError: the budget does not cover it.
         :raises UnknownProgramError: the turn before does not exist.
         :raises NotRunError: the records can't be reached.
         """
-        turn = Turn(call, route, event_tokens, request)
+        turn = Turn(call, route, event_tokens, request, worker)
         previous = call.previous_turn if route.is_retained else ''
         if not turn.is_charged and not previous:
             return turn
         begun = self._begin(turn, previous)
         turn.history = begun.chain
+        turn.open_turns = begun.open_turns
         if not budgets.covers(call, begun.charges):
             self.close(turn, 0)
             raise exceptions.BudgetExceededError(
@@ -97,6 +110,12 @@
             )
         return turn
 
+    def place(self, turn: Turn, worker: str) -> None:
+        """Tell other hosts where a turn runs, unless that was announced."""
+        if turn.is_charged and worker != turn.worker:
+            turn.worker = worker
+            self._records.place(turn.call.attempt, worker)
+
     def keep(self, turn: Turn, log: events.EventLog) -> None:
         """Keep a turn that ended whole, before its caller learns of it.
 
@@ -130,7 +149,9 @@
 
     def _begin(self, turn: Turn, previous: str) -> messages.Begun:
         charge = turn.charge(turn.call.output_tokens, is_settled=False)
-        message = messages.Begin(charge, previous, turn.route.retain_ms)
+        message = messages.Begin(
+            charge, previous, turn.route.retain_ms, worker=turn.worker
+        )
         try:
             return self._records.begin(message)
         except exceptions.CarobforkError:
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -11,6 +11,8 @@
 
 from carobfork import clock
 
+NEVER_MS = float('-inf')
+"""Before all times."""
 HOLD_MS = 1500
 """How long unregistered servers may serve where no other is left.
 
@@ -23,6 +25,8 @@
 """A failing server is tried again within a few seconds: it may be back."""
 SHARED_FRESH_MS = 1200
 """Sums of all hosts' calls are older than a few beats after this."""
+COUNT_FRESH_MS = 250
+"""A count of open turns stands against sums that are older than a beat."""
 _DOUBLINGS = 5
 DURATION_PART = 0.1
 """Weight of the newest duration in the mean of a server's calls."""
@@ -56,17 +60,19 @@
     :param removed_ms: when its entry vanished, if it did.
     :param is_near: whether it is in the preferred failure domain.
     :param kept_ms: when a connection to it was last kept.
+    :param counted_ms: when its open turns were last counted.
     """
 
     entry: Entry
     in_flight: int = 0
     elsewhere: int = 0
-    elsewhere_at_ms: float = float('-inf')
+    elsewhere_at_ms: float = NEVER_MS
     failures: int = 0
-    avoided_until_ms: float = float('-inf')
+    avoided_until_ms: float = NEVER_MS
     removed_ms: float | None = None
     idle_connections: int = 0
-    kept_ms: float = float('-inf')
+    kept_ms: float = NEVER_MS
+    counted_ms: float = NEVER_MS
     mean_ms: float = 0
     is_near: bool = False
 
@@ -120,9 +126,9 @@
         self.is_known = False
         self._timer = timer
         self._workers: dict[str, Worker] = {}
-        self._returning_until_ms = float('-inf')
+        self._returning_until_ms = NEVER_MS
         self._waiting: Mapping[str, int] = {}
-        self._shared_ms = float('-inf')
+        self._shared_ms = NEVER_MS
         self._zone = ''
 
     def __iter__(self) -> Iterator[Worker]:
@@ -156,6 +162,25 @@
             if worker.instance not in listed:
                 self._note_missing(worker, now_ms)
 
+    def note_open_turns(
+        self, open_turns: Mapping[str, int], announced: str
+    ) -> None:
+        """Take the turns of all hosts as store hosts know them now.
+
+        Servers that run anything else are not judged by them.
+
+        :param open_turns: turns by server, those of this host included.
+        :param announced: the server of a turn of this host that is counted
+            and has no slot yet.
+        """
+        now_ms = self._timer.now_ms()
+        for worker in self._workers.values():
+            total = open_turns.get(worker.instance, 0)
+            total -= worker.instance == announced
+            if total > 0 or worker.counted_ms > NEVER_MS:
+                worker.note_load(total, now_ms)
+                worker.counted_ms = now_ms
+
     def note_shared(
         self, in_flight: Mapping[str, int], waiting: Mapping[str, int]
     ) -> None:
@@ -168,8 +193,10 @@
         self._shared_ms = now_ms
         self._waiting = waiting
         for worker in self._workers.values():
-            worker.elsewhere = in_flight.get(worker.instance, 0)
-            worker.elsewhere_at_ms = now_ms
+            # Sums are older than counts of open turns.
+            if now_ms - worker.counted_ms > COUNT_FRESH_MS:
+                worker.elsewhere = in_flight.get(worker.instance, 0)
+                worker.elsewhere_at_ms = now_ms
 
     @property
     def is_awaited(self) -> bool:
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -7,6 +7,7 @@
 
 from carobfork import clock, exceptions, host_logs
 from carobfork.gateway import (
+    admissions,
     directories,
     measures,
     relays,
@@ -87,7 +88,7 @@
         for seed in self.settings.seeds:
             self.spawn(functools.partial(self._recall_until_known, seed))
         self.repeat(self.updates.check, CHECK_EVERY_MS)
-        self.spawn(self.relay.run_desks)
+        self.spawn(self.relay.admission.run)
         self.repeat(self.relay.exchanger.pool.trim, TRIM_EVERY_MS)
         for endpoint in self._endpoints:
             endpoint.start()
@@ -122,7 +123,7 @@
         gevent.sleep(clock.to_seconds(leave_ms))
         self.server.stop_accepting()
         while self.server.counts.in_progress and self.timer.now_ms() < until_ms:
-            gevent.sleep(clock.to_seconds(relays.SERVE_EVERY_MS))
+            gevent.sleep(clock.to_seconds(admissions.SERVE_EVERY_MS))
 
     def render_measures(self) -> bytes:
         """Return the entry host's counts and latencies as text."""
@@ -138,7 +139,7 @@
         gauges = {
             'ready': self.is_ready(),
             'requests_in_progress': counts.in_progress,
-            'requests_waiting': sum(self.relay.waiting().values()),
+            'requests_waiting': sum(self.relay.admission.waiting().values()),
             'caller_connections': counts.connections,
             'storage_epoch': self.storage.group.epoch,
             'configuration_version': (
@@ -165,7 +166,7 @@
             self.settings.zone,
             not self.is_ready(),
             self.table.in_flight(),
-            self.relay.waiting(),
+            self.relay.admission.waiting(),
             epoch,
             self.directory.version,
         )
@@ -173,7 +174,7 @@
     def _pace_ms(self, member: groups.Member) -> float:
         if member.disk != self.storage.nearest():
             return links.CALM_BEAT_MS
-        is_busy = self.relay.waiting() or self.table.is_awaited
+        is_busy = self.relay.admission.waiting() or self.table.is_awaited
         return links.BUSY_BEAT_MS if is_busy else links.BEAT_MS
 
     def _take_answer(
--- a/src/carobfork/roles/updates.py
+++ b/src/carobfork/roles/updates.py
@@ -135,7 +135,7 @@
         self._learners.table.apply(
             [entry for entry in entries if entry], was_away
         )
-        self._learners.relay.serve_desks()
+        self._learners.relay.admission.serve()
 
     def _take_group(self, seen: followers.Snapshot) -> None:
         for stored in seen.present:
--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -99,10 +99,7 @@
         nearest = self.nearest()
         outcome = self._operate(
             {
-                disk: attrs.evolve(
-                    message,
-                    wants_chain=bool(message.previous) and disk == nearest,
-                )
+                disk: attrs.evolve(message, wants_details=disk == nearest)
                 for disk in self.group.everyone()
             },
             is_read=True,
@@ -140,6 +137,11 @@
                 )
             gevent.sleep(clock.to_seconds(SETTLE_PAUSE_MS))
 
+    def place(self, attempt: str, worker: str) -> None:
+        """Tell on which server a turn runs; nobody waits for the answer."""
+        for link in self._links.all():
+            link.ask(messages.Place(attempt, worker), _ignore)
+
     def nearest(self) -> str:
         """Return the disk to ask where one member's answer is enough."""
         usable = [link for link in self._links.all() if link.is_connected]
@@ -178,7 +180,7 @@
 
     def _fetch_part(self, turn: str) -> messages.Begun | None:
         """Return a turn and those before it from any member that has it."""
-        question = messages.Begin(None, previous=turn, wants_chain=True)
+        question = messages.Begin(None, previous=turn, wants_details=True)
         for link in self._links.all():
             reply = None
             try:
@@ -334,8 +336,10 @@
     """Return what all members know; the longest chain stands."""
     charges: dict[str, tuple[int, bool]] = {}
     knows = False
+    open_turns = None
     longest = messages.Begun({})
     for begun in answers:
+        open_turns = open_turns or begun.open_turns
         knows = knows or begun.knows_previous
         if len(begun.chain) >= len(longest.chain):
             longest = begun
@@ -346,4 +350,6 @@
             if charge[1] or attempt not in charges
         }
         charges.update(fresh)
-    return attrs.evolve(longest, charges=charges, knows_previous=knows)
+    return attrs.evolve(
+        longest, charges=charges, knows_previous=knows, open_turns=open_turns
+    )
--- a/src/carobfork/storage/keepers.py
+++ b/src/carobfork/storage/keepers.py
@@ -8,7 +8,14 @@
 from gevent import event
 
 from carobfork import clock
-from carobfork.storage import disks, groups, informers, ledgers, messages
+from carobfork.storage import (
+    boards,
+    disks,
+    groups,
+    informers,
+    ledgers,
+    messages,
+)
 
 PAGE_BYTES = 262_144
 """Bytes of one page of a copy: a few ms on the slowest link of a store host."""
@@ -31,6 +38,7 @@
         self.informer = informers.Informer(
             disk, self.adopt, clock.SystemClock()
         )
+        self.board = boards.Board(clock.SystemClock())
         self._listed: list = []
         self._listing = 0
 
@@ -79,6 +87,8 @@
         """Reserve tokens and tell what is known of the program."""
         charge = message.charge
         records = []
+        if charge is not None:
+            self.board.note(charge.attempt, message.worker)
         if charge is not None and not self.ledger.knows_charge(charge):
             records.append(self.ledger.stamp(charge, charge.retain_ms))
         self._submit(records, lambda: self._begun(message), reply)
@@ -86,6 +96,8 @@
     def finish(self, message: messages.Finish, reply: Reply) -> None:
         """Settle an attempt and keep its turn."""
         records = []
+        if message.charge is not None:
+            self.board.drop(message.charge.attempt)
         if message.turn is not None:
             records.append(self.ledger.stamp(message.turn, message.retain_ms))
         if message.charge is not None:
@@ -94,6 +106,11 @@
             )
         self._submit(records, messages.Done, reply)
 
+    def place(self, message: messages.Place, reply: Reply) -> None:
+        """Note where a turn runs after all."""
+        self.board.note(message.attempt, message.worker)
+        reply(messages.Done())
+
     def take_group(self, message: messages.Adopt, reply: Reply) -> None:
         """Adopt the group that a peer knows."""
         self.adopt(message.group)
@@ -130,11 +147,16 @@
         if message.previous:
             knows = self.ledger.knows_turn(message.previous)
             self.ledger.extend(message.previous, message.retain_ms)
-            if message.wants_chain:
+            if message.wants_details:
                 chain, missing = self.ledger.chain(message.previous)
         program = message.charge.program if message.charge else ''
-        charges = self.ledger.charges(program)
-        return messages.Begun(charges, knows, chain, missing)
+        return messages.Begun(
+            self.ledger.charges(program),
+            knows,
+            chain,
+            missing,
+            self.board.counts() if message.wants_details else None,
+        )
 
     def _refuse(self, reason: str) -> messages.Refused:
         return messages.Refused(reason, self.group)
@@ -160,6 +182,7 @@
     'Fetch': Keeper.fetch,
     'Finish': Keeper.finish,
     'Give': Keeper.take_records,
+    'Place': Keeper.place,
 }
 _FENCED = frozenset((Keeper.begin, Keeper.finish))
 _INFORMING = {  # noqa: WPS407
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -62,13 +62,25 @@
 class Begin:
     """Reserve tokens for an attempt and read what it depends on.
 
-    :param wants_chain: whether the answer should hold the chain's bytes.
+    :param wants_details: whether the answer should hold the chain's bytes
+        and the open turns.
+    :param worker: the backend server that it will probably run on.
     """
 
     charge: Charge | None
     previous: str = ''
     retain_ms: float = 0
-    wants_chain: bool = False
+    wants_details: bool = False
+    worker: str = ''
+
+
+@register
+@attrs.frozen
+class Place:
+    """An attempt runs on another backend server than was said before."""
+
+    attempt: str
+    worker: str
 
 
 @register
@@ -79,12 +91,14 @@
     :param charges: tokens by attempt, and whether they are settled.
     :param chain: the bytes of the turns before, oldest first.
     :param missing: the turn before those of the chain, if it is not here.
+    :param open_turns: turns under way by backend server, if it was asked.
     """
 
     charges: dict[str, tuple[int, bool]]
     knows_previous: bool = True
     chain: bytes = b''
     missing: str = ''
+    open_turns: dict[str, int] | None = None
 
 
 @register
--- /dev/null
+++ b/tests/test_boards.py
@@ -0,0 +1,89 @@
+"""Boards: open turns at store hosts, and what entry hosts make of them."""
+
+import unittest
+
+from carobfork import clock
+from carobfork.gateway import calls, placements, workers
+from carobfork.storage import boards
+
+
+class BoardTest(unittest.TestCase):
+    """Turns of many entry hosts on a manual clock."""
+
+    def setUp(self):
+        """Start without turns."""
+        self.timer = clock.ManualClock()
+        self.board = boards.Board(self.timer)
+
+    def test_turns_begin_and_end(self):
+        """Each counts once, on the server that was named last."""
+        self.board.note('t1', 'a')
+        self.board.note('t2', 'a')
+        self.board.note('t2', 'b')
+        self.assertEqual(self.board.counts(), {'a': 1, 'b': 1})
+        self.board.drop('t1')
+        self.board.drop('t1')
+        self.board.drop('never')
+        self.assertEqual(self.board.counts(), {'b': 1})
+
+    def test_turns_of_a_lost_host(self):
+        """They stop counting after the longest turn."""
+        self.board.note('t1', 'a')
+        self.timer.advance(boards.OPEN_MS + 1)
+        self.board.note('t2', 'b')
+        self.assertEqual(self.board.counts(), {'b': 1})
+
+
+class BurstTest(unittest.TestCase):
+    """Entry hosts that place the turns of a burst at the same time."""
+
+    servers = 4
+    slots = 6
+    hosts = 24
+
+    def setUp(self):
+        """Start with idle servers and as many tables as hosts."""
+        self.timer = clock.ManualClock()
+        self.board = boards.Board(self.timer)
+        entries = [
+            workers.Entry(f's{number}', 'e', '127.0.0.1', 1, 'z', self.slots)
+            for number in range(self.servers)
+        ]
+        self.tables = [
+            workers.WorkerTable(self.timer) for _ in range(self.hosts)
+        ]
+        for table in self.tables:
+            table.apply(entries, was_away=False)
+
+    def place(self, table, number):
+        """Place one turn by the count of open turns, as the relay does."""
+        call = calls.Call(f't{number}', program=f'p{number}', prompt_tokens=9)
+        choose = placements.PLACEMENTS['home']
+        first = choose(call, table.usable('e'), self.timer.now_ms())
+        announced = first.instance if first else ''
+        self.board.note(call.attempt, announced)
+        table.note_open_turns(self.board.counts(), announced)
+        worker = choose(call, table.usable('e'), self.timer.now_ms())
+        if worker is None:
+            self.board.drop(call.attempt)
+            return
+        worker.in_flight += 1
+        self.board.note(call.attempt, worker.instance)
+
+    def test_no_server_gets_more_than_its_slots(self):
+        """All hosts see each turn at once; what is left waits."""
+        for number in range(60):
+            self.place(self.tables[number % self.hosts], number)
+        counts = self.board.counts()
+        self.assertEqual(sum(counts.values()), self.servers * self.slots)
+        self.assertEqual(set(counts.values()), {self.slots})
+
+    def test_sums_do_not_hide_a_count(self):
+        """A count stands for a beat against older sums."""
+        table = self.tables[0]
+        table.note_open_turns({'s0': 5}, '')
+        table.note_shared({}, {})
+        self.assertEqual(table.get('s0').load(self.timer.now_ms()), 5)
+        self.timer.advance(workers.COUNT_FRESH_MS + 1)
+        table.note_shared({}, {})
+        self.assertEqual(table.get('s0').load(self.timer.now_ms()), 0)
--- a/tests/test_idle_hosts.py
+++ b/tests/test_idle_hosts.py
@@ -10,6 +10,7 @@
 
 from carobfork import clock, exceptions
 from carobfork.gateway import (
+    admissions,
     calls,
     desks,
     exchanges,
@@ -52,18 +53,16 @@
         timer = clock.ManualClock()
         self.table = workers.WorkerTable(timer)
         self.table.apply([ENTRY], was_away=False)
-        self.relay = relays.Relay(
-            heads, self.table, turns.TurnDesk(mock.Mock()), timer
-        )
-        self.served = mock.Mock(wraps=self.relay.serve_desks)
-        self.relay.serve_desks = self.served
-        runner = gevent.spawn(self.relay.run_desks)
+        self.admission = admissions.Admission(self.table, timer, 'home')
+        self.served = mock.Mock(wraps=self.admission.serve)
+        self.admission.serve = self.served
+        runner = gevent.spawn(self.admission.run)
         self.addCleanup(runner.kill)
 
     def submit(self, answers):
         """Ask for a slot."""
         ticket = desks.Ticket(calls.Call('x'), ROUTE, 3000, answers.append)
-        self.relay.desk(SERVICE).submit(ticket)
+        self.admission.desk(SERVICE).submit(ticket)
 
     def test_nothing_waits(self):
         """Calls that get their slot at once wake nobody."""
