--- a/tests/platform_hosts.py
+++ b/tests/platform_hosts.py
@@ -14,7 +14,8 @@
 from carobfork.platform import settings
 from carobfork.roles import front as front_role
 from carobfork.roles import store as store_role
-from tests import backends, object_store
+from carobfork_standins import object_store
+from tests import backends
 
 PORT = 7100
 WAIT_SECONDS = 30
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,7 +15,8 @@
     settings,
 )
 from carobfork.storage import groups
-from tests import object_store, platform_hosts
+from carobfork_standins import object_store
+from tests import platform_hosts
 
 SETTINGS = """
 NodeName = "store-b-1"
