Tell other hosts of servers that fail calls

Change: entry hosts tell which servers they avoid; what two others avoid is avoided, unless it has served a call here in the last half second.

--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -177,7 +177,8 @@
         except BaseException:
             connection.close()
             raise
-        worker.note_success(self._timer.now_ms() - started_ms)
+        now_ms = self._timer.now_ms()
+        worker.note_success(now_ms - started_ms, now_ms)
         self._finish(worker, connection, answer)
 
     def _finish(
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -25,6 +25,10 @@
 """A failing server is tried again within a few seconds: it may be back."""
 SHARED_FRESH_MS = 1200
 """Sums of all hosts' calls are older than a few beats after this."""
+SUSPECTING_HOSTS = 2
+"""Other hosts that must suspect a server: one alone may be cut off from it."""
+OWN_WORD_MS = 500
+"""A call that a server has just served says more than what others suspect."""
 COUNT_FRESH_MS = 250
 """A count of open turns stands against sums that are older than a beat."""
 _DOUBLINGS = 5
@@ -61,6 +65,8 @@
     :param is_near: whether it is in the preferred failure domain.
     :param kept_ms: when a connection to it was last kept.
     :param counted_ms: when its open turns were last counted.
+    :param served_ms: when it last served a call of this host.
+    :param suspected_ms: when enough other hosts last suspected it.
     """
 
     entry: Entry
@@ -73,6 +79,8 @@
     idle_connections: int = 0
     kept_ms: float = NEVER_MS
     counted_ms: float = NEVER_MS
+    served_ms: float = NEVER_MS
+    suspected_ms: float = NEVER_MS
     mean_ms: float = 0
     is_near: bool = False
 
@@ -92,8 +100,16 @@
         self.elsewhere = max(0, total - self.in_flight)
         self.elsewhere_at_ms = now_ms
 
-    def note_success(self, duration_ms: float) -> None:
+    def is_avoided(self, now_ms: float) -> bool:
+        """Tell whether it has failed calls of this host or of others."""
+        if self.avoided_until_ms > now_ms:
+            return True
+        is_suspected = now_ms - self.suspected_ms < SHARED_FRESH_MS
+        return is_suspected and now_ms - self.served_ms > OWN_WORD_MS
+
+    def note_success(self, duration_ms: float, now_ms: float) -> None:
         """Count a call that was served."""
+        self.served_ms = now_ms
         self.failures = 0
         if self.mean_ms:
             change = (duration_ms - self.mean_ms) * DURATION_PART
@@ -209,6 +225,24 @@
             return 0
         return self._waiting.get(service, 0)
 
+    def note_suspects(self, suspects: Mapping[str, int]) -> None:
+        """Take how many other hosts each server has failed."""
+        now_ms = self._timer.now_ms()
+        for worker in self._workers.values():
+            if suspects.get(worker.instance, 0) >= SUSPECTING_HOSTS:
+                worker.suspected_ms = now_ms
+            else:
+                worker.suspected_ms = NEVER_MS
+
+    def suspects(self) -> list[str]:
+        """Return the servers that have just failed calls of this host."""
+        now_ms = self._timer.now_ms()
+        return [
+            worker.instance
+            for worker in self._workers.values()
+            if worker.avoided_until_ms > now_ms
+        ]
+
     def in_flight(self) -> dict[str, int]:
         """Return this host's calls by server, without idle ones."""
         return {
@@ -230,9 +264,7 @@
             if worker.entry.service == service and not worker.entry.is_draining
         ]
         listed = [worker for worker in found if worker.removed_ms is None]
-        ready = [
-            worker for worker in listed if worker.avoided_until_ms <= now_ms
-        ]
+        ready = [worker for worker in listed if not worker.is_avoided(now_ms)]
         if ready or listed:
             return ready or listed
         return [
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -169,6 +169,7 @@
             self.relay.admission.waiting(),
             epoch,
             self.directory.version,
+            self.table.suspects(),
         )
 
     def _pace_ms(self, member: groups.Member) -> float:
@@ -186,6 +187,7 @@
             is_near = self.directory.serves_near
             self.table.prefer_zone(self.settings.zone if is_near else '')
             self.table.note_shared(told.in_flight, told.waiting)
+            self.table.note_suspects(told.suspects)
             news = told.news
         self.updates.take_news(self.links.get(member.disk), news)
 
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -220,6 +220,7 @@
     :param waiting: its calls that wait for a slot, by service.
     :param epoch: the storage group that it knows.
     :param hosts_version: the set of hosts that it was told before.
+    :param suspects: backend servers that have just failed its calls.
     """
 
     node: str
@@ -230,6 +231,7 @@
     waiting: dict[str, int] = attrs.Factory(dict)
     epoch: int = 0
     hosts_version: int = 0
+    suspects: list[str] = attrs.Factory(list)
 
 
 @register
@@ -242,6 +244,7 @@
         where the asker has this version.
     :param in_flight: calls of all other entry hosts by backend server.
     :param waiting: calls of all other entry hosts that wait, by service.
+    :param suspects: how many other entry hosts suspect a backend server.
     """
 
     version: int
@@ -249,6 +252,7 @@
     in_flight: dict[str, int]
     waiting: dict[str, int]
     news: News
+    suspects: dict[str, int] = attrs.Factory(dict)
 
 
 @register
--- a/src/carobfork/storage/presences.py
+++ b/src/carobfork/storage/presences.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import itertools
 import random
 from collections.abc import Iterable, Mapping
 
@@ -38,6 +39,7 @@
     at_ms: float = float('-inf')
     in_flight: Mapping[str, int] = attrs.Factory(dict)
     waiting: Mapping[str, int] = attrs.Factory(dict)
+    suspects: Mapping[str, int] = attrs.Factory(dict)
     parts: Mapping[str, messages.Presence] = attrs.Factory(dict)
 
 
@@ -78,6 +80,7 @@
             _without(sums.in_flight, own.in_flight),
             _without(sums.waiting, own.waiting),
             news,
+            _without(sums.suspects, dict.fromkeys(own.suspects, 1)),
         )
 
     def note_reported(self, presences: Iterable[messages.Presence]) -> None:
@@ -118,6 +121,11 @@
                 now_ms,
                 _total(told.in_flight for told in parts.values()),
                 _total(told.waiting for told in parts.values()),
+                collections.Counter(
+                    itertools.chain.from_iterable(
+                        told.suspects for told in parts.values()
+                    )
+                ),
                 parts,
             )
         return self._sums
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -99,6 +99,27 @@
         self.apply('a')
         self.assertEqual(self.usable(), ['a'])
 
+    def test_a_server_that_fails_other_hosts(self):
+        """It is avoided where two suspect it, unless it has just served."""
+        self.timer.advance(1000)
+        self.table.note_suspects({'a': 1})
+        self.assertEqual(self.usable(), ['a', 'b'])
+        self.table.note_suspects({'a': 2})
+        self.assertEqual(self.usable(), ['b'])
+        self.table.get('a').note_success(5, self.timer.now_ms())
+        self.assertEqual(self.usable(), ['a', 'b'])
+        self.timer.advance(workers.OWN_WORD_MS + 1)
+        self.assertEqual(self.usable(), ['b'])
+        self.table.note_suspects({})
+        self.assertEqual(self.usable(), ['a', 'b'])
+
+    def test_suspects_are_told(self):
+        """While calls of this host avoid them."""
+        self.table.get('a').note_failure(self.timer.now_ms())
+        self.assertEqual(self.table.suspects(), ['a'])
+        self.timer.advance(workers.FIRST_AVOID_MS)
+        self.assertEqual(self.table.suspects(), [])
+
     def test_load_of_other_hosts(self):
         """Sums of the other hosts count while they are fresh."""
         worker = self.table.get('a')
--- a/tests/test_presences.py
+++ b/tests/test_presences.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from carobfork import clock
 from carobfork.storage import messages, presences
 
@@ -51,6 +53,16 @@
         self.timer.advance(presences.SUM_MS + 1)
         self.assertTrue(self.far.has_waiting())
 
+    def test_suspects(self):
+        """Other hosts' suspicions are counted, the asker's own are not."""
+        for node in 'ab':
+            told = attrs.evolve(presence(node), suspects=['e0'])
+            self.near.note(told, NEWS)
+        self.report()
+        told = attrs.evolve(presence('c'), suspects=['e0', 'e1'])
+        answer = self.far.note(told, NEWS)
+        self.assertEqual(answer.suspects, {'e0': 2})
+
     def test_own_calls_are_taken_off_as_they_were_counted(self):
         """Sums that are used again hold what the asker told before."""
         self.near.note(presence('a', calls=2), NEWS)
