--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -105,6 +105,8 @@
     :param is_sent: whether a server may be at work on it.
     :param runs: sends that broke off.
     :param refusals: servers that did not run it.
+    :param was_kept: whether the last exchange that broke off was on a kept
+        connection.
     :param failure: why the caller got no server's answer, if it got none.
     """
 
@@ -122,6 +124,7 @@
     avoided: frozenset[str] = frozenset()
     worker: str = ''
     queued_ms: float = 0
+    was_kept: bool = False
     failure: exceptions.CarobforkError | None = None
 
     def may_repeat(self) -> bool:
@@ -176,6 +179,7 @@
             self._pass_on(run, worker, connection, answer, caller)
         except BaseException:
             connection.close()
+            run.was_kept = connection.is_reused
             raise
         now_ms = self._timer.now_ms()
         worker.note_success(now_ms - started_ms, now_ms)
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -151,6 +151,7 @@
                 worker=run.worker,
                 runs=run.runs,
                 refusals=run.refusals,
+                was_kept=run.was_kept,
                 last_event=run.log.last,
             )
 
@@ -183,6 +184,7 @@
             worker=run.worker,
             runs=run.runs,
             refusals=run.refusals,
+            was_kept=run.was_kept,
             events=run.log.count,
             queued_ms=round(run.queued_ms),
             took_ms=round(took_ms),
--- /dev/null
+++ b/src/carobfork_standins/configurations.py
@@ -0,0 +1,61 @@
+"""Configurations: what the platform's operator and hosts' settings say."""
+
+import socket
+
+HOST = 'shop.example'
+ENGINES = 'engines'
+TOOLS = 'tools'
+STRIDE = 10
+"""Tokens of an event."""
+TIMEOUT_MS = 4000
+GOAL_MS = 500
+RETAIN_SECONDS = 60
+
+
+def free_port():
+    """Return a loopback port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def route(name, prefix, kind, service, **fields):
+    """Return a route as the operator writes it."""
+    return {
+        'Name': name,
+        'Host': HOST,
+        'PathPrefix': prefix,
+        'Kind': kind,
+        'TimeoutMs': TIMEOUT_MS,
+        'GoalMs': GOAL_MS,
+        'Service': service,
+        'RetainS': RETAIN_SECONDS,
+        **fields,
+    }
+
+
+def configuration(version=3, **limits):
+    """Return a configuration with a route of each kind."""
+    return {
+        'Version': version,
+        'Routes': [
+            route('chat', '/chat/', 'stream', ENGINES, Retain=True, Attempts=2),
+            route(
+                'ask', '/ask/', 'stream', ENGINES, Resumable=True, Attempts=2
+            ),
+            route('look', '/look/', 'safe', TOOLS, Attempts=2),
+            route('order', '/order/', 'unsafe', TOOLS, Attempts=1),
+            route('slow', '/order/slow/', 'unsafe', TOOLS, TimeoutMs=300),
+        ],
+        'Services': [
+            {'Name': ENGINES, 'Engine': {'Slots': 4, 'Stride': STRIDE}},
+            {'Name': TOOLS},
+        ],
+        'Limits': {
+            'MaxHeaderBytes': 16384,
+            'MaxBodyBytes': 100_000,
+            'HeaderTimeoutMs': 3000,
+            'IdleTimeoutMs': 15000,
+            **limits,
+        },
+    }
--- a/src/carobfork_standins/lab_processes.py
+++ b/src/carobfork_standins/lab_processes.py
@@ -1,10 +1,12 @@
 """Lab processes: one process of a lab, started, signalled and awaited."""
 
+import os
 import pathlib
 import signal
 import subprocess
 import sys
 import time
+from collections.abc import Mapping
 
 import attrs
 import gevent
@@ -33,6 +35,7 @@
     address: bundles.Address
     log_path: pathlib.Path
     handle: subprocess.Popen | None = None
+    variables: Mapping[str, str] = attrs.Factory(dict)
 
     def start(self) -> None:
         """Start the process and wait until it listens."""
@@ -44,6 +47,7 @@
         with self.log_path.open('ab') as log:
             self.handle = subprocess.Popen(
                 [sys.executable, '-m', *self.arguments],
+                env={**os.environ, **self.variables},
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
--- /dev/null
+++ b/src/carobfork_standins/plain_calls.py
@@ -0,0 +1,63 @@
+"""Plain calls: requests to an entry host, as callers send them."""
+
+import contextlib
+import uuid
+
+import attrs
+from gevent import socket
+
+from carobfork.gateway import framing
+from carobfork_standins import configurations
+
+WAIT_SECONDS = 30
+
+
+@attrs.frozen
+class Answer:
+    """A response that a caller got."""
+
+    status: int
+    head: framing.Head
+    body: bytes
+    is_whole: bool = True
+
+
+def new_attempt():
+    """Return a fresh attempt identifier."""
+    return uuid.uuid4().hex[:16]
+
+
+def encode(path, method='GET', headers=None, body=b'', attempt=None):
+    """Return a request's bytes."""
+    fields = {
+        'Host': configurations.HOST,
+        'X-Attempt-Id': attempt or new_attempt(),
+        'X-Deadline-Ms': '3000',
+        'Connection': 'close',
+        **(headers or {}),
+    }
+    if body:
+        fields['Content-Length'] = str(len(body))
+    head = framing.encode_head(f'{method} {path} HTTP/1.1', fields.items())
+    return head + body
+
+
+def ask(address, path, **options):
+    """Send a request on a connection of its own."""
+    with contextlib.closing(socket.create_connection(address)) as sock:
+        sock.settimeout(WAIT_SECONDS)
+        sock.sendall(encode(path, **options))
+        return read_answer(sock)
+
+
+def read_answer(sock):
+    """Read a response, whole or broken off."""
+    reader = framing.Reader(sock)
+    head = reader.read_head(framing.HEAD_BYTES)
+    body = bytearray()
+    try:
+        for piece in reader.pieces(framing.response_shape(head, 'GET')):
+            body.extend(piece)
+    except EOFError:
+        return Answer(int(head.first[1]), head, bytes(body), is_whole=False)
+    return Answer(int(head.first[1]), head, bytes(body))
--- /dev/null
+++ b/src/carobfork_standins/soak/callers.py
@@ -0,0 +1,115 @@
+"""Callers: programs that run through the fleet and check what they get."""
+
+import random
+
+import attrs
+import gevent
+
+from carobfork_standins import backends, configurations, plain_calls
+from carobfork_standins.soak import fleets, records
+
+MOST_TOKENS = backends.EVENTS * configurations.STRIDE
+"""A turn's longest answer."""
+PAUSE_SECONDS = 0.05
+DEADLINE_SECONDS = 5
+"""Beyond the longest time of a route."""
+_OK = 200
+_NOT_FOUND = 404
+_EVENTS = b''.join(
+    b'word%d\n' % number for number in range(1, backends.EVENTS + 1)
+)
+
+
+@attrs.define
+class Caller:
+    """One caller, which runs program after program.
+
+    :param fleet: what it calls.
+    :param found: where it notes what it saw.
+    :param dice: decides what it does next.
+    :param only: the entry host that it calls, any by default.
+    """
+
+    fleet: fleets.Fleet
+    found: records.Records
+    dice: random.Random
+    only: str = ''
+
+    def run(self) -> None:
+        """Run programs until the greenlet is killed."""
+        while True:
+            self.run_program()
+
+    def run_program(self) -> None:
+        """Run one program to its end."""
+        name = plain_calls.new_attempt()
+        budget = MOST_TOKENS * self.dice.randrange(2, 6)
+        program = records.Program(name, budget)
+        for _ in range(self.dice.randrange(2, 8)):
+            self._turn(program)
+            self._call()
+            gevent.sleep(PAUSE_SECONDS * self.dice.random())
+        self.found.check_budget(program, MOST_TOKENS)
+
+    def _turn(self, program: records.Program) -> None:
+        """Send a turn that continues one of the turns before."""
+        previous, chain = ('', b'')
+        if program.turns:
+            previous, chain = self.dice.choice(program.turns)
+        attempt = plain_calls.new_attempt()
+        text = f'input {attempt};'.encode()
+        headers = {
+            'Accept': 'text/event-stream',
+            'X-Program-Id': program.name,
+            'X-Session-Id': program.name,
+            'X-Token-Budget': str(program.budget_tokens),
+            'X-Token-Count': f'100,{MOST_TOKENS}',
+        }
+        if previous:
+            headers['X-Previous-Turn'] = previous
+        seen, body = self._send('/chat/1', attempt, headers, text)
+        if seen.status == _OK:
+            events = self.found.check_stream(seen, body)
+            program.tokens += records.tokens_of(events)
+        if seen.status == _OK and seen.is_whole:
+            program.turns.append((attempt, chain + text + _EVENTS))
+        if seen.status == _NOT_FOUND and previous:
+            self.found.fail('history', f'{previous} was forgotten')
+        served = list(self.fleet.backends.values())
+        self.found.check_chain(attempt, chain + text, served)
+
+    def _call(self) -> None:
+        path = self.dice.choice(('/look/1', '/order/1'))
+        self._send(path, plain_calls.new_attempt(), {}, b'{}')
+
+    def _send(
+        self, path: str, attempt: str, headers: dict[str, str], body: bytes
+    ) -> tuple[records.Seen, bytes]:
+        name = self.only or self.dice.choice(sorted(self.fleet.fronts))
+        address = self.fleet.address(name)
+        answer = None
+        try:
+            with gevent.Timeout(DEADLINE_SECONDS):
+                answer = plain_calls.ask(
+                    address,
+                    path,
+                    method='POST',
+                    headers=headers,
+                    body=body,
+                    attempt=attempt,
+                )
+        except (OSError, EOFError, AttributeError, gevent.Timeout):
+            # No answer at all: the host was killed, paused or starting.
+            seen = records.Seen(attempt, path, 0, is_whole=False)
+        else:
+            seen = records.Seen(attempt, path, answer.status, answer.is_whole)
+            self._check_owner(seen, answer)
+        self.found.note(seen)
+        return seen, answer.body if answer else b''
+
+    def _check_owner(
+        self, seen: records.Seen, answer: plain_calls.Answer
+    ) -> None:
+        stamp = answer.head.get('x-response-stamp')
+        if seen.status == _OK and not stamp.endswith(seen.attempt):
+            self.found.fail('own answer', f'{seen} bore the stamp {stamp}')
--- /dev/null
+++ b/src/carobfork_standins/soak/faults.py
@@ -0,0 +1,235 @@
+"""Faults: what goes wrong in a soak, by kind.
+
+Each takes the fleet, a random source and how long it lasts, and ends with
+everything mended. Kinds fill a registry by decorator.
+"""
+
+import contextlib
+import random
+import signal
+from collections.abc import Callable, Iterator
+
+import gevent
+
+from carobfork_standins.soak import fleets
+
+Fault = Callable[[fleets.Fleet, random.Random, float], None]
+FAULTS: dict[str, Fault] = {}  # noqa: WPS407
+SETTLE_SECONDS = 10
+
+
+def register(fault: Fault) -> Fault:
+    """Register a kind under its function's name."""
+    FAULTS[fault.__name__] = fault
+    return fault
+
+
+@contextlib.contextmanager
+def _taken(
+    hosts: dict[str, fleets.Host], dice: random.Random
+) -> Iterator[fleets.Host | None]:
+    """Choose a host that no other fault has taken, if there is one."""
+    free = [host for host in hosts.values() if not host.is_down]
+    if not free:
+        yield None
+        return
+    host = dice.choice(free)
+    host.is_down = True
+    try:
+        yield host
+    finally:
+        host.is_down = False
+
+
+def _kill(hosts: dict[str, fleets.Host], dice: random.Random, span: float):
+    with _taken(hosts, dice) as host:
+        if host is not None:
+            host.kill()
+            gevent.sleep(span)
+            host.process.start()
+
+
+def _pause(hosts: dict[str, fleets.Host], dice: random.Random, span: float):
+    with _taken(hosts, dice) as host:
+        if host is not None:
+            host.process.send(signal.SIGSTOP)
+            gevent.sleep(span)
+            host.process.send(signal.SIGCONT)
+
+
+@register
+def kill_front(fleet, dice, span):
+    """Kill an entry host and start it again."""
+    _kill(fleet.fronts, dice, span)
+
+
+@register
+def kill_store(fleet, dice, span):
+    """Kill a store host; its disk stays."""
+    _kill(fleet.stores, dice, span)
+
+
+@register
+def pause_front(fleet, dice, span):
+    """Let an entry host stand still."""
+    _pause(fleet.fronts, dice, span)
+
+
+@register
+def pause_store(fleet, dice, span):
+    """Let a store host stand still."""
+    _pause(fleet.stores, dice, span)
+
+
+@register
+def stop_front(fleet, dice, span):
+    """Stop an entry host as planned and start it again."""
+    with _taken(fleet.fronts, dice) as host:
+        if host is not None:
+            host.process.send(signal.SIGTERM)
+            host.process.wait()
+            host.process.start()
+
+
+@register
+def reload_fronts(fleet, dice, span):
+    """Tell all entry hosts that their settings have changed."""
+    for host in fleet.fronts.values():
+        if not host.is_down:
+            host.process.send(signal.SIGHUP)
+
+
+@register
+def lose_disk(fleet, dice, span):
+    """Empty the disk of one store host, if all others are whole."""
+    others = [host for host in fleet.stores.values() if host.is_down]
+    if others or not fleet.is_settled():
+        return
+    with _taken(fleet.stores, dice) as host:
+        host.kill()
+        host.wipe()
+        gevent.sleep(span)
+        host.process.start()
+        # Another disk may be lost only once this one is whole again.
+        with gevent.Timeout(SETTLE_SECONDS, exception=False):
+            gevent.sleep(1)
+            while not fleet.is_settled():
+                gevent.sleep(0.1)
+
+
+@register
+def kill_all(fleet, dice, span):
+    """Kill all processes at the same moment."""
+    hosts = [*fleet.fronts.values(), *fleet.stores.values()]
+    if any(host.is_down for host in hosts):
+        return
+    for host in hosts:
+        host.is_down = True
+        host.process.send(signal.SIGKILL)
+    for host in hosts:
+        host.process.wait()
+        host.process.launch()
+    for host in hosts:
+        host.process.wait_until_ready()
+        host.is_down = False
+
+
+@register
+def platform_down(fleet, dice, span):
+    """Let the platform's store refuse all."""
+    fleet.store.faults.down = True
+    gevent.sleep(span)
+    fleet.store.faults.down = False
+
+
+@register
+def platform_lost(fleet, dice, span):
+    """Let answers to the next writes be lost."""
+    fleet.store.faults.lost_answers += 2
+
+
+@register
+def platform_compact(fleet, dice, span):
+    """Drop the history of the platform's store."""
+    fleet.store.compact()
+
+
+@register
+def platform_silent(fleet, dice, span):
+    """Let one host hear nothing from the platform's store."""
+    hosts = {**fleet.fronts, **fleet.stores}
+    proxy = hosts[dice.choice(sorted(hosts))].platform
+    proxy.faults.is_silent = True
+    gevent.sleep(span)
+    proxy.faults.is_silent = False
+    proxy.reset()
+
+
+@register
+def backend_reset(fleet, dice, span):
+    """Break all connections to a backend server."""
+    fleet.links[dice.choice(sorted(fleet.links))].reset()
+
+
+@register
+def backend_silent(fleet, dice, span):
+    """Let a backend server's answers vanish."""
+    link = fleet.links[dice.choice(sorted(fleet.links))]
+    link.faults.is_silent = True
+    gevent.sleep(span)
+    link.faults.is_silent = False
+    link.reset()
+
+
+@register
+def backend_cut(fleet, dice, span):
+    """Let a backend server refuse connections."""
+    link = fleet.links[dice.choice(sorted(fleet.links))]
+    link.faults.is_cut = True
+    link.reset()
+    gevent.sleep(span)
+    link.faults.is_cut = False
+
+
+@register
+def backend_slow(fleet, dice, span):
+    """Delay all bytes to and from a backend server."""
+    link = fleet.links[dice.choice(sorted(fleet.links))]
+    link.faults.delay_seconds = 0.1
+    gevent.sleep(span)
+    link.faults.delay_seconds = 0
+
+
+@register
+def backend_breaks(fleet, dice, span):
+    """Let a backend server's streams break off, or its answers be lost."""
+    backend = fleet.backends[dice.choice(sorted(fleet.backends))]
+    backend.faults.break_after = dice.randrange(4)
+    backend.faults.drop_answer = dice.random() < 0.5
+    gevent.sleep(span)
+    backend.faults.break_after = None
+    backend.faults.drop_answer = False
+
+
+@register
+def backend_full(fleet, dice, span):
+    """Let a backend server refuse all calls."""
+    backend = fleet.backends[dice.choice(sorted(fleet.backends))]
+    backend.faults.full = True
+    gevent.sleep(span)
+    backend.faults.full = False
+
+
+@register
+def backend_leaves(fleet, dice, span):
+    """Let a backend server drain, leave and come back as a new process."""
+    instance = dice.choice(sorted(fleet.backends))
+    fleet.register(instance, State='draining')
+    gevent.sleep(span)
+    fleet.register(instance, born=fleet.version + 1)
+
+
+@register
+def configure(fleet, dice, span):
+    """Write another version of the configuration."""
+    fleet.configure()
--- /dev/null
+++ b/src/carobfork_standins/soak/fleets.py
@@ -0,0 +1,190 @@
+"""Fleets: the processes of one soak, and what stands around them."""
+
+import contextlib
+import pathlib
+import shutil
+import signal
+
+import attrs
+
+from carobfork.state import bundles
+from carobfork_standins import (
+    backends,
+    configurations,
+    lab_processes,
+    object_store,
+)
+from carobfork_standins.soak import proxies
+
+IP = '127.0.0.1'
+FRONTS = 3
+STORES = 3
+BACKENDS = 3
+"""Of each service."""
+SETTINGS = """
+NodeName = "{name}"
+Ip = "127.0.0.1"
+Zone = "{zone}"
+Region = "r"
+PortRange = [{port}, {port}]
+Seeds = [{seeds}]
+DataDir = "{folder}"
+[Listen]
+Front = "127.0.0.1:{front}"
+Ready = "127.0.0.1:{ready}"
+Control = "127.0.0.1:{control}"
+Directory = "127.0.0.1:{directory}"
+[Tolerate]
+Machines = 1
+[Bounds]
+GraceS = 4
+[Provider]
+Address = "127.0.0.1:{platform}"
+"""
+
+
+@attrs.define
+class Host:
+    """One process with its way to the platform's store."""
+
+    process: lab_processes.LabProcess
+    platform: proxies.Proxy
+    folder: pathlib.Path
+    is_down: bool = False
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.process.send(signal.SIGKILL)
+        self.process.wait()
+
+    def wipe(self) -> None:
+        """Empty the disk of a process that has ended."""
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+class Fleet:
+    """Entry hosts, store hosts, backend servers and the platform's store.
+
+    :param folder: for settings, logs and disks.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Prepare the fleet."""
+        self.store = object_store.ObjectStoreApplication()
+        self.fronts: dict[str, Host] = {}
+        self.stores: dict[str, Host] = {}
+        self.backends: dict[str, backends.BackendApplication] = {}
+        self.links: dict[str, proxies.Proxy] = {}
+        self.version = 1
+        self._folder = folder
+        self._stack = contextlib.ExitStack()
+        self._addresses: dict[str, tuple[str, int]] = {}
+
+    def __enter__(self) -> 'Fleet':
+        """Start everything."""
+        self._platform = (IP, configurations.free_port())
+        server = object_store.serve(self.store, self._platform)
+        self._stack.callback(server.stop, 0)
+        self.configure()
+        for number in range(BACKENDS):
+            self._add_backend(f'e{number}', configurations.ENGINES)
+            self._add_backend(f't{number}', configurations.TOOLS)
+        controls = [configurations.free_port() for _ in range(STORES)]
+        for number, control in enumerate(controls):
+            name = f'store-{number}'
+            self.stores[name] = self._start(name, 'store', controls, control)
+        for number in range(FRONTS):
+            name = f'front-{number}'
+            port = configurations.free_port()
+            self.fronts[name] = self._start(name, 'front', controls, port)
+        return self
+
+    def __exit__(self, *failure) -> None:
+        """End what was started, by its process identifiers."""
+        for host in (*self.fronts.values(), *self.stores.values()):
+            if host.process.handle.poll() is None:
+                host.process.send(signal.SIGCONT)
+                host.kill()
+        self._stack.close()
+
+    def configure(self, **fields) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        spec = configurations.configuration(self.version, **fields)
+        self.store.put('config', 'main', spec)
+
+    def register(self, instance: str, born: int = 1, **fields) -> None:
+        """Write a backend server's entry."""
+        is_engine = instance.startswith('e')
+        ip, port = self._addresses[instance]
+        entry = {
+            'Service': configurations.ENGINES
+            if is_engine
+            else configurations.TOOLS,
+            'Address': f'{ip}:{port}',
+            'Zone': 'a',
+            'Slots': 8,
+            'State': 'ready',
+            'born': born,
+            **fields,
+        }
+        self.store.put('servers', instance, entry)
+
+    def address(self, name: str) -> tuple[str, int]:
+        """Return where callers reach an entry host."""
+        address = self.fronts[name].process.address
+        return address.ip, address.port
+
+    def is_settled(self) -> bool:
+        """Tell whether all store hosts are members and none joins."""
+        stored = self.store.get('carobfork-storage', 'main')
+        if stored is None:
+            return False
+        group = stored['Spec']
+        return len(group['members']) == STORES and not group['following']
+
+    def _add_backend(self, instance: str, service: str) -> None:
+        application = backends.BackendApplication(instance)
+        address = (IP, configurations.free_port())
+        server = backends.serve(application, address)
+        self._stack.callback(server.stop, 0)
+        near = (IP, configurations.free_port())
+        self.links[instance] = self._stack.enter_context(
+            proxies.Proxy(near, address)
+        )
+        self._addresses[instance] = near
+        self.backends[instance] = application
+        self.register(instance)
+
+    def _start(
+        self, name: str, role: str, controls: list[int], port: int
+    ) -> Host:
+        near = (IP, configurations.free_port())
+        platform = self._stack.enter_context(
+            proxies.Proxy(near, self._platform)
+        )
+        disk = self._folder / f'{name}.disk'
+        path = self._folder / f'{name}.toml'
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                zone='abc'[len(self.fronts or self.stores) % 3],
+                port=configurations.free_port() - 1,
+                seeds=', '.join(f'"{IP}:{control}"' for control in controls),
+                folder=disk,
+                front=port,
+                ready=configurations.free_port(),
+                control=port,
+                directory=configurations.free_port(),
+                platform=near[1],
+            )
+        )
+        process = lab_processes.LabProcess(
+            name,
+            ['carobfork.roles', role],
+            bundles.Address(IP, port),
+            self._folder / f'{name}.log',
+            variables={'CAROBFORK_SETTINGS': str(path)},
+        )
+        process.start()
+        return Host(process, platform, disk)
--- /dev/null
+++ b/src/carobfork_standins/soak/records.py
@@ -0,0 +1,100 @@
+"""Records: what callers and backend servers saw, and which promises broke."""
+
+import attrs
+
+from carobfork_standins import backends, configurations
+
+PROMISES = frozenset((402, 408, 421, 429, 503))
+"""Statuses that say that a request has not run and never will."""
+
+
+@attrs.frozen
+class Seen:
+    """One request as its caller saw it.
+
+    :param status: 0 where no answer came.
+    :param events: events that the caller was given.
+    """
+
+    attempt: str
+    path: str
+    status: int
+    is_whole: bool
+    events: int = 0
+
+
+@attrs.define
+class Program:
+    """A program, with the history that its caller knows.
+
+    :param turns: attempts of the turns that ended whole, and their chains.
+    """
+
+    name: str
+    budget_tokens: int
+    turns: list[tuple[str, bytes]] = attrs.Factory(list)
+    tokens: int = 0
+
+
+class Records:
+    """Everything that was seen in one soak."""
+
+    def __init__(self) -> None:
+        """Start with nothing seen."""
+        self.broken: list[str] = []
+        self.seen: list[Seen] = []
+
+    def note(self, seen: Seen) -> None:
+        """Note what a caller saw."""
+        self.seen.append(seen)
+
+    def fail(self, promise: str, what: str) -> None:
+        """Note a broken promise."""
+        self.broken.append(f'{promise}: {what}')
+
+    def check_runs(self, served: list[backends.BackendApplication]) -> None:
+        """Check at the end what ran, and how often."""
+        for seen in self.seen:
+            runs = sum(backend.runs[seen.attempt] for backend in served)
+            if seen.path.startswith('/order') and runs > 1:
+                self.fail('at most once', f'{seen} ran {runs} times')
+            if seen.status in PROMISES and runs:
+                self.fail('not run', f'{seen} ran {runs} times')
+
+    def check_budget(self, program: Program, most_tokens: int) -> None:
+        """Check that a program got no more than its budget and one turn."""
+        if program.tokens > program.budget_tokens + most_tokens:
+            self.fail('budget', f'{program.name} got {program.tokens} tokens')
+
+    def check_stream(self, seen: Seen, body: bytes) -> int:
+        """Check a stream's order; return how many events were whole."""
+        numbers = [
+            int(line.partition(b':')[2])
+            for line in body.split(b'\n')
+            if line.startswith(b'id:') and line[3:].strip().isdigit()
+        ]
+        if numbers != list(range(1, len(numbers) + 1)):
+            self.fail('order', f'{seen} had the events {numbers}')
+        if seen.is_whole and len(numbers) != backends.EVENTS:
+            self.fail('whole', f'{seen} ended after {len(numbers)} events')
+        return len(numbers)
+
+    def check_chain(
+        self,
+        attempt: str,
+        expected: bytes,
+        served: list[backends.BackendApplication],
+    ) -> None:
+        """Check that a turn reached its server with its whole chain."""
+        bodies = {
+            backend.bodies[attempt]
+            for backend in served
+            if attempt in backend.bodies
+        }
+        if bodies - {expected}:
+            self.fail('chain', f'{attempt} ran with another history')
+
+
+def tokens_of(events: int) -> int:
+    """Return the tokens that so many events count for."""
+    return events * configurations.STRIDE
--- /dev/null
+++ b/src/carobfork_standins/soak/runs.py
@@ -0,0 +1,102 @@
+"""Runs: one soak by its seed, from the start of the fleet to the verdict."""
+
+import pathlib
+import random
+import tempfile
+
+import attrs
+import gevent
+
+from carobfork_standins.soak import callers, faults, fleets, records
+
+CALLERS = 6
+LONGEST_SECONDS = 2.5
+"""Of one fault; several overlap."""
+GAP_SECONDS = 1.2
+"""The longest between the starts of two faults."""
+RECOVERY_SECONDS = 12
+"""After the last fault everything is served again."""
+
+
+@attrs.frozen
+class Planned:
+    """One fault of a schedule."""
+
+    at_seconds: float
+    kind: str
+    span_seconds: float
+
+
+def plan(seed: int, seconds: float) -> list[Planned]:
+    """Return a seed's schedule: the same for the same seed."""
+    dice = random.Random(seed)
+    kinds = sorted(faults.FAULTS)
+    schedule = []
+    at_seconds = dice.uniform(0, GAP_SECONDS)
+    while at_seconds < seconds:
+        span = dice.uniform(0.1, LONGEST_SECONDS)
+        schedule.append(Planned(at_seconds, dice.choice(kinds), span))
+        at_seconds += dice.uniform(0, GAP_SECONDS)
+    return schedule
+
+
+def run(seed: int, seconds: float) -> records.Records:
+    """Run a seed's schedule and return what was seen."""
+    found = records.Records()
+    with tempfile.TemporaryDirectory() as name:
+        with fleets.Fleet(pathlib.Path(name)) as fleet:
+            _wait(fleet.is_settled, 'the storage group')
+            _disturb(fleet, found, seed, seconds)
+            found.check_runs(list(fleet.backends.values()))
+    return found
+
+
+def _disturb(
+    fleet: fleets.Fleet, found: records.Records, seed: int, seconds: float
+) -> None:
+    dice = random.Random(seed)
+    running = [
+        gevent.spawn(
+            callers.Caller(fleet, found, random.Random(dice.random())).run
+        )
+        for _ in range(CALLERS)
+    ]
+    started = [
+        gevent.spawn_later(
+            fault.at_seconds,
+            faults.FAULTS[fault.kind],
+            fleet,
+            random.Random(dice.random()),
+            fault.span_seconds,
+        )
+        for fault in plan(seed, seconds)
+    ]
+    gevent.joinall(started, raise_error=True)
+    gevent.killall(running)
+    _check_recovery(fleet, found)
+
+
+def _check_recovery(fleet: fleets.Fleet, found: records.Records) -> None:
+    """Check that a program runs through each entry host again."""
+    for name in sorted(fleet.fronts):
+        until = RECOVERY_SECONDS
+        while until > 0 and not _serves(fleet, name):
+            gevent.sleep(0.5)
+            until -= 0.5
+        if until <= 0:
+            found.fail('recovery', f'{name} does not serve')
+
+
+def _serves(fleet: fleets.Fleet, name: str) -> bool:
+    seen = records.Records()
+    caller = callers.Caller(fleet, seen, random.Random(1), only=name)
+    caller.run_program()
+    return not seen.broken and all(
+        request.status in {200, 402} for request in seen.seen
+    )
+
+
+def _wait(condition, what: str) -> None:
+    with gevent.Timeout(RECOVERY_SECONDS, AssertionError(f'no {what}')):
+        while not condition():
+            gevent.sleep(0.1)
--- a/tests/platform_hosts.py
+++ b/tests/platform_hosts.py
@@ -2,37 +2,26 @@
 
 import contextlib
 import itertools
-import socket
 import tempfile
 import time
-import uuid
 
-import attrs
 import gevent
 
-from carobfork.gateway import framing
 from carobfork.platform import settings
 from carobfork.roles import front as front_role
 from carobfork.roles import store as store_role
-from carobfork_standins import object_store
-from tests import backends
+from carobfork_standins import (
+    backends,
+    configurations,
+    object_store,
+    plain_calls,
+)
 
 PORT = 7100
 WAIT_SECONDS = 30
-HOST = 'shop.example'
-ENGINES = 'engines'
-TOOLS = 'tools'
-STRIDE = 10
 _networks = itertools.count(1)
 
 
-def free_port():
-    """Return a loopback port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def wait_until(condition, what='the condition'):
     """Wait until a condition holds, with a generous limit."""
     until = time.monotonic() + WAIT_SECONDS
@@ -42,58 +31,6 @@
         gevent.sleep(0.01)
 
 
-def route(name, prefix, kind, service, **fields):
-    """Return a route as the operator writes it."""
-    return {
-        'Name': name,
-        'Host': HOST,
-        'PathPrefix': prefix,
-        'Kind': kind,
-        'TimeoutMs': 4000,
-        'GoalMs': 500,
-        'Service': service,
-        'RetainS': 60,
-        **fields,
-    }
-
-
-def configuration(version=3, **limits):
-    """Return a configuration with a route of each kind."""
-    return {
-        'Version': version,
-        'Routes': [
-            route('chat', '/chat/', 'stream', ENGINES, Retain=True, Attempts=2),
-            route(
-                'ask', '/ask/', 'stream', ENGINES, Resumable=True, Attempts=2
-            ),
-            route('look', '/look/', 'safe', TOOLS, Attempts=2),
-            route('order', '/order/', 'unsafe', TOOLS, Attempts=1),
-            route('slow', '/order/slow/', 'unsafe', TOOLS, TimeoutMs=300),
-        ],
-        'Services': [
-            {'Name': ENGINES, 'Engine': {'Slots': 4, 'Stride': STRIDE}},
-            {'Name': TOOLS},
-        ],
-        'Limits': {
-            'MaxHeaderBytes': 16384,
-            'MaxBodyBytes': 100_000,
-            'HeaderTimeoutMs': 3000,
-            'IdleTimeoutMs': 15000,
-            **limits,
-        },
-    }
-
-
-@attrs.frozen
-class Answer:
-    """A response that a caller got."""
-
-    status: int
-    head: framing.Head
-    body: bytes
-    is_whole: bool = True
-
-
 class Deployment:
     """Hosts on loopback addresses, as a context manager.
 
@@ -111,17 +48,17 @@
         self._folders = {}
         self._ports = {}
         self._counts = (stores, fronts)
-        self._store_address = ('127.0.0.1', free_port())
+        self._store_address = ('127.0.0.1', configurations.free_port())
 
     def __enter__(self):
         """Start everything and wait until it is ready."""
         stores, fronts = self._counts
         self._store_server = object_store.serve(self.store, self._store_address)
         self._stack.callback(self._store_server.stop, 0)
-        self.store.put('config', 'main', configuration())
+        self.store.put('config', 'main', configurations.configuration())
         for number in range(2):
-            self.add_backend(f'e{number}', ENGINES)
-            self.add_backend(f't{number}', TOOLS)
+            self.add_backend(f'e{number}', configurations.ENGINES)
+            self.add_backend(f't{number}', configurations.TOOLS)
         for number in range(stores):
             self.start_keeper(f'store-{number}')
         self.wait_for_members(stores)
@@ -144,7 +81,7 @@
             'ip': '127.0.0.1',
             'zone': 'a',
             'region': 'r',
-            'inner_ports': (free_port() - 1, 0),
+            'inner_ports': (configurations.free_port() - 1, 0),
             'platform': '{}:{}'.format(*self._store_address),
             'seeds': tuple(self._ports.values()),
         }
@@ -155,9 +92,9 @@
         front = front_role.FrontRole(
             self.settings(
                 name,
-                front=('127.0.0.1', free_port()),
-                ready=('127.0.0.1', free_port()),
-                directory=('127.0.0.1', free_port()),
+                front=('127.0.0.1', configurations.free_port()),
+                ready=('127.0.0.1', configurations.free_port()),
+                directory=('127.0.0.1', configurations.free_port()),
                 **fields,
             )
         )
@@ -176,7 +113,7 @@
             folder = tempfile.TemporaryDirectory()
             self._stack.callback(folder.cleanup)
             self._folders[name] = folder.name
-        self._ports.setdefault(name, ('127.0.0.1', free_port()))
+        self._ports.setdefault(name, ('127.0.0.1', configurations.free_port()))
         keeper = store_role.StoreRole(
             self.settings(
                 name,
@@ -230,7 +167,7 @@
 
     def add_backend(self, instance, service):
         """Start and register a backend server."""
-        address = ('127.0.0.1', free_port())
+        address = ('127.0.0.1', configurations.free_port())
         application = backends.BackendApplication(instance)
         server = backends.serve(application, address)
         self._stack.callback(server.stop, 0)
@@ -258,7 +195,7 @@
     def ask(self, path, front=None, **options):
         """Send a request and return its answer."""
         chosen = self.fronts[front or next(iter(self.fronts))]
-        return ask(chosen.settings.front, path, **options)
+        return plain_calls.ask(chosen.settings.front, path, **options)
 
     def turn(self, program, budget=1000, most=40, **options):
         """Send a turn of a program that keeps its history."""
@@ -272,44 +209,3 @@
         }
         path = options.pop('path', '/chat/1')
         return self.ask(path, headers=headers, method='POST', **options)
-
-
-def new_attempt():
-    """Return a fresh attempt identifier."""
-    return uuid.uuid4().hex[:16]
-
-
-def encode(path, method='GET', headers=None, body=b'', attempt=None):
-    """Return a request's bytes."""
-    fields = {
-        'Host': HOST,
-        'X-Attempt-Id': attempt or new_attempt(),
-        'X-Deadline-Ms': '3000',
-        'Connection': 'close',
-        **(headers or {}),
-    }
-    if body:
-        fields['Content-Length'] = str(len(body))
-    head = framing.encode_head(f'{method} {path} HTTP/1.1', fields.items())
-    return head + body
-
-
-def ask(address, path, **options):
-    """Send a request on a connection of its own."""
-    with contextlib.closing(gevent.socket.create_connection(address)) as sock:
-        sock.settimeout(WAIT_SECONDS)
-        sock.sendall(encode(path, **options))
-        return read_answer(sock)
-
-
-def read_answer(sock):
-    """Read a response, whole or broken off."""
-    reader = framing.Reader(sock)
-    head = reader.read_head(framing.HEAD_BYTES)
-    body = bytearray()
-    try:
-        for piece in reader.pieces(framing.response_shape(head, 'GET')):
-            body.extend(piece)
-    except EOFError:
-        return Answer(int(head.first[1]), head, bytes(body), is_whole=False)
-    return Answer(int(head.first[1]), head, bytes(body))
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -5,6 +5,7 @@
 
 from structlog import testing
 
+from carobfork_standins import configurations, plain_calls
 from tests import platform_hosts
 from tests.platform_hosts import wait_until
 
@@ -53,21 +54,21 @@
         for backend in self.hosts.backends.values():
             backend.faults.full = True
         line = self.ended(
-            platform_hosts.new_attempt(),
+            plain_calls.new_attempt(),
             lambda attempt: self.hosts.ask(
                 '/order/1', method='POST', attempt=attempt
             ),
         )
         self.assertEqual((line['outcome'], line['runs']), ('not_run', 0))
         self.assertIn('overloaded', line['reason'])
-        self.assertIn(platform_hosts.TOOLS, line['reason'])
+        self.assertIn(configurations.TOOLS, line['reason'])
 
     def test_answered_with_bad_gateway(self):
         """The line names the worker and what broke."""
         for backend in self.hosts.backends.values():
             backend.faults.drop_answer = True
         line = self.ended(
-            platform_hosts.new_attempt(),
+            plain_calls.new_attempt(),
             lambda attempt: self.hosts.ask(
                 '/order/1', method='POST', attempt=attempt
             ),
@@ -80,7 +81,7 @@
         """The line tells an unknown turn from store hosts out of reach."""
         headers = {'X-Previous-Turn': 'never'}
         line = self.ended(
-            platform_hosts.new_attempt(),
+            plain_calls.new_attempt(),
             lambda attempt: self.hosts.turn(
                 'p1', headers=headers, attempt=attempt
             ),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,8 +15,7 @@
     settings,
 )
 from carobfork.storage import groups
-from carobfork_standins import object_store
-from tests import platform_hosts
+from carobfork_standins import configurations, object_store
 
 SETTINGS = """
 NodeName = "store-b-1"
@@ -148,8 +147,8 @@
 
     def test_routes(self):
         """Kinds, times and what may be repeated."""
-        table = decoding.decode_table(platform_hosts.configuration())
-        chat = table.match(platform_hosts.HOST, '/chat/x')
+        table = decoding.decode_table(configurations.configuration())
+        chat = table.match(configurations.HOST, '/chat/x')
         self.assertEqual(chat.kind, routes.Kind.stream)
         self.assertTrue(chat.is_retained)
         self.assertFalse(chat.is_repeatable)
@@ -157,12 +156,12 @@
         slow = table.match('SHOP.example:80', '/order/slow/1')
         self.assertEqual((slow.name, slow.timeout_ms), ('slow', 300))
         self.assertIsNone(table.match('other.example', '/chat/x'))
-        self.assertTrue(table.match(platform_hosts.HOST, '/ask/').is_repeatable)
+        self.assertTrue(table.match(configurations.HOST, '/ask/').is_repeatable)
         self.assertEqual(table.limits.body_bytes, 100_000)
 
     def test_split_routes(self):
         """Weights divide a route's requests; a weight of 0 gets none."""
-        spec = platform_hosts.configuration()
+        spec = configurations.configuration()
         spec['Routes'][0].pop('Service')
         spec['Routes'][0]['Backends'] = [
             {'Service': 'a', 'Weight': 0},
@@ -174,7 +173,7 @@
 
     def test_a_route_that_cannot_be_read(self):
         """One unreadable route leaves the others in force."""
-        spec = platform_hosts.configuration()
+        spec = configurations.configuration()
         spec['Routes'][0] = {'Name': 'odd'}
         self.assertEqual(len(decoding.decode_table(spec).routes), 4)
         with self.assertRaises(exceptions.SettingsError):
@@ -187,7 +186,7 @@
     def setUp(self):
         """Start a store."""
         self.stored = object_store.ObjectStoreApplication()
-        address = ('127.0.0.1', platform_hosts.free_port())
+        address = ('127.0.0.1', configurations.free_port())
         server = object_store.serve(self.stored, address)
         self.addCleanup(server.stop, 0)
         self.store = objects.ObjectStore('{}:{}'.format(*address))
@@ -243,7 +242,7 @@
         self.stored.faults.down = True
         with self.assertRaises(exceptions.PlatformError):
             self.store.list('servers')
-        gone = objects.ObjectStore(f'127.0.0.1:{platform_hosts.free_port()}')
+        gone = objects.ObjectStore(f'127.0.0.1:{configurations.free_port()}')
         with self.assertRaises(exceptions.PlatformError):
             gone.list('servers')
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from carobfork_standins import configurations, plain_calls
 from tests import platform_hosts
 from tests.platform_hosts import wait_until
 
@@ -42,7 +43,7 @@
 
     def test_a_call_reaches_its_service_unchanged(self):
         """The longest prefix routes; body and signature stay as they are."""
-        attempt = platform_hosts.new_attempt()
+        attempt = plain_calls.new_attempt()
         answer = self.hosts.ask(
             '/order/7?a=b', method='POST', body=b'{}', attempt=attempt
         )
@@ -57,7 +58,7 @@
 
     def test_headers_of_the_system_are_not_the_callers(self):
         """What only the system may set does not pass."""
-        attempt = platform_hosts.new_attempt()
+        attempt = plain_calls.new_attempt()
         headers = {'X-Hold': 'h', 'Kv-From': 'a', 'X-Expect-Instance': 'e9'}
         answer = self.hosts.ask('/look/1', headers=headers, attempt=attempt)
         self.assertEqual(answer.status, 200)
@@ -76,10 +77,10 @@
 
     def test_a_turn_gets_its_history(self):
         """The backend gets inputs and outputs before, then the new input."""
-        first = platform_hosts.new_attempt()
+        first = plain_calls.new_attempt()
         answer = self.hosts.turn('p1', body=b'one', attempt=first)
         self.assertTrue(answer.is_whole)
-        second = platform_hosts.new_attempt()
+        second = plain_calls.new_attempt()
         headers = {'X-Previous-Turn': first}
         self.hosts.turn('p1', body=b'two', attempt=second, headers=headers)
         bodies = [
@@ -90,7 +91,7 @@
 
     def test_an_unknown_turn(self):
         """A turn that never was is answered 404 and reaches no backend."""
-        attempt = platform_hosts.new_attempt()
+        attempt = plain_calls.new_attempt()
         headers = {'X-Previous-Turn': 'never'}
         answer = self.hosts.turn('p2', attempt=attempt, headers=headers)
         self.assertEqual(answer.status, 404)
@@ -99,7 +100,7 @@
     def test_a_broken_turn_is_not_kept(self):
         """A stream that breaks off ends visibly and can't be continued."""
         self.set_faults('e', break_after=2)
-        attempt = platform_hosts.new_attempt()
+        attempt = plain_calls.new_attempt()
         answer = self.hosts.turn('p3', body=b'x', attempt=attempt)
         self.assertFalse(answer.is_whole)
         self.tearDown()
@@ -127,7 +128,7 @@
 
     def test_resumed_streams_have_no_seam(self):
         """A resumable stream goes on elsewhere behind its last event."""
-        attempt = platform_hosts.new_attempt()
+        attempt = plain_calls.new_attempt()
         self.set_faults('e0', break_after=2)
         self.set_faults('e1', break_after=3)
         answer = self.hosts.turn('p6', path='/ask/1', attempt=attempt)
@@ -140,7 +141,7 @@
     def test_an_unsafe_call_is_sent_once(self):
         """A lost answer is reported as unknown and not sent again."""
         self.set_faults('t', stray_attempt='other')
-        attempt = platform_hosts.new_attempt()
+        attempt = plain_calls.new_attempt()
         answer = self.hosts.ask('/order/1', method='POST', attempt=attempt)
         self.assertEqual(answer.status, 504)
         self.assertEqual(self.hosts.runs(attempt), 1)
@@ -148,7 +149,7 @@
     def test_a_safe_call_is_repeated(self):
         """A safe call goes to another backend when the first one fails."""
         self.set_faults('t', drop_answer=True)
-        attempt = platform_hosts.new_attempt()
+        attempt = plain_calls.new_attempt()
         answer = self.hosts.ask('/look/1', attempt=attempt)
         self.assertEqual(answer.status, 502)
         self.assertEqual(self.hosts.runs(attempt), 2)
@@ -156,7 +157,7 @@
     def test_full_backends_refuse_truly(self):
         """A refusal says when to come back, and nothing has run."""
         self.set_faults('t', full=True)
-        attempt = platform_hosts.new_attempt()
+        attempt = plain_calls.new_attempt()
         answer = self.hosts.ask('/order/1', method='POST', attempt=attempt)
         self.assertEqual(answer.status, 429)
         self.assertGreater(float(answer.head.get('retry-after')), 0)
@@ -173,13 +174,13 @@
         self.set_faults('e', delay_ms=300)
         address = self.hosts.address('front-0')
         before = self.cancelled()
-        attempt = platform_hosts.new_attempt()
+        attempt = plain_calls.new_attempt()
         headers = {'Accept': 'text/event-stream'}
         with contextlib.closing(
             gevent.socket.create_connection(address)
         ) as sock:
             sock.sendall(
-                platform_hosts.encode(
+                plain_calls.encode(
                     '/ask/1', method='POST', headers=headers, attempt=attempt
                 )
             )
@@ -194,7 +195,7 @@
         front = self.hosts.fronts['front-0']
         self.hosts.ask('/look/1')
         address = ('127.0.0.1', front.settings.inner_ports[0] + 1)
-        text = platform_hosts.ask(address, '/metrics').body.decode()
+        text = plain_calls.ask(address, '/metrics').body.decode()
         self.assertIn('carobfork_ready 1', text)
         self.assertIn('carobfork_configuration_version 3', text)
         self.assertIn('carobfork_request_ms_bucket{le="+Inf"}', text)
@@ -203,7 +204,7 @@
 
     def test_two_lengths_are_refused(self):
         """A request that could hide another one is not passed on."""
-        attempt = platform_hosts.new_attempt()
+        attempt = plain_calls.new_attempt()
         headers = {'Content-Length': '3', 'Transfer-Encoding': 'chunked'}
         answer = self.hosts.ask('/order/1', headers=headers, attempt=attempt)
         self.assertEqual(answer.status, 400)
@@ -221,7 +222,7 @@
     def test_draining_backends_get_nothing(self):
         """A backend that leaves gets no new call."""
         with platform_hosts.Deployment(stores=2) as hosts:
-            hosts.register('t0', platform_hosts.TOOLS, State='draining')
+            hosts.register('t0', configurations.TOOLS, State='draining')
             table = hosts.fronts['front-0'].table
             wait_until(lambda: table.get('t0').entry.is_draining, 'the drain')
             for _ in range(6):
@@ -234,7 +235,7 @@
             hosts.store.put('servers', 'odd', {'Service': 5, 'Slots': 'many'})
             hosts.store.put('servers', 'worse', 'no map')
             hosts.store.put('servers', 'list', [1])
-            hosts.add_backend('t9', platform_hosts.TOOLS)
+            hosts.add_backend('t9', configurations.TOOLS)
             table = hosts.fronts['front-0'].table
             wait_until(lambda: table.get('t9'), 'the new backend')
             self.assertIsNone(table.get('odd'))
@@ -244,11 +245,11 @@
         """A newer configuration is taken at once, an older one never."""
         with platform_hosts.Deployment(stores=2) as hosts:
             front = hosts.fronts['front-0']
-            hosts.store.put('config', 'main', platform_hosts.configuration(9))
+            hosts.store.put('config', 'main', configurations.configuration(9))
             wait_until(lambda: front.relay.routes.version == 9, 'version 9')
-            hosts.store.put('config', 'main', platform_hosts.configuration(4))
+            hosts.store.put('config', 'main', configurations.configuration(4))
             hosts.store.compact()
-            hosts.add_backend('t9', platform_hosts.TOOLS)
+            hosts.add_backend('t9', configurations.TOOLS)
             wait_until(lambda: front.table.get('t9'), 'the new backend')
             self.assertEqual(front.relay.routes.version, 9)
 
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from carobfork_standins import configurations, plain_calls
 from tests import platform_hosts
 from tests.platform_hosts import wait_until
 
@@ -13,7 +14,7 @@
 
     def keep(self, hosts, program='p1', previous='', body=b'kept', **options):
         """Run a turn that is kept and return its attempt."""
-        attempt = platform_hosts.new_attempt()
+        attempt = plain_calls.new_attempt()
         headers = {'X-Previous-Turn': previous} if previous else {}
         answer = hosts.turn(
             program, body=body, attempt=attempt, headers=headers, **options
@@ -71,7 +72,7 @@
         with platform_hosts.Deployment() as hosts:
             hosts.stop_keeper('store-1')
             hosts.stop_keeper('store-2')
-            attempt = platform_hosts.new_attempt()
+            attempt = plain_calls.new_attempt()
             answer = hosts.turn('p1', attempt=attempt)
             self.assertEqual(answer.status, 503)
             self.assertEqual(hosts.runs(attempt), 0)
@@ -169,7 +170,7 @@
         with platform_hosts.Deployment(stores=2) as hosts:
             hosts.stop_keeper('store-0')
             cut_off = hosts.start_keeper('store-0', platform='127.0.0.1:9')
-            hosts.store.put('config', 'main', platform_hosts.configuration(9))
+            hosts.store.put('config', 'main', configurations.configuration(9))
             known = hosts.store.get('config', 'main')['Metadata']['Rev']
             wait_until(
                 lambda: (
