Keep calls that run once away from servers that have just failed

Change: for 5 s after a failure, seen here or told by any other host, such calls go elsewhere where a slot is free. Test seen failing: a, b, a.

--- a/src/carobfork/gateway/desks.py
+++ b/src/carobfork/gateway/desks.py
@@ -104,9 +104,7 @@
 
     def preview(self, ticket: Ticket) -> str:
         """Return the server that a call would get now, if any."""
-        worker = self._policy(
-            ticket.call, self._candidates(ticket), self._timer.now_ms()
-        )
+        worker = self._choose(ticket)
         return worker.instance if worker else ''
 
     def withdraw(self, ticket: Ticket) -> None:
@@ -167,10 +165,25 @@
         return usable
 
     def _grant(self, ticket: Ticket) -> bool:
-        worker = self._policy(
-            ticket.call, self._candidates(ticket), self._timer.now_ms()
-        )
-        return self._take(ticket, worker)
+        return self._take(ticket, self._choose(ticket))
+
+    def _choose(self, ticket: Ticket) -> workers.Worker | None:
+        """Return the server for a call, or nothing where all are full.
+
+        A call that may not run twice is no test of a server that has just
+        failed: where it breaks off, nobody knows whether it ran.
+        """
+        now_ms = self._timer.now_ms()
+        candidates = self._candidates(ticket)
+        chosen = None
+        if not ticket.route.is_repeatable:
+            trusted = [
+                worker
+                for worker in candidates
+                if not worker.is_doubtful(now_ms)
+            ]
+            chosen = self._policy(ticket.call, trusted, now_ms)
+        return chosen or self._policy(ticket.call, candidates, now_ms)
 
     def _overflow_or_refuse(self, ticket: Ticket) -> None:
         worker = placements.place_overflow(
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -29,6 +29,9 @@
 """Other hosts that must suspect a server: one alone may be cut off from it."""
 OWN_WORD_MS = 500
 """A call that a server has just served says more than what others suspect."""
+DOUBT_MS = 5000
+"""After a failure, seen here or by any other host: servers that go down and
+up by turns fail again within a few seconds."""
 COUNT_FRESH_MS = 250
 """A count of open turns stands against sums that are older than a beat."""
 _DOUBLINGS = 5
@@ -67,6 +70,8 @@
     :param counted_ms: when its open turns were last counted.
     :param served_ms: when it last served a call of this host.
     :param suspected_ms: when enough other hosts last suspected it.
+    :param doubted_ms: when it last failed a call of this host, or was
+        suspected by any other.
     """
 
     entry: Entry
@@ -81,6 +86,7 @@
     counted_ms: float = NEVER_MS
     served_ms: float = NEVER_MS
     suspected_ms: float = NEVER_MS
+    doubted_ms: float = NEVER_MS
     mean_ms: float = 0
     is_near: bool = False
 
@@ -107,6 +113,10 @@
         is_suspected = now_ms - self.suspected_ms < SHARED_FRESH_MS
         return is_suspected and now_ms - self.served_ms > OWN_WORD_MS
 
+    def is_doubtful(self, now_ms: float) -> bool:
+        """Tell whether calls that run at most once should go elsewhere."""
+        return now_ms - self.doubted_ms < DOUBT_MS
+
     def note_success(self, duration_ms: float, now_ms: float) -> None:
         """Count a call that was served."""
         self.served_ms = now_ms
@@ -122,6 +132,7 @@
         doublings = min(self.failures, _DOUBLINGS)
         pause_ms = min(FIRST_AVOID_MS * 2**doublings, LONGEST_AVOID_MS)
         self.failures += 1
+        self.doubted_ms = now_ms
         self.avoided_until_ms = now_ms + pause_ms
         logger.info(
             'worker avoided',
@@ -229,10 +240,11 @@
         """Take how many other hosts each server has failed."""
         now_ms = self._timer.now_ms()
         for worker in self._workers.values():
-            if suspects.get(worker.instance, 0) >= SUSPECTING_HOSTS:
-                worker.suspected_ms = now_ms
-            else:
-                worker.suspected_ms = NEVER_MS
+            count = suspects.get(worker.instance, 0)
+            is_suspected = count >= SUSPECTING_HOSTS
+            worker.suspected_ms = now_ms if is_suspected else NEVER_MS
+            if count:
+                worker.doubted_ms = now_ms
 
     def suspects(self) -> list[str]:
         """Return the servers that have just failed calls of this host."""
--- a/src/carobfork_standins/soak/callers.py
+++ b/src/carobfork_standins/soak/callers.py
@@ -13,6 +13,7 @@
 PAUSE_SECONDS = 0.05
 DEADLINE_SECONDS = 5
 """Beyond the longest time of a route."""
+_NO_ANSWER = (OSError, EOFError, AttributeError, gevent.Timeout)
 _OK = 200
 _NOT_FOUND = 404
 _EVENTS = b''.join(
@@ -98,8 +99,8 @@
                     body=body,
                     attempt=attempt,
                 )
-        except (OSError, EOFError, AttributeError, gevent.Timeout):
-            # No answer at all: the host was killed, paused or starting.
+        except _NO_ANSWER:
+            # The host was killed, paused, or is starting.
             seen = records.Seen(attempt, path, 0, is_whole=False)
         else:
             seen = records.Seen(attempt, path, answer.status, answer.is_whole)
--- a/src/carobfork_standins/soak/faults.py
+++ b/src/carobfork_standins/soak/faults.py
@@ -205,7 +205,7 @@
     """Let a backend server's streams break off, or its answers be lost."""
     backend = fleet.backends[dice.choice(sorted(fleet.backends))]
     backend.faults.break_after = dice.randrange(4)
-    backend.faults.drop_answer = dice.random() < 0.5
+    backend.faults.drop_answer = dice.choice((True, False))
     gevent.sleep(span)
     backend.faults.break_after = None
     backend.faults.drop_answer = False
--- a/src/carobfork_standins/soak/proxies.py
+++ b/src/carobfork_standins/soak/proxies.py
@@ -70,19 +70,14 @@
     def _pump(
         self, source: socket.socket, sink: socket.socket, is_answer: bool
     ) -> None:
-        try:
-            while True:
+        """Pass bytes on one way until either side ends."""
+        with contextlib.suppress(OSError):
+            received = source.recv(_READ_BYTES)
+            while received:
+                gevent.sleep(self.faults.delay_seconds)
+                if not (is_answer and self.faults.is_silent):
+                    sink.sendall(received)
                 received = source.recv(_READ_BYTES)
-                if self.faults.delay_seconds:
-                    gevent.sleep(self.faults.delay_seconds)
-                if is_answer and self.faults.is_silent:
-                    continue
-                if not received:
-                    break
-                sink.sendall(received)
-        except OSError:
-            # One side has ended; so does the other.
-            received = b''
         for sock in (source, sink):
             self._open.discard(sock)
             with contextlib.suppress(OSError):
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -322,6 +322,22 @@
         self.desk.release(self.table.get('a'), 100)
         self.assertEqual(self.names(), ['in time'])
 
+    def test_calls_that_run_once_test_no_server(self):
+        """After a failure safe calls go there first, others if it must be."""
+        failed = self.table.get('a')
+        failed.note_failure(self.timer.now_ms())
+        self.timer.advance(workers.FIRST_AVOID_MS)
+        unsafe = make_route(kind=routes.Kind.unsafe)
+        chosen = []
+        for number in range(3):
+            call = calls.Call(str(number))
+            self.desk.submit(desks.Ticket(call, unsafe, 3000, chosen.append))
+        names = [worker.instance for worker in chosen]
+        self.assertEqual(names, ['b', 'b', 'a'])
+        self.assertTrue(failed.is_doubtful(self.timer.now_ms()))
+        self.timer.advance(workers.DOUBT_MS)
+        self.assertFalse(failed.is_doubtful(self.timer.now_ms()))
+
     def test_queues_of_other_hosts_count(self):
         """A call is refused for what waits at other hosts, too."""
         self.fill()
