--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,143 @@
+"""Soak: its schedule, its proxy, its checks, and one short run."""
+
+import contextlib
+import subprocess
+import sys
+import unittest
+
+import gevent
+from gevent import server, socket
+
+from carobfork_standins import backends, configurations
+from carobfork_standins.soak import proxies, records, runs
+
+SEED = 1
+SECONDS = 6
+LIMIT_SECONDS = 300
+
+
+class ScheduleTest(unittest.TestCase):
+    """What a seed leads to."""
+
+    def test_one_seed_is_one_schedule(self):
+        """The same seed plans the same faults, another one others."""
+        self.assertEqual(runs.plan(SEED, 30), runs.plan(SEED, 30))
+        self.assertNotEqual(runs.plan(SEED, 30), runs.plan(SEED + 1, 30))
+
+
+class ProxyTest(unittest.TestCase):
+    """A proxy before a server that sends back what it gets."""
+
+    def setUp(self):
+        """Start both."""
+        stack = contextlib.ExitStack()
+        self.addCleanup(stack.close)
+        target = ('127.0.0.1', configurations.free_port())
+        echo = server.StreamServer(target, self.echo)
+        echo.start()
+        stack.callback(echo.stop, 0)
+        self.address = ('127.0.0.1', configurations.free_port())
+        self.proxy = stack.enter_context(proxies.Proxy(self.address, target))
+        self.heard = []
+        self.sock = socket.create_connection(self.address, timeout=30)
+        stack.callback(self.sock.close)
+
+    def echo(self, sock, _address):
+        """Send back what comes."""
+        received = sock.recv(100)
+        while received:
+            self.heard.append(received)
+            sock.sendall(received)
+            received = sock.recv(100)
+
+    def test_bytes_pass(self):
+        """Both ways."""
+        self.sock.sendall(b'x')
+        self.assertEqual(self.sock.recv(1), b'x')
+
+    def test_silence_is_one_way(self):
+        """The server hears the caller, who hears nothing."""
+        self.proxy.faults.is_silent = True
+        self.sock.sendall(b'x')
+        with gevent.Timeout(30):
+            while not self.heard:
+                gevent.sleep(0.01)
+        self.proxy.reset()
+        with contextlib.suppress(OSError):
+            self.assertEqual(self.sock.recv(1), b'')
+
+    def test_a_cut(self):
+        """New connections end without a byte."""
+        self.proxy.faults.is_cut = True
+        with (
+            contextlib.closing(
+                socket.create_connection(self.address, timeout=30)
+            ) as sock,
+            contextlib.suppress(OSError),
+        ):
+            self.assertEqual(sock.recv(1), b'')
+
+
+class ChecksTest(unittest.TestCase):
+    """Each check finds what it is for."""
+
+    def setUp(self):
+        """Start with nothing seen."""
+        self.found = records.Records()
+        self.backend = backends.BackendApplication('e0')
+
+    def broken(self):
+        """Return the promises that were broken."""
+        return [line.partition(':')[0] for line in self.found.broken]
+
+    def test_what_ran(self):
+        """Calls that ran twice, and refusals of calls that ran."""
+        self.found.note(records.Seen('a', '/order/1', 200, is_whole=True))
+        self.found.note(records.Seen('b', '/look/1', 503, is_whole=True))
+        self.backend.runs.update({'a': 2, 'b': 1})
+        self.found.check_runs([self.backend])
+        self.assertEqual(self.broken(), ['at most once', 'not run'])
+
+    def test_budgets(self):
+        """More than the budget and one turn."""
+        program = records.Program('p', 100, tokens=141)
+        self.found.check_budget(program, 40)
+        self.assertEqual(self.broken(), ['budget'])
+
+    def test_streams(self):
+        """Events out of order, and an early end that looks whole."""
+        seen = records.Seen('a', '/chat/1', 200, is_whole=True)
+        self.found.check_stream(seen, b'id: 1\n\nid: 3\n\n')
+        self.assertEqual(self.broken(), ['order', 'whole'])
+
+    def test_chains(self):
+        """Another history than the caller's."""
+        self.backend.bodies['a'] = b'other'
+        self.found.check_chain('a', b'own', [self.backend])
+        self.assertEqual(self.broken(), ['chain'])
+
+
+class RunTest(unittest.TestCase):
+    """The real programs, disturbed for some seconds."""
+
+    def test_a_short_run(self):
+        """No promise is broken."""
+        words = (str(SEED), '1', str(SECONDS))
+        done = subprocess.run(
+            [sys.executable, '-m', 'carobfork_standins.soak', *words],
+            capture_output=True,
+            text=True,
+            timeout=LIMIT_SECONDS,
+        )
+        self.assertEqual(done.returncode, 0, done.stdout)
+        self.assertIn('0 promises broken', done.stdout)
+
+    def test_wrong_words(self):
+        """Nothing is started."""
+        done = subprocess.run(
+            [sys.executable, '-m', 'carobfork_standins.soak', 'x'],
+            capture_output=True,
+            text=True,
+        )
+        self.assertEqual(done.returncode, 2)
+        self.assertIn('usage', done.stderr)
