Read a chain's parts while the storage group changes

Cause: KNOWN-RED's test_one_lost_disk_at_a_time. In each failing log the members had adopted the group's next epoch some ms before the entry host, and refused to return a part of a chain because of the old epoch; the turn was refused as out of reach. Change: an entry host adopts a newer group from such a refusal, sends its own to a member that is behind, and asks again for up to 400 ms. Requests are composed anew after a change, so that the nearest member of the new group returns the chain. An operation on all members is a module of its own.

--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -6,16 +6,15 @@
 """
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
 import gevent
 import structlog
-from gevent import queue
 
 from carobfork import clock, exceptions
-from carobfork.storage import groups, links, messages
+from carobfork.storage import groups, links, messages, operations
 
 OPERATION_TIMEOUT_MS = 1200
 """Bound on one operation; exceeds the silence that marks a link as lost."""
@@ -29,6 +28,10 @@
 CHAIN_PART_TIMEOUT_MS = 300
 """Timeout of one chain part. It covers many round trips; a slower member is
 skipped, because another one may hold the part."""
+CHAIN_RETRY_WINDOW_MS = 400
+"""Time in which a part that no member returns is asked for again. A member that
+joins or reconnects takes that long; later the caller is refused, because
+another entry host may reach more members."""
 EPOCH_POLL_INTERVAL_MS = 50
 """How often a pending operation checks whether the group has changed."""
 MAX_SETTLE_TRIES = 4
@@ -103,19 +106,24 @@
         :raises UnknownProgramError: if no member of the quorum knows the
             previous turn.
         """
-        nearest = self.nearest_disk()
-        quorum_replies = self._run_operation(
-            {
+
+        def compose() -> dict[str, Any]:  # noqa: WPS430
+            nearest = self.nearest_disk()
+            return {
                 disk: attrs.evolve(message, wants_details=disk == nearest)
                 for disk in self.group.all_members()
-            },
+            }
+
+        quorum_replies = self._run_operation(
+            compose,
             is_read=True,
             until_ms=self._links.last_disconnect_ms + BEGIN_RETRY_WINDOW_MS,
         )
         merged = _merge_replies(quorum_replies.replies.values())
         if not merged.knows_previous:
             raise exceptions.UnknownProgramError('no such turn', step=_STEP)
-        return attrs.evolve(merged, chain=self._complete_chain(merged))
+        older = self.read_chain(merged.missing)
+        return attrs.evolve(merged, chain=older + merged.chain)
 
     def finish(self, message: messages.Finish) -> None:
         """Store a turn and settle its attempt.
@@ -123,7 +131,7 @@
         :raises NotRunError: if too few members have synced the records.
         """
         self._run_operation(
-            {disk: message for disk in self.group.all_members()},
+            lambda: dict.fromkeys(self.group.all_members(), message),
             is_read=False,
             until_ms=self._timer.now_ms() + OPERATION_TIMEOUT_MS,
         )
@@ -151,7 +159,9 @@
         Returns without waiting for replies.
         """
         for link in self._links.all():
-            link.send_request(messages.Place(attempt, worker), _ignore_reply)
+            link.send_request(
+                messages.Place(attempt, worker), operations.ignore_reply
+            )
 
     def nearest_disk(self) -> str:
         """Return the preferred disk for requests that need only one member.
@@ -170,32 +180,37 @@
         disks = [link.member.disk for link in same_zone or usable]
         return min(disks, key=self._preference, default='')
 
-    def _preference(self, disk: str) -> int:
-        """Return a disk's position in this host's order of preference."""
-        return zlib.crc32(disk.encode(), zlib.crc32(self._node.encode()))
-
-    def _complete_chain(self, begun: messages.Begun) -> bytes:
-        """Return a whole chain, read from several members if necessary.
+    def read_chain(self, turn: str) -> bytes:
+        """Return a turn and all turns before it, oldest first.
 
-        A member lacks the turns that were written while it was down, so it
-        can be that no single member holds the whole chain.
+        They are read from several members if necessary. A member lacks the
+        turns that were written while it was down, so it can be that no single
+        member holds the whole chain.
 
+        :param turn: the attempt of the last turn; may be empty.
         :raises NotRunError: if no reachable member holds one of the turns.
         """
-        parts = [begun.chain]
-        missing = begun.missing
-        while missing:
-            found = self._fetch_chain_part(missing)
-            if found is None:
+        parts: list[bytes] = []
+        until_ms = self._timer.now_ms() + CHAIN_RETRY_WINDOW_MS
+        while turn:
+            found = self._fetch_chain_part(turn)
+            if found:
+                parts.append(found.chain)
+                turn = found.missing
+            elif self._timer.now_ms() > until_ms:
                 raise exceptions.NotRunError(
-                    f'turn {missing} is out of reach',
+                    f'turn {turn} is out of reach',
                     step=_STEP,
                     retry_after_ms=RETRY_AFTER_MS,
                 )
-            parts.append(found.chain)
-            missing = found.missing
+            else:
+                gevent.sleep(clock.to_seconds(EPOCH_POLL_INTERVAL_MS))
         return b''.join(reversed(parts))
 
+    def _preference(self, disk: str) -> int:
+        """Return a disk's position in this host's order of preference."""
+        return zlib.crc32(disk.encode(), zlib.crc32(self._node.encode()))
+
     def _fetch_chain_part(self, turn: str) -> messages.Begun | None:
         """Return a turn and its predecessors from any member that has it."""
         request = messages.Begin(None, previous=turn, wants_details=True)
@@ -205,18 +220,35 @@
                 reply = link.request(request, CHAIN_PART_TIMEOUT_MS)
             except exceptions.ConnectionFailedError as error:
                 logger.info('chain not read', turn=turn, reason=str(error))
-            if isinstance(reply, messages.Begun) and reply.knows_previous:
+            if isinstance(reply, messages.Refused):
+                self._align_epochs(link, reply)
+            elif isinstance(reply, messages.Begun) and reply.knows_previous:
                 return reply
         return None
 
+    def _align_epochs(
+        self, link: links.Link, refused: messages.Refused
+    ) -> None:
+        """Adopt a member's newer group, or send it the one known here."""
+        if refused.reason == 'stale':
+            self.apply(refused.group)
+        elif refused.reason == 'behind':
+            link.send_request(
+                messages.Adopt(self.group), operations.ignore_reply
+            )
+
     def _run_operation(
-        self, requests: dict[str, Any], is_read: bool, until_ms: float
+        self,
+        compose: Callable[[], dict[str, Any]],
+        is_read: bool,
+        until_ms: float,
     ) -> QuorumReplies:
         """Send requests until a quorum replies.
 
         The requests are sent again if the group or the links change.
 
-        :param requests: the request to each member, by disk.
+        :param compose: returns the request to each member of the group that
+            is known at the time, by disk.
         :param is_read: whether a read quorum is needed as well.
         :param until_ms: latest time to wait for such a change.
         :raises NotRunError: if no quorum replies in time.
@@ -225,8 +257,8 @@
         while True:
             self._links.wait_for_opening()
             epoch = self.group.epoch
-            operation = _Operation(self.group, self._losses, is_read)
-            operation.send(self._links, requests)
+            operation = operations.Operation(self.group, self._losses, is_read)
+            operation.send(self._links, compose())
             if self._await_quorum(
                 operation, epoch, started_ms + OPERATION_TIMEOUT_MS
             ):
@@ -240,7 +272,6 @@
                     step=_STEP,
                     retry_after_ms=RETRY_AFTER_MS,
                 )
-            requests = _retarget(requests, self.group)
 
     def _wait_for_change(self, epoch: int, until_ms: float) -> bool:
         """Return whether a newer group or another link came up in time."""
@@ -256,7 +287,7 @@
         return True
 
     def _await_quorum(
-        self, operation: '_Operation', epoch: int, until_ms: float
+        self, operation: operations.Operation, epoch: int, until_ms: float
     ) -> bool:
         """Return whether a quorum replied before the group changed."""
         while not operation.wait(EPOCH_POLL_INTERVAL_MS):
@@ -267,103 +298,6 @@
         return True
 
 
-def _retarget(requests: dict[str, Any], group: groups.Group) -> dict[str, Any]:
-    """Return the requests addressed to the members of another group."""
-    sample = next(iter(requests.values()), None)
-    return {disk: requests.get(disk, sample) for disk in group.all_members()}
-
-
-def _ignore_reply(_reply: Any) -> None:
-    """Discard a reply that carries no information."""
-
-
-class _Operation:
-    """One request to all members, pending until a quorum has replied."""
-
-    def __init__(self, group: groups.Group, losses: int, is_read: bool) -> None:
-        self.replies: dict[str, Any] = {}
-        self.refused: dict[str, messages.Refused] = {}
-        self._is_outdated = False
-        self._requests: dict[str, tuple[links.Link, Any]] = {}
-        self._failed: set[str] = set()
-        self._is_read = is_read
-        self._group = group
-        self._quorum = groups.Quorum(group, losses)
-        self._inbox: queue.Queue = queue.Queue()
-
-    def send(self, member_links: links.Links, requests: dict[str, Any]) -> None:
-        for disk, request in requests.items():
-            link = member_links.get(disk)
-            if link is None:
-                self._inbox.put((disk, None))
-            else:
-                self._requests[disk] = (link, request)
-                link.send_request(request, self._reply_callback(disk))
-
-    def wait(self, span_ms: float) -> bool:
-        """Wait for replies and return whether they form a quorum.
-
-        Returns early if a quorum can't be reached any more.
-
-        :param span_ms: longest wait for each reply.
-        """
-        while not self._has_quorum():
-            if self.cannot_succeed():
-                return False
-            try:
-                self._handle_reply(
-                    *self._inbox.get(timeout=clock.to_seconds(span_ms))
-                )
-            except queue.Empty:
-                return False
-        return True
-
-    def cannot_succeed(self) -> bool:
-        """Return whether too many members failed or one has a newer group."""
-        return self._is_outdated or self._quorum.is_lost(self._failed)
-
-    def describe(self) -> str:
-        """Return a summary of the replies for an error message."""
-        reasons = {
-            disk: refused.reason for disk, refused in self.refused.items()
-        }
-        return (
-            f'epoch {self._group.epoch}, {len(self.replies)} answered, '
-            f'{len(self._failed)} failed, refused {reasons}'
-        )
-
-    def _has_quorum(self) -> bool:
-        if self._is_read and not self._quorum.is_read_quorum(set(self.replies)):
-            return False
-        return self._quorum.is_write_quorum(set(self.replies))
-
-    def _reply_callback(self, disk: str):
-        return lambda reply: self._inbox.put((disk, reply))
-
-    def _handle_reply(self, disk: str, reply: Any) -> None:
-        if isinstance(reply, messages.Refused):
-            self._handle_refusal(disk, reply)
-        elif reply is None:
-            self._failed.add(disk)
-        else:
-            self.replies[disk] = reply
-
-    def _handle_refusal(self, disk: str, refused: messages.Refused) -> None:
-        """Retry once with a member that was behind; otherwise count a failure.
-
-        A member that is behind is sent the group first.
-        """
-        is_first = disk not in self.refused
-        self.refused[disk] = refused
-        if refused.reason == 'behind' and is_first:
-            link, request = self._requests[disk]
-            link.send_request(messages.Adopt(self._group), _ignore_reply)
-            link.send_request(request, self._reply_callback(disk))
-            return
-        self._is_outdated = refused.reason == 'stale'
-        self._failed.add(disk)
-
-
 def _merge_replies(replies: Iterable[messages.Begun]) -> messages.Begun:
     """Merge the replies of all members; the longest chain is kept."""
     charges: dict[str, tuple[int, bool]] = {}
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 import gevent
 
 from tests import configurations, plain_calls, platform_hosts
@@ -182,6 +183,32 @@
             expected = b'one%btwo%bthree' % (output, output)
             self.assertIn(expected, bodies)
 
+    def test_a_chain_read_while_the_group_changes(self):
+        """A part of a chain is found although the members have a newer group.
+
+        Entry hosts learn of a new group some time after its members; until
+        then the members refuse what is sent with the old epoch.
+        """
+        with platform_hosts.Deployment() as hosts:
+            turn = self.run_turn(hosts, body=b'one')
+            storage = hosts.fronts['front-0'].storage
+            newer = attrs.evolve(storage.group, epoch=storage.group.epoch + 2)
+            for keeper in hosts.keepers.values():
+                keeper.replica.adopt(newer)
+            found = storage.read_chain(turn)
+            self.assertEqual(found, b'oneword1\nword2\nword3\nword4\n')
+
+    def test_a_chain_read_from_members_that_are_behind(self):
+        """Members that have an older group are sent the newer one."""
+        with platform_hosts.Deployment() as hosts:
+            turn = self.run_turn(hosts, body=b'one')
+            storage = hosts.fronts['front-0'].storage
+            storage.apply(
+                attrs.evolve(storage.group, epoch=storage.group.epoch + 2)
+            )
+            found = storage.read_chain(turn)
+            self.assertEqual(found, b'oneword1\nword2\nword3\nword4\n')
+
     def restart(self, hosts, name):
         """Restart a store host and wait until the entry host is connected."""
         hosts.start_keeper(name)
