Start faster beside hosts that are down, and blame no server for a late caller

Store hosts listened again at 36.33 s, an entry host that had asked them at 36.06 s waited until 36.57 s for connections whose first packets were lost, and had its configuration at 36.68 s. A request that came with under 15 ms left then had four good servers avoided by all hosts. Change: connections to hosts wait 0.2 s and seeds are asked again after 50 ms. A reply on a connection of its own is bounded as a whole, not by its bytes. A request whose time is up is refused, or its outcome is unknown if it was sent before, without a failure of a server. Requests and their state are a module of their own (gateway/contexts.py).

--- a/src/carobfork/gateway/admissions.py
+++ b/src/carobfork/gateway/admissions.py
@@ -7,7 +7,7 @@
 from gevent import event
 
 from carobfork import clock, exceptions
-from carobfork.gateway import exchanges, placements, queues, workers
+from carobfork.gateway import contexts, placements, queues, workers
 
 PROCESS_INTERVAL_MS = 20
 """Interval at which waiting calls are reconsidered, because slots also become
@@ -74,7 +74,7 @@
                 self._has_waiting.clear()
             gevent.sleep(clock.to_seconds(PROCESS_INTERVAL_MS))
 
-    def preview(self, context: exchanges.RequestContext) -> str:
+    def preview(self, context: contexts.RequestContext) -> str:
         """Return the worker that a call would get now, or an empty string.
 
         :param context: the request that the call belongs to.
@@ -83,7 +83,7 @@
 
     @contextlib.contextmanager
     def slot(
-        self, context: exchanges.RequestContext
+        self, context: contexts.RequestContext
     ) -> Iterator[workers.Worker]:
         """Hold a slot of a backend server while the context is open.
 
@@ -99,7 +99,7 @@
             queue.release(worker, self._timer.now_ms() - taken_ms)
 
     def refusal(
-        self, context: exchanges.RequestContext, reason: str
+        self, context: contexts.RequestContext, reason: str
     ) -> exceptions.CarobforkError:
         """Return the error for a call that is not admitted.
 
@@ -119,7 +119,7 @@
         )
 
     def _wait_for_slot(
-        self, context: exchanges.RequestContext, queue: queues.CallQueue
+        self, context: contexts.RequestContext, queue: queues.CallQueue
     ) -> workers.Worker:
         asked_ms = self._timer.now_ms()
         granted = event.AsyncResult()
@@ -139,7 +139,7 @@
 
     def _queued_call(
         self,
-        context: exchanges.RequestContext,
+        context: contexts.RequestContext,
         resolve: Callable[[workers.Worker | None], None] = _discard_slot,
     ) -> queues.QueuedCall:
         left_ms = context.deadline_at_ms - self._timer.now_ms()
--- /dev/null
+++ b/src/carobfork/gateway/contexts.py
@@ -0,0 +1,93 @@
+"""Hold a request and what has happened to it so far."""
+
+import attrs
+
+from carobfork import exceptions
+from carobfork.gateway import calls, events, framing, routes, turns
+
+MIN_LEFT_MS = 15
+"""Minimum time left to send a request: no backend server can answer in less."""
+
+
+class DeadlineError(exceptions.UnknownOutcomeError):
+    """The deadline expired after the call was sent; it may have run."""
+
+    code = 'deadline'
+
+
+@attrs.frozen
+class Request:
+    """A completely received request.
+
+    :param head: its head.
+    :param body: its body.
+    :param arrived_ms: when it arrived.
+    """
+
+    head: framing.Head
+    body: bytes
+    arrived_ms: float
+
+
+@attrs.define(eq=False)
+class RequestContext:
+    """The state of a request while it is handled.
+
+    :param request: the request as received.
+    :param call: the call that it describes.
+    :param route: the route that it matched.
+    :param service: the service that runs it.
+    :param deadline_at_ms: when the deadline expires.
+    :param event_log: the events that the caller received.
+    :param body: the body that backend servers get.
+    :param turn: the turn, if it is part of a program's conversation.
+    :param is_sent: whether a backend server may have run the call.
+    :param failed_attempts: attempts that failed after the request was sent.
+    :param refusals: number of workers that refused it or were unreachable.
+    :param avoided: workers that have failed or refused it.
+    :param worker: the worker of the latest attempt.
+    :param queued_ms: total time that it has waited for slots.
+    :param was_reused: whether the last failed attempt used a kept connection.
+    :param failure: the error that the caller gets, if there is one.
+    """
+
+    request: Request
+    call: calls.Call
+    route: routes.Route
+    service: str
+    deadline_at_ms: float
+    event_log: events.EventLog
+    body: bytes
+    turn: turns.Turn | None = None
+    is_sent: bool = False
+    failed_attempts: int = 0
+    refusals: int = 0
+    avoided: frozenset[str] = frozenset()
+    worker: str = ''
+    queued_ms: float = 0
+    was_reused: bool = False
+    failure: exceptions.CarobforkError | None = None
+
+    def can_retry(self) -> bool:
+        """Return whether it may be sent again after a failed attempt."""
+        return (
+            self.route.is_repeatable
+            and self.failed_attempts + 1 < self.route.max_attempts
+        )
+
+    def deadline_error(self, left_ms: float = 0) -> exceptions.CarobforkError:
+        """Return the error for a call whose time has run out.
+
+        :param left_ms: time left, too short to send the call again.
+        """
+        if self.is_sent:
+            return DeadlineError(
+                'the deadline expired after the call was sent',
+                step='relay',
+                peer=self.worker,
+            )
+        return exceptions.NotRunError(
+            f'{left_ms:.0f} ms left before the call was sent, '
+            f'{MIN_LEFT_MS} ms needed',
+            step='wait',
+        )
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -16,6 +16,7 @@
 from carobfork.gateway import (
     calls,
     connection_pools,
+    contexts,
     events,
     framing,
     routes,
@@ -31,8 +32,6 @@
 MAX_BLOCKING_SEND_BYTES = 16_384
 """Longer requests are sent in the background, because the answer may arrive
 before the request is complete."""
-MIN_LEFT_MS = 15
-"""Minimum time left to send a request: no backend server can answer in less."""
 _STEP = 'relay'
 _REDIRECT_STATUS = 300
 _SERVER_ERROR_STATUS = 500
@@ -99,67 +98,6 @@
         """End the body."""
 
 
-@attrs.frozen
-class Request:
-    """A completely received request.
-
-    :param head: its head.
-    :param body: its body.
-    :param arrived_ms: when it arrived.
-    """
-
-    head: framing.Head
-    body: bytes
-    arrived_ms: float
-
-
-@attrs.define(eq=False)
-class RequestContext:
-    """The state of a request while it is handled.
-
-    :param request: the request as received.
-    :param call: the call that it describes.
-    :param route: the route that it matched.
-    :param service: the service that runs it.
-    :param deadline_at_ms: when the deadline expires.
-    :param event_log: the events that the caller received.
-    :param body: the body that backend servers get.
-    :param turn: the turn, if it is part of a program's conversation.
-    :param is_sent: whether a backend server may have run the call.
-    :param failed_attempts: attempts that failed after the request was sent.
-    :param refusals: number of workers that refused it or were unreachable.
-    :param avoided: workers that have failed or refused it.
-    :param worker: the worker of the latest attempt.
-    :param queued_ms: total time that it has waited for slots.
-    :param was_reused: whether the last failed attempt used a kept connection.
-    :param failure: the error that the caller gets, if there is one.
-    """
-
-    request: Request
-    call: calls.Call
-    route: routes.Route
-    service: str
-    deadline_at_ms: float
-    event_log: events.EventLog
-    body: bytes
-    turn: turns.Turn | None = None
-    is_sent: bool = False
-    failed_attempts: int = 0
-    refusals: int = 0
-    avoided: frozenset[str] = frozenset()
-    worker: str = ''
-    queued_ms: float = 0
-    was_reused: bool = False
-    failure: exceptions.CarobforkError | None = None
-
-    def can_retry(self) -> bool:
-        """Return whether it may be sent again after a failed attempt."""
-        return (
-            self.route.is_repeatable
-            and self.failed_attempts + 1 < self.route.max_attempts
-        )
-
-
 @attrs.frozen
 class _Answer:
     """A response head.
@@ -198,7 +136,7 @@
 
     def exchange(
         self,
-        context: RequestContext,
+        context: contexts.RequestContext,
         worker: workers.Worker,
         response: ResponseWriter,
     ) -> None:
@@ -208,10 +146,13 @@
         :param worker: the backend server to send it to.
         :param response: the writer of the caller's response.
         :raises ServerRefusedError: if the server did not run the call.
+        :raises NotRunError: if too little time is left and nothing was sent.
+        :raises DeadlineError: if too little time is left to send it again.
         :raises ConnectionFailedError: if the exchange failed. The caller has
             then received at most complete events.
         """
         started_ms = self._timer.now_ms()
+        self._left_ms(context)
         connection = self.pool.acquire(
             worker, connection_pools.max_idle_ms(context.route)
         )
@@ -226,6 +167,17 @@
         worker.record_success(now_ms - started_ms, now_ms)
         self._release_connection(worker, connection, answer)
 
+    def _left_ms(self, context: contexts.RequestContext) -> float:
+        """Return the time left to send a request.
+
+        :raises NotRunError: if it is too short and nothing was sent.
+        :raises DeadlineError: if it is too short to send the request again.
+        """
+        left_ms = context.deadline_at_ms - self._timer.now_ms()
+        if left_ms < contexts.MIN_LEFT_MS:
+            raise context.deadline_error(left_ms)
+        return left_ms
+
     def _release_connection(
         self,
         worker: workers.Worker,
@@ -239,17 +191,11 @@
 
     def _send(
         self,
-        context: RequestContext,
+        context: contexts.RequestContext,
         worker: workers.Worker,
         connection: connection_pools.Connection,
     ) -> _Answer:
-        left_ms = context.deadline_at_ms - self._timer.now_ms()
-        if left_ms < MIN_LEFT_MS:
-            raise exceptions.ConnectionFailedError(
-                f'{left_ms:.0f} ms left, {MIN_LEFT_MS} ms needed',
-                sent=False,
-                step=_STEP,
-            )
+        left_ms = self._left_ms(context)
         head = self._codec.encode_request(
             context.request.head,
             worker.instance,
@@ -288,7 +234,9 @@
         )
 
     def _read_matching_answer(
-        self, context: RequestContext, connection: connection_pools.Connection
+        self,
+        context: contexts.RequestContext,
+        connection: connection_pools.Connection,
     ) -> _Answer:
         """Return the answer to this request; skip late answers to others."""
         for _ in range(MAX_STRAY_ANSWERS + 1):
@@ -311,7 +259,9 @@
         )
 
     def _read_answer(
-        self, context: RequestContext, connection: connection_pools.Connection
+        self,
+        context: contexts.RequestContext,
+        connection: connection_pools.Connection,
     ) -> _Answer:
         head = connection.reader.read_head(framing.MAX_HEAD_BYTES)
         if head is None:
@@ -326,7 +276,7 @@
 
     def _relay_answer(
         self,
-        context: RequestContext,
+        context: contexts.RequestContext,
         worker: workers.Worker,
         connection: connection_pools.Connection,
         answer: _Answer,
@@ -357,7 +307,7 @@
 
     def _relay_stream(
         self,
-        context: RequestContext,
+        context: contexts.RequestContext,
         worker: workers.Worker,
         connection: connection_pools.Connection,
         answer: _Answer,
@@ -381,7 +331,7 @@
 
 
 def _accept_new_events(
-    context: RequestContext,
+    context: contexts.RequestContext,
     received: list[events.Event],
     worker: workers.Worker,
 ) -> bytes:
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -10,6 +10,7 @@
 from carobfork import clock, exceptions
 from carobfork.gateway import (
     admissions,
+    contexts,
     events,
     exchanges,
     metrics,
@@ -45,12 +46,6 @@
     http_status = 502
 
 
-class DeadlineError(exceptions.UnknownOutcomeError):
-    """The deadline expired after the call was sent; it may have run."""
-
-    code = 'deadline'
-
-
 class Relay:
     """Forward requests to backend servers and retry where that is safe.
 
@@ -73,7 +68,7 @@
         self.routes: routes.RouteTable | None = None
         self.exchanger = exchanges.Exchanger(codec, turn_manager, timer)
         self._codec = codec
-        self._table = table
+        self.table = table
         self._turns = turn_manager
         self._timer = timer
         self.admission = admissions.AdmissionController(table, timer, policy)
@@ -82,7 +77,7 @@
         self.queue_times = metrics.Histogram()
 
     def handle(
-        self, request: exchanges.Request, response: exchanges.ResponseWriter
+        self, request: contexts.Request, response: exchanges.ResponseWriter
     ) -> None:
         """Forward a request and send the answer to the caller.
 
@@ -99,7 +94,7 @@
         except gevent.Timeout as expired:
             if expired is not timeout:
                 raise
-            context.failure = _deadline_error(context)
+            context.failure = context.deadline_error()
             raise context.failure from None
         except exceptions.CarobforkError as error:
             context.failure = error
@@ -107,7 +102,7 @@
         finally:
             self._close(context)
 
-    def _prepare(self, request: exchanges.Request) -> exchanges.RequestContext:
+    def _prepare(self, request: contexts.Request) -> contexts.RequestContext:
         self._wait_for_routes()
         head = request.head
         route = self.routes.match(head.get('host'), head.first[1])
@@ -120,7 +115,7 @@
         wait_ms = route.timeout_ms
         if call.deadline_ms is not None:
             wait_ms = min(wait_ms, call.deadline_ms)
-        return exchanges.RequestContext(
+        return contexts.RequestContext(
             request,
             call,
             route,
@@ -150,7 +145,7 @@
 
     def _forward(
         self,
-        context: exchanges.RequestContext,
+        context: contexts.RequestContext,
         response: exchanges.ResponseWriter,
     ) -> None:
         if context.route.kind == routes.Kind.stream and context.call.program:
@@ -166,7 +161,7 @@
                 last_event=context.event_log.last_id,
             )
 
-    def _open_turn(self, context: exchanges.RequestContext) -> None:
+    def _open_turn(self, context: contexts.RequestContext) -> None:
         """Reserve a turn and apply the count of other hosts' turns."""
         service = self.routes.services.get(context.service)
         context.turn = self._turns.open(
@@ -178,11 +173,11 @@
         )
         context.body = context.turn.history + context.request.body
         if context.turn.open_turns is not None:
-            self._table.update_open_turns(
+            self.table.update_open_turns(
                 context.turn.open_turns, context.turn.worker
             )
 
-    def _close(self, context: exchanges.RequestContext) -> None:
+    def _close(self, context: contexts.RequestContext) -> None:
         if context.turn is not None:
             self._turns.close(context.turn, context.event_log.count)
         took_ms = self._timer.now_ms() - context.request.arrived_ms
@@ -209,7 +204,7 @@
 
     def _try_once(
         self,
-        context: exchanges.RequestContext,
+        context: contexts.RequestContext,
         response: exchanges.ResponseWriter,
     ) -> bool:
         """Send the request to one worker; return whether it was answered."""
@@ -232,7 +227,7 @@
 
     def _count_refusal(
         self,
-        context: exchanges.RequestContext,
+        context: contexts.RequestContext,
         error: exceptions.CarobforkError,
     ) -> None:
         context.refusals += 1
@@ -241,7 +236,7 @@
 
     def _count_failure(
         self,
-        context: exchanges.RequestContext,
+        context: contexts.RequestContext,
         error: exceptions.ConnectionFailedError,
     ) -> None:
         """Count a failed attempt.
@@ -254,22 +249,8 @@
             self._count_refusal(context, error)
             return
         left_ms = context.deadline_at_ms - self._timer.now_ms()
-        if not context.can_retry() or left_ms < exchanges.MIN_LEFT_MS:
+        if not context.can_retry() or left_ms < contexts.MIN_LEFT_MS:
             raise BrokenAnswerError(
                 error.message, step='relay', peer=context.worker
             ) from error
         context.failed_attempts += 1
-
-
-def _deadline_error(
-    context: exchanges.RequestContext,
-) -> exceptions.CarobforkError:
-    if context.is_sent:
-        return DeadlineError(
-            'the deadline expired after the call was sent',
-            step='relay',
-            peer=context.worker,
-        )
-    return exceptions.NotRunError(
-        'the deadline expired before the call ran', step='wait'
-    )
--- a/src/carobfork/gateway/servers.py
+++ b/src/carobfork/gateway/servers.py
@@ -14,7 +14,7 @@
 from gevent import server, socket
 
 from carobfork import clock, exceptions
-from carobfork.gateway import exchanges, framing, relays, routes
+from carobfork.gateway import contexts, framing, relays, routes
 
 LINGER_TIMEOUT_MS = 500
 """How long unread input is drained after a request was refused unread.
@@ -232,7 +232,7 @@
         )
 
     def _answer(
-        self, request: exchanges.Request, response: SocketResponseWriter
+        self, request: contexts.Request, response: SocketResponseWriter
     ) -> None:
         try:
             self._relay.handle(request, response)
@@ -273,7 +273,7 @@
 
     def _read(
         self, sock: socket.socket, reader: framing.Reader
-    ) -> exchanges.Request | None:
+    ) -> contexts.Request | None:
         """Read a request, or return None if the connection ended before one.
 
         :raises BadRequestError: if it is malformed, too large or too slow.
@@ -295,7 +295,7 @@
             sock.sendall(b'HTTP/1.1 100 Continue\r\n\r\n')
         with _time_limit(max(limits.head_ms, BODY_TIMEOUT_MS)):
             body = reader.read_body(shape, limits.body_bytes)
-        return exchanges.Request(head, body, self._timer.now_ms())
+        return contexts.Request(head, body, self._timer.now_ms())
 
     def _wait_for_byte(
         self, sock: socket.socket, reader: framing.Reader
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -23,7 +23,7 @@
 NEWS_CHECK_INTERVAL_MS = 250
 """How often to check that store hosts still report on the platform: once per
 heartbeat."""
-RECALL_INTERVAL_MS = 100
+RECALL_INTERVAL_MS = 50
 """Between requests to a seed; short, since callers wait while a host starts."""
 LEAVE_RATIO = 0.38
 """Fraction of the grace time in which new requests are still served."""
--- a/src/carobfork/storage/links.py
+++ b/src/carobfork/storage/links.py
@@ -10,7 +10,7 @@
 import functools
 import itertools
 import socket as sockets
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from types import TracebackType
 from typing import Any
 
@@ -22,8 +22,13 @@
 from carobfork import clock, exceptions
 from carobfork.storage import groups, messages
 
-CONNECT_TIMEOUT_MS = 500
-"""Covers several round trips between failure domains and one lost packet."""
+CONNECT_TIMEOUT_MS = 200
+"""Covers many round trips between failure domains. A new connection replaces a
+lost first packet earlier than the kernel, which sends it again after a second.
+That matters when all hosts start at once and some do not listen yet."""
+REPLY_TIMEOUT_MS = 500
+"""For a request on a connection of its own; a host that has just started may
+have many to answer."""
 HEARTBEAT_INTERVAL_MS = 250
 """Interval on links that carry status reports; a dead peer is detected within
 a few heartbeats."""
@@ -286,9 +291,11 @@
     :raises OSError: if the host can't be reached or does not reply in time.
     :raises BadRequestError: if the reply is malformed.
     """
-    timeout_seconds = clock.to_seconds(CONNECT_TIMEOUT_MS)
-    sock = socket.create_connection(address, timeout=timeout_seconds)
-    with contextlib.closing(sock):
+    sock = socket.create_connection(
+        address, timeout=clock.to_seconds(CONNECT_TIMEOUT_MS)
+    )
+    with contextlib.closing(sock), _reply_timeout(address):
+        sock.settimeout(None)
         sock.sendall(messages.encode(messages.Envelope(1, 0, message)))
         buffered = bytearray()
         frames: list[bytes] = []
@@ -303,6 +310,24 @@
     return messages.decode(frames[0]).message
 
 
+@contextlib.contextmanager
+def _reply_timeout(address: tuple[str, int]) -> Iterator[None]:
+    """Bound the time of the block, however the peer spreads its bytes.
+
+    :raises TimeoutError: if it takes more than ``REPLY_TIMEOUT_MS``.
+    """
+    timeout = gevent.Timeout(clock.to_seconds(REPLY_TIMEOUT_MS))
+    try:
+        with timeout:
+            yield
+    except gevent.Timeout as expired:
+        if expired is not timeout:
+            raise
+        raise TimeoutError(
+            f'no reply from {address} within {REPLY_TIMEOUT_MS} ms'
+        ) from None
+
+
 class Links:
     """The links to the members of a group, opened and closed as it changes.
 
--- a/tests/test_idle_hosts.py
+++ b/tests/test_idle_hosts.py
@@ -16,7 +16,7 @@
 from carobfork.gateway import (
     admissions,
     calls,
-    exchanges,
+    contexts,
     framing,
     queues,
     relays,
@@ -103,7 +103,7 @@
             self.timer,
         )
         head = framing.parse_head(b'GET /none HTTP/1.1\r\nHost: h')
-        request = exchanges.Request(head, b'', self.timer.now_ms())
+        request = contexts.Request(head, b'', self.timer.now_ms())
         self.caller = gevent.spawn(self.relay.handle, request, mock.Mock())
         gevent.sleep(0)
 
