Place calls by how slow the backend servers' machines are

Cause: on the sites where servers share machines, X-Server-Load has a fourth figure. The header was then taken for malformed, so neither load nor pace of these servers was known to any host. Change: the figure is decoded in platform/; a missing or malformed one is a server without it.

--- a/src/carobfork/gateway/calls.py
+++ b/src/carobfork/gateway/calls.py
@@ -43,6 +43,23 @@
     prefix: tuple[tuple[str, int], ...] = ()
 
 
+@attrs.frozen
+class ServerLoad:
+    """The load that a backend server reports.
+
+    :param running: number of running calls.
+    :param waiting: number of waiting calls.
+    :param slots: number of calls that it runs at a time.
+    :param time_ratio: how long work takes on its machine at the moment,
+        relative to the usual time, if reported.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    time_ratio: float | None = None
+
+
 @attrs.frozen
 class ServerAnswer:
     """The metadata in the head of a backend server's response.
@@ -52,7 +69,7 @@
     :param not_run: whether the server declares that it did not run the call.
     :param is_elsewhere: whether another server has taken over the address.
     :param is_encoded: whether the body has a content encoding.
-    :param load: running calls, waiting calls and slots, if reported.
+    :param load: the server's load, if reported.
     :param idle_ms: how long the server keeps an idle connection open, if
         reported.
     """
@@ -62,7 +79,7 @@
     not_run: bool = False
     is_elsewhere: bool = False
     is_encoded: bool = False
-    load: tuple[int, int, int] | None = None
+    load: ServerLoad | None = None
     idle_ms: float | None = None
 
     def is_for(self, attempt: str) -> bool:
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -209,8 +209,7 @@
             with _sending(connection, head + context.body):
                 answer = self._read_matching_answer(context, connection)
         if answer.told.load:
-            running, waiting, _slots = answer.told.load
-            worker.update_load(running + waiting, self._timer.now_ms())
+            worker.record_load(answer.told.load, self._timer.now_ms())
         if answer.told.not_run:
             context.is_sent = context.failed_attempts > 0
             self._raise_refusal(worker, connection, answer)
--- a/src/carobfork/gateway/placements.py
+++ b/src/carobfork/gateway/placements.py
@@ -21,6 +21,10 @@
 RECENT_CONNECTION_MS = connection_pools.MAX_UNSAFE_IDLE_MS
 """Idle time up to which any call may use a kept connection, also one that runs
 at most once."""
+SLOW_TIME_RATIO = 1.5
+"""How much longer than on the quickest candidate a call may be expected to take
+before a worker counts as slow: more than the figures of sound machines differ
+in the mean, and less than reading a prompt again costs a short turn."""
 MIN_LOCAL_WORKERS = 4
 """Minimum number of local workers with which programs are kept in the failure
 domain."""
@@ -60,7 +64,8 @@
 
     Below half load a worker is as quick as an idle one, so workers with a
     recently used connection come first. Otherwise, with many hosts and many
-    workers, nearly every call would open a new connection.
+    workers, nearly every call would open a new connection. Workers on machines
+    that stay slow are left to the comparison.
     """
     free = [
         worker
@@ -69,7 +74,7 @@
     ]
     lightly_loaded = [
         worker
-        for worker in free
+        for worker in _without_slow(free, now_ms)
         if _load_ratio(worker, now_ms) < LOW_LOAD_RATIO
     ]
     connected = [
@@ -95,8 +100,9 @@
 
     Suits multi-turn programs with growing prompts. Every host derives the
     same home worker from the program's name by rendezvous hashing. If the
-    first two workers of that order are nearly full, the call goes elsewhere,
-    because waiting costs more than reading the prompt again. Homes are local
+    first two workers of that order are nearly full, or on slow machines, the
+    call goes elsewhere, because waiting costs more than reading the prompt
+    again. Homes are local
     if there are enough local workers. A call without a prompt is placed by
     its affinity key, or without a home if it has none.
     """
@@ -104,8 +110,10 @@
     if key:
         local = [worker for worker in candidates if worker.is_local]
         homes = local if len(local) >= MIN_LOCAL_WORKERS else candidates
+        quick = _without_slow(homes, now_ms)
         for worker in sorted(homes, key=_rendezvous_key(key))[:2]:
-            if _load_ratio(worker, now_ms) < MAX_HOME_LOAD_RATIO:
+            load_ratio = _load_ratio(worker, now_ms)
+            if worker in quick and load_ratio < MAX_HOME_LOAD_RATIO:
                 return worker
     return place_least_loaded(call, candidates, now_ms)
 
@@ -137,7 +145,7 @@
     ]
     return min(
         below_limit,
-        key=lambda worker: _load_ratio(worker, now_ms),
+        key=lambda worker: _expected_delay(worker, now_ms),
         default=None,
     )
 
@@ -146,6 +154,26 @@
     return worker.load(now_ms) / worker.entry.slots
 
 
+def _expected_delay(worker: workers.Worker, now_ms: float) -> float:
+    """Return a measure of a new call's duration that workers compare by."""
+    calls_per_slot = (worker.load(now_ms) + 1) / worker.entry.slots
+    return calls_per_slot * worker.time_ratio(now_ms)
+
+
+def _without_slow(
+    candidates: Sequence[workers.Worker], now_ms: float
+) -> list[workers.Worker]:
+    """Return the workers whose machines are not much slower than others."""
+    quickest = min(
+        (worker.time_ratio(now_ms) for worker in candidates), default=1
+    )
+    return [
+        worker
+        for worker in candidates
+        if worker.time_ratio(now_ms) <= quickest * SLOW_TIME_RATIO
+    ]
+
+
 def _has_recent_connection(worker: workers.Worker, now_ms: float) -> bool:
     """Return whether a recently used connection is kept."""
     return bool(
@@ -165,7 +193,9 @@
     """Return the least loaded worker of a random sample."""
     sample = random.sample(candidates, min(len(candidates), SAMPLE_SIZE))
     return min(
-        sample, key=lambda worker: _load_ratio(worker, now_ms), default=None
+        sample,
+        key=lambda worker: _expected_delay(worker, now_ms),
+        default=None,
     )
 
 
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -10,6 +10,7 @@
 import structlog
 
 from carobfork import clock
+from carobfork.gateway import calls, slowdowns
 
 NEVER_MS = float('-inf')
 """Time of an event that has not happened; earlier than any other time."""
@@ -110,6 +111,7 @@
     last_failure_ms: float = NEVER_MS
     mean_duration_ms: float = 0
     is_local: bool = False
+    _slowdown: slowdowns.Slowdown = attrs.Factory(slowdowns.Slowdown)
 
     @property
     def instance(self) -> str:
@@ -131,6 +133,16 @@
         self.remote_in_flight = max(0, total_calls - self.in_flight)
         self.remote_updated_ms = now_ms
 
+    def record_load(self, reported: calls.ServerLoad, now_ms: float) -> None:
+        """Apply the load that the backend server reports with an answer."""
+        self.update_load(reported.running + reported.waiting, now_ms)
+        if reported.time_ratio is not None:
+            self._slowdown.record(reported.time_ratio, now_ms)
+
+    def time_ratio(self, now_ms: float) -> float:
+        """Return how long calls are expected to take, relative to usual."""
+        return self._slowdown.ratio(self.mean_duration_ms, now_ms)
+
     def is_avoided(self, now_ms: float) -> bool:
         """Return whether failures keep new calls away.
 
--- a/src/carobfork/platform/heads.py
+++ b/src/carobfork/platform/heads.py
@@ -8,6 +8,8 @@
 from carobfork.platform import names
 
 _MISDIRECTED = 421
+_LOAD_COUNTS = 3
+"""Running calls, waiting calls and slots; a percentage may follow."""
 
 
 def decode_call(head: framing.Head) -> calls.Call:
@@ -119,11 +121,14 @@
     return tuple((name, _whole(length) or 0) for name, _, length in parts)
 
 
-def _load(text: str) -> tuple[int, int, int] | None:
+def _load(text: str) -> calls.ServerLoad | None:
     counts = [_whole(part) for part in text.split(',')]
-    if len(counts) == 3 and None not in counts:
-        return tuple(counts)
-    return None
+    if len(counts) < _LOAD_COUNTS or None in counts[:_LOAD_COUNTS]:
+        return None
+    percent = counts[_LOAD_COUNTS] if len(counts) > _LOAD_COUNTS else None
+    return calls.ServerLoad(
+        *counts[:_LOAD_COUNTS], percent / 100 if percent else None
+    )
 
 
 def _idle_ms(text: str) -> float | None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,7 +9,7 @@
 import unittest
 
 from carobfork import exceptions
-from carobfork.gateway import framing, routes
+from carobfork.gateway import calls, framing, routes
 from carobfork.platform import (
     decoding,
     followers,
@@ -136,7 +136,7 @@
                 b'\r\nKeep-Alive: timeout=10, max=5\r\nX-Attempt-Id: a'
             )
         )
-        self.assertEqual(told.load, (3, 0, 8))
+        self.assertEqual(told.load, calls.ServerLoad(3, 0, 8))
         self.assertTrue(told.not_run)
         self.assertFalse(told.is_elsewhere)
         self.assertEqual(told.idle_ms, 10_000)
@@ -145,6 +145,24 @@
         with self.assertRaises(framing.FramingError):
             heads.decode_answer(framing.parse_head(b'GARBAGE 2x0 OK\r\nA: b'))
 
+    def test_load_of_a_shared_machine(self):
+        """A fourth figure is a percentage; the others count without it."""
+        for text, time_ratio in (
+            ('3,1,8,250', 2.5),
+            ('3,1,8', None),
+            ('3,1,8,', None),
+            ('3,1,8,x', None),
+            ('3,1,8,-5', None),
+            ('3,1,8,100,7', 1),
+        ):
+            head = framing.parse_head(
+                f'HTTP/1.1 200 OK\r\nX-Server-Load: {text}'.encode()
+            )
+            expected = calls.ServerLoad(3, 1, 8, time_ratio)
+            self.assertEqual(heads.decode_answer(head).load, expected)
+        head = framing.parse_head(b'HTTP/1.1 200 OK\r\nX-Server-Load: 3,x,8,90')
+        self.assertIsNone(heads.decode_answer(head).load)
+
 
 class ObjectsTest(unittest.TestCase):
     """Routes in stored configurations."""
