Ignore small differences of servers' pace in placement

Servers that are equally quick differ a little in the mean, and all hosts preferred the same of two. Change: a time ratio counts in the comparison only above SLOW_TIME_RATIO.

--- a/src/carobfork/gateway/placements.py
+++ b/src/carobfork/gateway/placements.py
@@ -155,9 +155,16 @@
 
 
 def _expected_delay(worker: workers.Worker, now_ms: float) -> float:
-    """Return a measure of a new call's duration that workers compare by."""
+    """Return a measure of a new call's duration that workers compare by.
+
+    Small differences of the time ratio are ignored. Otherwise all hosts would
+    prefer the same worker of several that are equally quick.
+    """
     calls_per_slot = (worker.load(now_ms) + 1) / worker.entry.slots
-    return calls_per_slot * worker.time_ratio(now_ms)
+    time_ratio = worker.time_ratio(now_ms)
+    if time_ratio > SLOW_TIME_RATIO:
+        calls_per_slot *= time_ratio
+    return calls_per_slot
 
 
 def _without_slow(
