Notice backend servers that hold requests without an answer

Cause: a server whose health is good may hold part of its requests. Callers waited until their deadline, and since nothing had failed until then, further calls went to the same server from all hosts. Change: gateway/stalls.py learns how long the first part of an answer takes, by service and kind (mean and deviations, at least 0.5 s, no limit where the server's own queue is full or less than twice the limit is left). A stalled server is reported as failing at once; the request goes to another server if it may be repeated and few retries were made lately. Between events of a resumable stream the limit is four times the target pause. What runs at most once stays where it is and only warns the next calls.

--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -20,6 +20,7 @@
     events,
     framing,
     routes,
+    stalls,
     turns,
     workers,
 )
@@ -130,6 +131,7 @@
     ) -> None:
         """Create an exchanger with an empty connection pool."""
         self.pool = connection_pools.ConnectionPool(timer)
+        self._stalls = stalls.StallDetector(timer)
         self._codec = codec
         self._turns = turn_manager
         self._timer = timer
@@ -157,8 +159,9 @@
             worker, connection_pools.max_idle_ms(context.route)
         )
         try:
-            answer = self._send(context, worker, connection)
-            self._relay_answer(context, worker, connection, answer, response)
+            with self._watch(context, worker) as watch:
+                answer = self._send(context, worker, connection)
+                self._relay_answer(context, connection, answer, response, watch)
         except BaseException:
             connection.close()
             context.was_reused = connection.is_reused
@@ -167,6 +170,22 @@
         worker.record_success(now_ms - started_ms, now_ms)
         self._release_connection(worker, connection, answer)
 
+    @contextlib.contextmanager
+    def _watch(
+        self, context: contexts.RequestContext, worker: workers.Worker
+    ) -> Iterator[stalls.Watch]:
+        """Watch the progress of an exchange.
+
+        :raises ConnectionFailedError: if it stalls and may be tried elsewhere.
+        """
+        try:
+            with self._stalls.watch(context, worker) as watch:
+                yield watch
+        except stalls.StalledError as error:
+            raise exceptions.ConnectionFailedError(
+                str(error), sent=True, step=_STEP, peer=worker.instance
+            ) from error
+
     def _left_ms(self, context: contexts.RequestContext) -> float:
         """Return the time left to send a request.
 
@@ -276,20 +295,21 @@
     def _relay_answer(
         self,
         context: contexts.RequestContext,
-        worker: workers.Worker,
         connection: connection_pools.Connection,
         answer: _Answer,
         response: ResponseWriter,
+        watch: stalls.Watch,
     ) -> None:
         status = answer.told.status
         if (
             context.route.kind == routes.Kind.stream
             and status < _REDIRECT_STATUS
         ):
-            self._relay_stream(context, worker, connection, answer, response)
+            self._relay_stream(context, connection, answer, response, watch)
             return
-        with _raise_as_failure(worker.instance):
+        with _raise_as_failure(context.worker):
             body = connection.reader.read_body(answer.shape, MAX_ANSWER_BYTES)
+        watch.record_progress()
         # Some statuses tell the caller that the call did not run. They are
         # not passed on unless the server has declared that.
         is_unusable = status in _NOT_RUN_STATUSES or response.has_begun
@@ -300,28 +320,29 @@
                 f'the server answered with status {status}',
                 sent=True,
                 step=_STEP,
-                peer=worker.instance,
+                peer=context.worker,
             )
         response.respond(status, answer.head.end_to_end(), body)
 
     def _relay_stream(
         self,
         context: contexts.RequestContext,
-        worker: workers.Worker,
         connection: connection_pools.Connection,
         answer: _Answer,
         response: ResponseWriter,
+        watch: stalls.Watch,
     ) -> None:
         if not response.has_begun:
             response.begin(answer.told.status, answer.head.end_to_end())
         splitter = events.EventSplitter()
-        with _raise_as_failure(worker.instance):
+        with _raise_as_failure(context.worker):
             for piece in connection.reader.iter_body(answer.shape):
-                new_bytes = _accept_new_events(
-                    context, splitter.feed(piece), worker
-                )
+                new_bytes = _accept_new_events(context, splitter.feed(piece))
                 if new_bytes:
+                    watch.record_progress()
                     response.send(new_bytes)
+                    watch.expect_next()
+            watch.pause()
             if splitter.remainder:
                 raise EOFError('the stream ended inside an event')
         if context.turn is not None:
@@ -332,7 +353,6 @@
 def _accept_new_events(
     context: contexts.RequestContext,
     received: list[events.Event],
-    worker: workers.Worker,
 ) -> bytes:
     """Return the bytes of the events that are new to the caller.
 
@@ -344,7 +364,7 @@
         )
     except events.EventOrderError as error:
         raise exceptions.ConnectionFailedError(
-            error.message, sent=True, step=_STEP, peer=worker.instance
+            error.message, sent=True, step=_STEP, peer=context.worker
         ) from error
 
 
--- a/src/carobfork/gateway/routes.py
+++ b/src/carobfork/gateway/routes.py
@@ -50,6 +50,8 @@
     :param backends: the services that share the requests.
     :param timeout_ms: maximum time until a request is answered.
     :param target_latency_ms: time within which an answer is on time.
+    :param target_gap_ms: longest pause between events for which a stream is
+        on time, or 0 if there is no target.
     :param rank: priority class, 0 first.
     :param max_attempts: maximum number of backend servers that may run one
         request.
@@ -66,6 +68,7 @@
     backends: tuple[Backend, ...]
     timeout_ms: float = DEFAULT_TIMEOUT_MS
     target_latency_ms: float = 0
+    target_gap_ms: float = 0
     rank: int = 0
     max_attempts: int = 1
     is_resumable: bool = False
--- /dev/null
+++ b/src/carobfork/gateway/stalls.py
@@ -0,0 +1,195 @@
+"""Notice backend servers that do not answer, long before the deadline.
+
+A server whose health check is good may hold some of its requests without an
+answer. Callers would wait until their deadline, and further calls would go
+there. How long a sound answer takes is learned from all answers of a service.
+"""
+
+from collections.abc import Callable
+from types import TracebackType
+
+import attrs
+import gevent
+
+from carobfork import clock, retry_budgets
+from carobfork.gateway import contexts, routes, workers
+
+MIN_LIMIT_MS = 500
+"""Least time without an answer that counts as a stall: several lost packets or
+a pause of a sound server take less."""
+MAX_LEFT_RATIO = 0.5
+"""Share of a call's time left up to which a stall is worth noticing: the rest
+is needed for the answer of another server."""
+DEVIATIONS = 8
+"""How many mean deviations above the mean an answer may take."""
+MEAN_WEIGHT = 0.1
+"""Weight of the latest answer in the moving mean and the mean deviation."""
+MIN_ANSWERS = 5
+"""Number of answers from which on the mean is used."""
+GAP_TARGETS = 4
+"""How many times the longest pause for which a stream is on time it may pause
+before it counts as stalled."""
+
+_Key = tuple[str, routes.Kind]
+
+
+@attrs.define
+class _Estimate:
+    """Moving mean and mean deviation of answer times, as for TCP's timeout."""
+
+    answers: int = 0
+    mean_ms: float = 0
+    deviation_ms: float = 0
+
+    def record(self, took_ms: float) -> None:
+        if not self.answers:
+            self.mean_ms = took_ms
+            self.deviation_ms = took_ms / 2
+        error_ms = took_ms - self.mean_ms
+        self.mean_ms += error_ms * MEAN_WEIGHT
+        self.deviation_ms += (abs(error_ms) - self.deviation_ms) * MEAN_WEIGHT
+        self.answers += 1
+
+    def limit_ms(self) -> float | None:
+        if self.answers < MIN_ANSWERS:
+            return None
+        return max(MIN_LIMIT_MS, self.mean_ms + DEVIATIONS * self.deviation_ms)
+
+
+class StallDetector:
+    """The answer times of all services, and the limits that follow from them.
+
+    :param timer: the clock for answer times.
+    """
+
+    def __init__(self, timer: clock.Clock) -> None:
+        """Create a detector that has seen no answers."""
+        self._timer = timer
+        self._estimates: dict[_Key, _Estimate] = {}
+        self._retries = retry_budgets.RetryBudget()
+
+    def watch(
+        self, context: contexts.RequestContext, worker: workers.Worker
+    ) -> 'Watch':
+        """Return the watch on one exchange.
+
+        :param worker: the backend server that the request is sent to.
+        """
+        return Watch(self, context, worker, self._timer)
+
+    def first_limit_ms(
+        self, context: contexts.RequestContext, worker: workers.Worker
+    ) -> float | None:
+        """Return how long the first part of an answer may take.
+
+        Return ``None`` if there is no reason to expect it earlier than the
+        deadline: too few answers are known, little time is left, or the
+        request waits in the server's own queue.
+        """
+        now_ms = self._timer.now_ms()
+        limit_ms = self._estimate(context).limit_ms()
+        if limit_ms is None or worker.load(now_ms) > worker.entry.slots:
+            return None
+        left_ms = context.deadline_at_ms - now_ms
+        return None if limit_ms > left_ms * MAX_LEFT_RATIO else limit_ms
+
+    def record_answer(
+        self, context: contexts.RequestContext, took_ms: float
+    ) -> None:
+        """Record the time until the first part of an answer."""
+        self._estimate(context).record(took_ms)
+        self._retries.earn()
+
+    def may_retry(self, context: contexts.RequestContext) -> bool:
+        """Return whether a stalled request may go to another server now.
+
+        Retries are a small share of all calls. If most servers are slow, more
+        would only add to their load.
+        """
+        return context.can_retry() and self._retries.take()
+
+    def _estimate(self, context: contexts.RequestContext) -> _Estimate:
+        key = (context.service, context.route.kind)
+        return self._estimates.setdefault(key, _Estimate())
+
+
+class StalledError(Exception):
+    """An exchange made no progress in time and may be tried elsewhere."""
+
+
+class Watch:
+    """A watch on the progress of one exchange, as a context manager.
+
+    A server that makes no progress in time is reported as failing, so that
+    other calls avoid it. The exchange itself is interrupted only if the
+    request may be sent to another server.
+
+    :param detector: knows the limits.
+    :param context: the request.
+    :param worker: the backend server.
+    :param timer: the clock for answer times.
+    """
+
+    def __init__(
+        self,
+        detector: StallDetector,
+        context: contexts.RequestContext,
+        worker: workers.Worker,
+        timer: clock.Clock,
+    ) -> None:
+        """Create a watch; entering it starts the time."""
+        self._detector = detector
+        self._context = context
+        self._worker = worker
+        self._timer = timer
+        self._greenlet = gevent.getcurrent()
+        self._started_ms = timer.now_ms()
+        self._has_begun = False
+        self._cancel: Callable[[], None] | None = None
+
+    def __enter__(self) -> 'Watch':
+        """Start the time until the first part of the answer."""
+        self._start(self._detector.first_limit_ms(self._context, self._worker))
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop the time."""
+        self.pause()
+
+    def record_progress(self) -> None:
+        """Record a part of the answer and stop the time."""
+        self.pause()
+        if not self._has_begun:
+            self._has_begun = True
+            took_ms = self._timer.now_ms() - self._started_ms
+            self._detector.record_answer(self._context, took_ms)
+
+    def expect_next(self) -> None:
+        """Start the time until the next event of a stream."""
+        gap_ms = self._context.route.target_gap_ms * GAP_TARGETS
+        self._start(max(MIN_LIMIT_MS, gap_ms) if gap_ms else None)
+
+    def pause(self) -> None:
+        """Stop the time while the answer depends on others than the server."""
+        if self._cancel is not None:
+            self._cancel()
+            self._cancel = None
+
+    def _start(self, limit_ms: float | None) -> None:
+        if limit_ms is not None:
+            timer = gevent.get_hub().loop.timer(clock.to_seconds(limit_ms))
+            timer.start(self._expire)
+            self._cancel = timer.close
+
+    def _expire(self) -> None:
+        self.pause()
+        self._worker.record_failure(self._timer.now_ms())
+        if self._detector.may_retry(self._context):
+            # Thrown at once, as by gevent's timeouts: the greenlet is still
+            # inside the exchange.
+            self._greenlet.throw(StalledError('no progress in time'))
--- a/src/carobfork/platform/decoding.py
+++ b/src/carobfork/platform/decoding.py
@@ -64,6 +64,7 @@
         timeout_ms=entry.get('TimeoutMs') or routes.DEFAULT_TIMEOUT_MS,
         # Answers within this time earn their full credit.
         target_latency_ms=entry.get('GoalMs') or 0,
+        target_gap_ms=entry.get('GapTargetMs') or 0,
         rank=entry.get('Priority') or 0,
         max_attempts=entry.get('Attempts') or 1,
         is_resumable=bool(entry.get('Resumable')),
--- a/src/carobfork/retry_budgets.py
+++ b/src/carobfork/retry_budgets.py
@@ -26,8 +26,13 @@
 
         :raises NotRunError: the refusal, where the budget is used up.
         """
-        if not isinstance(error, exceptions.OverloadedError):
-            return
-        if self._retries < 1:
+        is_counted = isinstance(error, exceptions.OverloadedError)
+        if is_counted and not self.take():
             raise error
+
+    def take(self) -> bool:
+        """Take a retry and return whether there was one."""
+        if self._retries < 1:
+            return False
         self._retries -= 1
+        return True
--- a/tests/backends.py
+++ b/tests/backends.py
@@ -18,6 +18,8 @@
 
 EVENTS = 4
 _EVENT_SECONDS = 0.005
+_HANG_SECONDS = 60
+"""Longer than any deadline of the tests."""
 _SHED = 503
 _MISDIRECTED = 421
 
@@ -34,6 +36,10 @@
     stray_attempt: str = ''
     """Another attempt that the answers echo."""
     delay_ms: int = 0
+    hangs: bool = False
+    """Whether requests are read and never answered."""
+    hang_after: int | None = None
+    """Events after which the next streams stop without an end."""
 
 
 class BackendApplication(web.Application):
@@ -68,9 +74,7 @@
         self.runs[attempt] += 1
         self.bodies[attempt] = request.get_data()
         self.heads[attempt] = dict(request.headers)
-        gevent.sleep(self.faults.delay_ms / 1000)
-        if self.faults.drop_answer:
-            raise http_exceptions.BadGateway
+        self._delay_answer()
         headers = {
             'X-Attempt-Id': self.faults.stray_attempt or attempt,
             'X-Response-Stamp': f'{self.instance}.{attempt}',
@@ -86,13 +90,23 @@
         body = json.dumps({'server': self.instance, 'path': path})
         return Response(body, headers=headers)
 
+    def _delay_answer(self) -> None:
+        gevent.sleep(self.faults.delay_ms / 1000)
+        if self.faults.hangs:
+            gevent.sleep(_HANG_SECONDS)
+        if self.faults.drop_answer:
+            raise http_exceptions.BadGateway
+
     def _events(self, first: int):
         breaking = self.faults.break_after
+        hanging = self.faults.hang_after
         finished = False
         try:
             for number in range(first, EVENTS + 1):
                 if breaking is not None and number > breaking:
                     raise ConnectionResetError('broken off by the test')
+                if hanging is not None and number > hanging:
+                    gevent.sleep(_HANG_SECONDS)
                 gevent.sleep(_EVENT_SECONDS + self.faults.delay_ms / 1000)
                 yield f'id: {number}\ndata: word{number}\n\n'.encode()
             finished = True
--- a/tests/configurations.py
+++ b/tests/configurations.py
@@ -9,6 +9,7 @@
 """Tokens of an event."""
 TIMEOUT_MS = 4000
 GOAL_MS = 500
+GAP_TARGET_MS = 150
 RETAIN_SECONDS = 60
 
 
@@ -41,7 +42,13 @@
         'Routes': [
             route('chat', '/chat/', 'stream', ENGINES, Retain=True, Attempts=2),
             route(
-                'ask', '/ask/', 'stream', ENGINES, Resumable=True, Attempts=2
+                'ask',
+                '/ask/',
+                'stream',
+                ENGINES,
+                Resumable=True,
+                Attempts=2,
+                GapTargetMs=GAP_TARGET_MS,
             ),
             route('look', '/look/', 'safe', TOOLS, Attempts=2),
             route('order', '/order/', 'unsafe', TOOLS, Attempts=1),
--- /dev/null
+++ b/tests/test_stalls.py
@@ -0,0 +1,130 @@
+"""Test requests to backend servers that hold them without an answer.
+
+The tests guard against callers that wait until their deadline although another
+server is free, and against a slow but sound server that is taken for a stalled
+one.
+"""
+
+import unittest
+from unittest import mock
+
+from carobfork import clock
+from carobfork.gateway import calls, contexts, events, routes, stalls, workers
+from tests import plain_calls, platform_hosts
+
+SERVICE = 'tools'
+LEARNED = 20
+
+
+class LimitTest(unittest.TestCase):
+    """Limits that follow from the answers of a service, on a manual clock."""
+
+    def setUp(self):
+        """Learn a service that answers within 100 ms, give or take 20."""
+        self.timer = clock.ManualClock()
+        self.detector = stalls.StallDetector(self.timer)
+        self.worker = workers.Worker(
+            workers.Entry('a', SERVICE, '127.0.0.1', 1, 'z', slots=2)
+        )
+        for number in range(LEARNED):
+            self.detector.record_answer(self.context(), 80 + number % 3 * 20)
+
+    def context(self, kind=routes.Kind.safe, left_ms=3000):
+        """Return a request of the service."""
+        route = routes.Route('r', 'h', '/', kind, (), max_attempts=2)
+        return contexts.RequestContext(
+            mock.Mock(),
+            calls.Call('x'),
+            route,
+            SERVICE,
+            self.timer.now_ms() + left_ms,
+            events.EventLog(),
+            b'',
+        )
+
+    def limit_ms(self, **options):
+        """Return the limit of a request to the worker."""
+        return self.detector.first_limit_ms(
+            self.context(**options), self.worker
+        )
+
+    def test_a_sound_service(self):
+        """The limit is far above usual answers and far below the deadline."""
+        self.assertEqual(self.limit_ms(), stalls.MIN_LIMIT_MS)
+
+    def test_a_service_that_is_slow_as_a_whole(self):
+        """Where all answers take long, a long wait is no stall."""
+        for _ in range(LEARNED * 5):
+            self.detector.record_answer(self.context(), 900)
+        self.assertGreater(self.limit_ms(), 900)
+
+    def test_no_limit_without_a_reason(self):
+        """Unknown services, short deadlines and full servers have no limit."""
+        unknown = self.context(kind=routes.Kind.unsafe)
+        self.assertIsNone(self.detector.first_limit_ms(unknown, self.worker))
+        self.assertIsNone(self.limit_ms(left_ms=900))
+        self.worker.in_flight = 3
+        self.assertIsNone(self.limit_ms())
+
+    def test_retries_are_few(self):
+        """If most requests stall, few of them are sent a second time."""
+        allowed = [self.detector.may_retry(self.context()) for _ in range(100)]
+        self.assertLess(allowed.count(True), LEARNED)
+
+    def test_what_runs_once_is_not_retried(self):
+        """A stalled call that must not run twice is left where it is."""
+        context = self.context(kind=routes.Kind.unsafe)
+        self.assertFalse(self.detector.may_retry(context))
+
+
+class StalledServersTest(platform_hosts.DeploymentCase):
+    """Deployments in which one backend server holds its requests."""
+
+    def setUp(self):
+        """Let the entry host learn how long answers take."""
+        for number in range(LEARNED):
+            for path in ('/ask/', '/look/', '/order/'):
+                self.ask(f'{path}{number}')
+
+    def ask(self, path, **options):
+        """Send a request and return its attempt and answer."""
+        attempt = plain_calls.new_attempt()
+        headers = {}
+        if path.startswith('/ask/'):
+            headers['Accept'] = 'text/event-stream'
+        answer = self.hosts.ask(
+            path, attempt=attempt, headers=headers, **options
+        )
+        return attempt, answer
+
+    def hold(self, prefix, **faults):
+        """Let the first server of a service hold what it gets."""
+        for name, setting in faults.items():
+            setattr(self.hosts.backends[f'{prefix}0'].faults, name, setting)
+
+    def test_a_server_that_holds_requests(self):
+        """Repeatable requests are answered by another server in time."""
+        for path, prefix in (('/ask/', 'e'), ('/look/', 't')):
+            self.hold(prefix, hangs=True)
+            for number in range(8):
+                _attempt, answer = self.ask(f'{path}{number}')
+                self.assertEqual(answer.status, 200)
+
+    def test_a_stream_that_stops(self):
+        """A resumable stream goes on at another server, without a gap."""
+        self.hold('e', hang_after=2)
+        for number in range(8):
+            _attempt, answer = self.ask(f'/ask/{number}')
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.body.count(b'id:'), 4)
+
+    def test_what_runs_once_keeps_away(self):
+        """Calls that run at most once are not repeated and soon keep away."""
+        self.hold('t', hangs=True)
+        statuses = []
+        for number in range(12):
+            attempt, answer = self.ask(f'/order/{number}', method='POST')
+            statuses.append(answer.status)
+            self.assertLessEqual(self.hosts.runs(attempt), 1)
+        self.assertLessEqual(statuses.count(504), 2)
+        self.assertEqual(set(statuses) - {200, 504}, set())
