Probe silent store hosts while a turn waits for them

Three entry hosts were cut off from the store hosts at 1.0 s and noticed it at 1.73 to 2.14 s by missed heartbeats; 31 turns were refused, the first after up to 0.99 s of waiting. Change: an operation without a quorum after 150 ms probes the members that are silent; a probe that is not answered closes the link 400 ms later. Tested: tests/test_links.py (seen failing without the probe: no such method).

--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -34,6 +34,10 @@
 another entry host may reach more members."""
 EPOCH_POLL_INTERVAL_MS = 50
 """How often a pending operation checks whether the group has changed."""
+SLOW_REPLY_MS = 150
+"""Time without a quorum after which silent members are probed. It covers many
+round trips and syncs; without a probe, a host that is cut off would notice it
+with a heartbeat only, and its callers would wait for that."""
 MAX_SETTLE_TRIES = 4
 SETTLE_RETRY_INTERVAL_MS = 150
 """Delay between tries. All tries and delays together take less than the time
@@ -290,7 +294,13 @@
         self, operation: operations.Operation, epoch: int, until_ms: float
     ) -> bool:
         """Return whether a quorum replied before the group changed."""
+        started_ms = self._timer.now_ms()
+        has_probed = False
         while not operation.wait(EPOCH_POLL_INTERVAL_MS):
+            waited_ms = self._timer.now_ms() - started_ms
+            if waited_ms > SLOW_REPLY_MS and not has_probed:
+                has_probed = True
+                self._links.probe_silent(SLOW_REPLY_MS)
             is_changed = self.group.epoch != epoch
             is_late = self._timer.now_ms() > until_ms
             if is_changed or is_late or operation.cannot_succeed():
--- a/src/carobfork/storage/links.py
+++ b/src/carobfork/storage/links.py
@@ -391,6 +391,14 @@
         for link in self.all():
             link.probe()
 
+    def probe_silent(self, span_ms: float) -> None:
+        """Probe the hosts that have been silent for longer.
+
+        :param span_ms: the tolerated silence.
+        """
+        for disk in self.silent_disks(span_ms):
+            self._links[disk].probe()
+
     def close(self) -> None:
         """Close all links."""
         self.apply(groups.Group())
--- a/tests/backends.py
+++ b/tests/backends.py
@@ -98,21 +98,23 @@
             raise http_exceptions.BadGateway
 
     def _events(self, first: int):
-        breaking = self.faults.break_after
-        hanging = self.faults.hang_after
         finished = False
         try:
             for number in range(first, EVENTS + 1):
-                if breaking is not None and number > breaking:
-                    raise ConnectionResetError('broken off by the test')
-                if hanging is not None and number > hanging:
-                    gevent.sleep(_HANG_SECONDS)
-                gevent.sleep(_EVENT_SECONDS + self.faults.delay_ms / 1000)
+                self._delay_event(number)
                 yield f'id: {number}\ndata: word{number}\n\n'.encode()
             finished = True
         finally:
             self.cancelled += not finished
 
+    def _delay_event(self, number: int) -> None:
+        breaking, hanging = self.faults.break_after, self.faults.hang_after
+        if breaking is not None and number > breaking:
+            raise ConnectionResetError('broken off by the test')
+        if hanging is not None and number > hanging:
+            gevent.sleep(_HANG_SECONDS)
+        gevent.sleep(_EVENT_SECONDS + self.faults.delay_ms / 1000)
+
 
 def serve(
     application: BackendApplication, address: tuple[str, int]
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -11,9 +11,10 @@
 import gevent
 from gevent import server, socket
 
+from carobfork import clock, exceptions
 from carobfork.gateway import relays
 from carobfork.roles import front
-from carobfork.storage import links, messages
+from carobfork.storage import clients, groups, links, messages
 
 LOST = ('127.0.0.1', 9)
 
@@ -58,3 +59,37 @@
             links.request_once(LOST, messages.Recall())
         delay_ms = timeouts[0] + front.RECALL_INTERVAL_MS
         self.assertLess(delay_ms, relays.STARTUP_TIMEOUT_MS / 2)
+
+
+class SilentMembersTest(unittest.TestCase):
+    """Operations of an entry host that is cut off from the store hosts."""
+
+    def setUp(self):
+        """Create a client whose members take requests and never reply."""
+        self.links = mock.Mock()
+        self.links.connected_disks.return_value = {'a', 'b', 'c'}
+        self.links.last_disconnect_ms = 0
+        members = tuple(
+            groups.Member(f'store-{disk}', disk, '127.0.0.1', 1)
+            for disk in 'abc'
+        )
+        self.links.all.return_value = [
+            mock.Mock(is_connected=True, member=member) for member in members
+        ]
+        self.client = clients.Client(
+            self.links, 1, 'front', 'z', clock.SystemClock()
+        )
+        self.client.apply(groups.Group(1, members))
+
+    def test_silent_members_are_probed_early(self):
+        """A turn without replies probes the members before a heartbeat would.
+
+        Its caller is then told that it has not run, and uses another host.
+        """
+        with self.assertRaises(exceptions.NotRunError):
+            self.client.begin(messages.Begin(None))
+        self.links.probe_silent.assert_called_with(clients.SLOW_REPLY_MS)
+        self.assertLess(
+            clients.SLOW_REPLY_MS + links.PROBE_TIMEOUT_MS,
+            links.HEARTBEAT_INTERVAL_MS + links.SILENCE_TIMEOUT_MS,
+        )
