Bound what broken servers send, and answer what arrives at a stop

An event without an end filled the memory until the deadline; empty lines before a head and trailers had no limit; a length of 5,000 digits ended the request with an internal error; an informational response was taken for a broken answer; a refusal without an attempt on a reused connection, which may be a late one to an earlier request, was taken as a promise that this one had not run. Calls to the platform's store were bounded by each read, not as a whole. A request whose bytes had arrived when a stopping host closed idle connections was cut. Change: limits for events (256 KiB), empty lines (8), trailers (32) and digits of a length (18); up to four informational responses are skipped; nameless refusals count on new connections only; one time limit for whole exchanges (time_limits.py) in place of three; idle connections with input are left to be answered. Reading messages is a module of its own.

--- a/src/carobfork/gateway/calls.py
+++ b/src/carobfork/gateway/calls.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+_MIN_FINAL_STATUS = 200
+
 
 @attrs.frozen
 class Call:
@@ -82,13 +84,21 @@
     load: ServerLoad | None = None
     idle_ms: float | None = None
 
-    def is_for(self, attempt: str) -> bool:
+    @property
+    def is_informational(self) -> bool:
+        """Whether the final response is yet to come, and there is no body."""
+        return self.status < _MIN_FINAL_STATUS
+
+    def is_for(self, attempt: str, is_reused: bool) -> bool:
         """Return whether the response answers an attempt.
 
-        A server that did not run the call may omit the attempt.
+        A server that did not run the call may omit the attempt. On a reused
+        connection such a response may be a late one to an earlier request,
+        so it says nothing about this one.
 
         :param attempt: identifier of the expected attempt.
+        :param is_reused: whether the connection has had an earlier request.
         """
         if self.not_run and not self.attempt:
-            return True
+            return not is_reused
         return self.attempt == attempt
--- a/src/carobfork/gateway/connection_pools.py
+++ b/src/carobfork/gateway/connection_pools.py
@@ -12,7 +12,7 @@
 from gevent import socket
 
 from carobfork import clock, exceptions
-from carobfork.gateway import framing, routes, workers
+from carobfork.gateway import message_readers, routes, workers
 
 CONNECT_TIMEOUT_MS = 400
 """Longer than a few round trips to a busy server, shorter than the second
@@ -49,7 +49,7 @@
     """
 
     sock: socket.socket
-    reader: framing.Reader
+    reader: message_readers.Reader
     is_reused: bool = False
     idle_since_ms: float = 0
     max_idle_ms: float = DEFAULT_MAX_IDLE_MS
@@ -169,7 +169,7 @@
         sock.setsockopt(
             sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
         )
-        return Connection(sock, framing.Reader(sock))
+        return Connection(sock, message_readers.Reader(sock))
 
 
 def _key(worker: workers.Worker) -> tuple:
--- a/src/carobfork/gateway/events.py
+++ b/src/carobfork/gateway/events.py
@@ -7,11 +7,20 @@
 
 from carobfork import exceptions
 
+MAX_EVENT_BYTES = 262_144
+"""Longest event: many times the longest output of one step, and little of a
+host's memory even if many streams send such events."""
 _SEPARATORS = (b'\n\n', b'\r\n\r\n')
 _ID = b'id:'
 _CONTENT = b'data:'
 
 
+class EventTooLargeError(exceptions.BadRequestError):
+    """A backend server's event does not end."""
+
+    code = 'event_too_large'
+
+
 class EventOrderError(exceptions.CallFailedError):
     """A backend server's stream skipped an event."""
 
@@ -48,17 +57,28 @@
         self.remainder = bytearray()
 
     def feed(self, piece: bytes) -> list[Event]:
-        """Add received bytes and return the events that they complete."""
+        """Add received bytes and return the events that they complete.
+
+        :raises EventTooLargeError: if an event is longer than accepted.
+        """
         self.remainder.extend(piece)
         found = []
         while True:
             end = self._event_end()
             if end < 0:
+                self._check_remainder()
                 return found
             raw = bytes(self.remainder[:end])
             self.remainder = self.remainder[end:]
             found.append(Event(raw, _number(raw)))
 
+    def _check_remainder(self) -> None:
+        if len(self.remainder) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(
+                f'an event is longer than {MAX_EVENT_BYTES} bytes',
+                step='split events',
+            )
+
     def _event_end(self) -> int:
         ends = [
             place + len(separator)
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -28,6 +28,8 @@
 MAX_STRAY_ANSWERS = 2
 """Maximum number of late answers to other requests that are skipped while one
 answer is awaited."""
+MAX_INFORMATIONAL_HEADS = 4
+"""Maximum number of informational responses before an answer."""
 MAX_ANSWER_BYTES = 1_048_576
 """Maximum size of an answer that is read completely before it is passed on."""
 MAX_BLOCKING_SEND_BYTES = 16_384
@@ -259,7 +261,7 @@
         """Return the answer to this request; skip late answers to others."""
         for _ in range(MAX_STRAY_ANSWERS + 1):
             answer = self._read_answer(context, connection)
-            if answer.told.is_for(context.call.attempt):
+            if answer.told.is_for(context.call.attempt, connection.is_reused):
                 return answer
             logger.warning(
                 'stray answer',
@@ -281,10 +283,7 @@
         context: contexts.RequestContext,
         connection: connection_pools.Connection,
     ) -> _Answer:
-        head = connection.reader.read_head(framing.MAX_HEAD_BYTES)
-        if head is None:
-            raise EOFError('the server closed the connection before its answer')
-        decoded = self._codec.decode_answer(head)
+        head, decoded = self._read_final_head(connection)
         if decoded.is_encoded:
             raise framing.FramingError(
                 'the answer has a content encoding', step=_STEP
@@ -292,6 +291,24 @@
         shape = framing.response_shape(head, context.request.head.first[0])
         return _Answer(head, decoded, shape)
 
+    def _read_final_head(
+        self, connection: connection_pools.Connection
+    ) -> tuple[framing.Head, calls.ServerAnswer]:
+        """Return the head of an answer after a few informational ones."""
+        for _ in range(MAX_INFORMATIONAL_HEADS + 1):
+            head = connection.reader.read_head(framing.MAX_HEAD_BYTES)
+            if head is None:
+                raise EOFError(
+                    'the server closed the connection before its answer'
+                )
+            decoded = self._codec.decode_answer(head)
+            if not decoded.is_informational:
+                return head, decoded
+        raise framing.FramingError(
+            f'more than {MAX_INFORMATIONAL_HEADS} informational responses',
+            step=_STEP,
+        )
+
     def _relay_answer(
         self,
         context: contexts.RequestContext,
--- a/src/carobfork/gateway/framing.py
+++ b/src/carobfork/gateway/framing.py
@@ -5,16 +5,10 @@
 (request smuggling).
 """
 
-import string
-from collections.abc import Iterator
-
 import attrs
-from gevent import socket
 
 from carobfork import exceptions
 
-READ_BYTES = 65_536
-"""Most bytes received from a socket at a time."""
 MAX_HEAD_BYTES = 65_536
 """Longest head of a response."""
 LINE_END = b'\r\n'
@@ -23,10 +17,8 @@
     b"!#$%&'*+-.^_`|~0123456789"
     b'ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz'
 )
-_HEX = 16
-_HEX_DIGITS = string.hexdigits.encode()
-_MAX_CHUNK_LINE_BYTES = 256
-"""Longest line with a chunk's size and extensions, or of a trailer."""
+_MAX_LENGTH_DIGITS = 18
+"""Most digits of a content length, so that it is a number that can be used."""
 _CONTENT_LENGTH = 'content-length'
 _TRANSFER_ENCODING = 'transfer-encoding'
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -192,173 +184,15 @@
     if not lengths:
         return BodyShape()
     length = lengths.pop()
-    if lengths or not (length.isascii() and length.isdigit()):
+    is_number = length.isascii() and length.isdigit()
+    if lengths or not is_number or len(length) > _MAX_LENGTH_DIGITS:
         raise FramingError(
-            'the content length is ambiguous or not a number',
+            'the content length is ambiguous, not a number or too long',
             step='frame body',
         )
     return BodyShape(length=int(length))
 
 
-class Reader:
-    """Buffered reader of HTTP messages.
-
-    Bytes received beyond the end of a message are kept for the next one.
-
-    :param sock: a connected gevent socket.
-    """
-
-    def __init__(self, sock: socket.socket) -> None:
-        """Create a reader with an empty buffer."""
-        self.buffered = bytearray()
-        self._sock = sock
-
-    def read_head(self, limit: int) -> Head | None:
-        """Read a head, or return None if the connection ended before it.
-
-        :param limit: longest accepted head in bytes.
-        :raises FramingError: if the head is malformed.
-        :raises HeadTooLargeError: if the head is longer than ``limit``.
-        :raises EOFError: if the connection ended inside the head.
-        :raises OSError: if the connection failed.
-        """
-        self._skip_empty_lines()
-        end = self.buffered.find(HEAD_END)
-        while end < 0:
-            if len(self.buffered) > limit:
-                raise HeadTooLargeError(
-                    f'the head is longer than {limit} bytes', step='read'
-                )
-            if not self._fill():
-                return self._end_before_head()
-            self._skip_empty_lines()
-            end = self.buffered.find(HEAD_END)
-        if end > limit:
-            raise HeadTooLargeError(
-                f'the head is longer than {limit} bytes', step='read'
-            )
-        raw = bytes(self.buffered[:end])
-        self._drop(end + len(HEAD_END))
-        return parse_head(raw)
-
-    def iter_body(self, shape: BodyShape) -> Iterator[bytes]:
-        """Yield a body's bytes as they arrive, without chunk framing.
-
-        :raises FramingError: if a chunk is malformed.
-        :raises EOFError: if the connection ended inside the body.
-        """
-        if shape.is_chunked:
-            yield from self._chunks()
-        elif shape.length is None:
-            yield from self._until_end()
-        else:
-            yield from self._counted(shape.length)
-
-    def read_body(self, shape: BodyShape, limit: int) -> bytes:
-        """Read a whole body.
-
-        :param limit: longest accepted body in bytes.
-        :raises FramingError: if a chunk is malformed.
-        :raises TooLargeError: if the body is longer than ``limit``.
-        :raises EOFError: if the connection ended inside the body.
-        """
-        if (shape.length or 0) > limit:
-            raise exceptions.TooLargeError(
-                f'the body is longer than {limit} bytes', step='read'
-            )
-        body = bytearray()
-        for piece in self.iter_body(shape):
-            body.extend(piece)
-            if len(body) > limit:
-                raise exceptions.TooLargeError(
-                    f'the body is longer than {limit} bytes', step='read'
-                )
-        return bytes(body)
-
-    def _skip_empty_lines(self) -> None:
-        while self.buffered.startswith(LINE_END):
-            self._drop(len(LINE_END))
-
-    def _end_before_head(self) -> None:
-        if self.buffered:
-            raise EOFError('the connection ended inside a head')
-
-    def _fill(self) -> bool:
-        received = self._sock.recv(READ_BYTES)
-        self.buffered.extend(received)
-        return bool(received)
-
-    def _fill_or_raise(self) -> None:
-        if not self._fill():
-            raise EOFError('the connection ended inside a body')
-
-    def _drop(self, count: int) -> None:
-        del self.buffered[:count]  # noqa: WPS420
-
-    def _take(self, limit: int) -> bytes:
-        taken = bytes(self.buffered[:limit])
-        self._drop(len(taken))
-        return taken
-
-    def _counted(self, length: int) -> Iterator[bytes]:
-        left = length
-        while left:
-            if not self.buffered:
-                self._fill_or_raise()
-            piece = self._take(left)
-            left -= len(piece)
-            yield piece
-
-    def _until_end(self) -> Iterator[bytes]:
-        while True:
-            if self.buffered:
-                yield self._take(READ_BYTES)
-            if not self.buffered and not self._fill():
-                return
-
-    def _chunks(self) -> Iterator[bytes]:
-        size = self._chunk_size()
-        while size:
-            yield from self._counted(size)
-            self._expect_line_end()
-            size = self._chunk_size()
-        trailer = self._line()
-        while trailer:
-            trailer = self._line()
-
-    def _chunk_size(self) -> int:
-        digits = self._line().partition(b';')[0].strip(b' \t')
-        if not digits or digits.strip(_HEX_DIGITS):
-            raise FramingError(
-                'the size of a chunk is not a hexadecimal number',
-                step='frame body',
-            )
-        return int(digits, _HEX)
-
-    def _expect_line_end(self) -> None:
-        while len(self.buffered) < len(LINE_END):
-            self._fill_or_raise()
-        if self._take(len(LINE_END)) != LINE_END:
-            raise FramingError(
-                'a chunk is longer than its size', step='frame body'
-            )
-
-    def _line(self) -> bytes:
-        end = self.buffered.find(LINE_END)
-        while end < 0:
-            if len(self.buffered) > _MAX_CHUNK_LINE_BYTES:
-                raise FramingError(
-                    'a chunk size or trailer line is longer than '
-                    f'{_MAX_CHUNK_LINE_BYTES} bytes',
-                    step='read',
-                )
-            self._fill_or_raise()
-            end = self.buffered.find(LINE_END)
-        line = self._take(end)
-        self._drop(len(LINE_END))
-        return line
-
-
 def encode_head(first: str, fields: list[tuple[str, str]]) -> bytes:
     """Return the bytes of a head, with the empty line that ends it.
 
--- /dev/null
+++ b/src/carobfork/gateway/message_readers.py
@@ -0,0 +1,197 @@
+"""Read HTTP/1.1 messages from a connection, within limits.
+
+A peer may send bytes without end, so each part of a message has a limit.
+"""
+
+import string
+from collections.abc import Callable, Iterator
+
+from gevent import socket
+
+from carobfork import exceptions
+from carobfork.gateway import framing
+
+READ_BYTES = 65_536
+"""Most bytes received from a socket at a time."""
+_HEX = 16
+_HEX_DIGITS = string.hexdigits.encode()
+_MAX_CHUNK_LINE_BYTES = 256
+"""Longest line with a chunk's size and extensions, or of a trailer."""
+_MAX_TRAILERS = 32
+"""Most trailer lines after the last chunk."""
+_MAX_EMPTY_LINES = 8
+"""Most empty lines before a head; HTTP allows a few for older peers."""
+
+
+class Reader:
+    """Buffered reader of HTTP messages.
+
+    Bytes received beyond the end of a message are kept for the next one.
+
+    :param sock: a connected gevent socket.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Create a reader with an empty buffer."""
+        self.buffered = bytearray()
+        self._sock = sock
+        self._empty_lines = 0
+
+    def read_head(self, limit: int) -> framing.Head | None:
+        """Read a head, or return None if the connection ended before it.
+
+        :param limit: longest accepted head in bytes.
+        :raises framing.FramingError: if the head is malformed.
+        :raises framing.HeadTooLargeError: if the head is longer than ``limit``.
+        :raises EOFError: if the connection ended inside the head.
+        :raises OSError: if the connection failed.
+        """
+        self._empty_lines = 0
+        self._skip_empty_lines()
+        end = self.buffered.find(framing.HEAD_END)
+        while end < 0:
+            if len(self.buffered) > limit:
+                raise framing.HeadTooLargeError(
+                    f'the head is longer than {limit} bytes', step='read'
+                )
+            if not self._fill():
+                return self._end_before_head()
+            self._skip_empty_lines()
+            end = self.buffered.find(framing.HEAD_END)
+        if end > limit:
+            raise framing.HeadTooLargeError(
+                f'the head is longer than {limit} bytes', step='read'
+            )
+        raw = bytes(self.buffered[:end])
+        self._drop(end + len(framing.HEAD_END))
+        return framing.parse_head(raw)
+
+    def iter_body(self, shape: framing.BodyShape) -> Iterator[bytes]:
+        """Yield a body's bytes as they arrive, without chunk framing.
+
+        :raises framing.FramingError: if a chunk is malformed.
+        :raises EOFError: if the connection ended inside the body.
+        """
+        if shape.is_chunked:
+            yield from self._chunks()
+        elif shape.length is None:
+            yield from self._until_end()
+        else:
+            yield from self._counted(shape.length)
+
+    def read_body(self, shape: framing.BodyShape, limit: int) -> bytes:
+        """Read a whole body.
+
+        :param limit: longest accepted body in bytes.
+        :raises framing.FramingError: if a chunk is malformed.
+        :raises TooLargeError: if the body is longer than ``limit``.
+        :raises EOFError: if the connection ended inside the body.
+        """
+        if (shape.length or 0) > limit:
+            raise exceptions.TooLargeError(
+                f'the body is longer than {limit} bytes', step='read'
+            )
+        body = bytearray()
+        for piece in self.iter_body(shape):
+            body.extend(piece)
+            if len(body) > limit:
+                raise exceptions.TooLargeError(
+                    f'the body is longer than {limit} bytes', step='read'
+                )
+        return bytes(body)
+
+    def _skip_empty_lines(self) -> None:
+        while self.buffered.startswith(framing.LINE_END):
+            self._drop(len(framing.LINE_END))
+            self._empty_lines += 1
+            if self._empty_lines > _MAX_EMPTY_LINES:
+                raise framing.FramingError(
+                    f'more than {_MAX_EMPTY_LINES} empty lines before a head',
+                    step='read',
+                )
+
+    def _end_before_head(self) -> None:
+        if self.buffered:
+            raise EOFError('the connection ended inside a head')
+
+    def _fill(self) -> bool:
+        received = self._sock.recv(READ_BYTES)
+        self.buffered.extend(received)
+        return bool(received)
+
+    def _fill_or_raise(self) -> None:
+        if not self._fill():
+            raise EOFError('the connection ended inside a body')
+
+    def _drop(self, count: int) -> None:
+        del self.buffered[:count]  # noqa: WPS420
+
+    def _take(self, limit: int) -> bytes:
+        taken = bytes(self.buffered[:limit])
+        self._drop(len(taken))
+        return taken
+
+    def _counted(self, length: int) -> Iterator[bytes]:
+        left = length
+        while left:
+            if not self.buffered:
+                self._fill_or_raise()
+            piece = self._take(left)
+            left -= len(piece)
+            yield piece
+
+    def _until_end(self) -> Iterator[bytes]:
+        while True:
+            if self.buffered:
+                yield self._take(READ_BYTES)
+            if not self.buffered and not self._fill():
+                return
+
+    def _chunks(self) -> Iterator[bytes]:
+        size = self._chunk_size()
+        while size:
+            yield from self._counted(size)
+            self._expect_line_end()
+            size = self._chunk_size()
+        _skip_trailers(self._line)
+
+    def _chunk_size(self) -> int:
+        digits = self._line().partition(b';')[0].strip(b' \t')
+        if not digits or digits.strip(_HEX_DIGITS):
+            raise framing.FramingError(
+                'the size of a chunk is not a hexadecimal number',
+                step='frame body',
+            )
+        return int(digits, _HEX)
+
+    def _expect_line_end(self) -> None:
+        while len(self.buffered) < len(framing.LINE_END):
+            self._fill_or_raise()
+        if self._take(len(framing.LINE_END)) != framing.LINE_END:
+            raise framing.FramingError(
+                'a chunk is longer than its size', step='frame body'
+            )
+
+    def _line(self) -> bytes:
+        end = self.buffered.find(framing.LINE_END)
+        while end < 0:
+            if len(self.buffered) > _MAX_CHUNK_LINE_BYTES:
+                raise framing.FramingError(
+                    'a chunk size or trailer line is longer than '
+                    f'{_MAX_CHUNK_LINE_BYTES} bytes',
+                    step='read',
+                )
+            self._fill_or_raise()
+            end = self.buffered.find(framing.LINE_END)
+        line = self._take(end)
+        self._drop(len(framing.LINE_END))
+        return line
+
+
+def _skip_trailers(read_line: Callable[[], bytes]) -> None:
+    for _ in range(_MAX_TRAILERS + 1):
+        if not read_line():
+            return
+    raise framing.FramingError(
+        f'more than {_MAX_TRAILERS} trailer lines', step='frame body'
+    )
--- a/src/carobfork/gateway/servers.py
+++ b/src/carobfork/gateway/servers.py
@@ -13,8 +13,8 @@
 import structlog
 from gevent import server, socket
 
-from carobfork import clock, exceptions
-from carobfork.gateway import contexts, framing, relays, routes
+from carobfork import clock, exceptions, time_limits
+from carobfork.gateway import contexts, framing, message_readers, relays, routes
 
 LINGER_TIMEOUT_MS = 500
 """How long unread input is drained after a request was refused unread.
@@ -180,17 +180,21 @@
         self._server.start()
 
     def stop_accepting(self) -> None:
-        """Close the listener and the connections that have no request."""
+        """Close the listener and the connections that have no request.
+
+        A request that has arrived but was not read yet is still answered.
+        """
         self._server.stop_accepting()
         self._server.close()
-        for sock in list(self._idle):
+        for sock in self._idle:
             with contextlib.suppress(OSError):
-                sock.shutdown(sockets.SHUT_RDWR)
+                if not _peek(sock):
+                    sock.shutdown(sockets.SHUT_RDWR)
 
     def _serve_connection(self, sock: socket.socket, _address: tuple) -> None:
         self.counts.connections += 1
         sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
-        reader = framing.Reader(sock)
+        reader = message_readers.Reader(sock)
         try:
             while self._serve_request(sock, reader):
                 sock.settimeout(None)
@@ -203,7 +207,7 @@
             sock.close()
 
     def _serve_request(
-        self, sock: socket.socket, reader: framing.Reader
+        self, sock: socket.socket, reader: message_readers.Reader
     ) -> bool:
         """Serve one request and tell whether the connection stays open."""
         # Callers on kept connections would not look up another host, so
@@ -272,7 +276,7 @@
         response.respond(error.http_status, fields, f'{error}\n'.encode())
 
     def _read(
-        self, sock: socket.socket, reader: framing.Reader
+        self, sock: socket.socket, reader: message_readers.Reader
     ) -> contexts.Request | None:
         """Read a request, or return None if the connection ended before one.
 
@@ -281,7 +285,7 @@
         limits = self.limits
         if not reader.buffered and not self._wait_for_byte(sock, reader):
             return None
-        with _time_limit(limits.head_ms):
+        with _read_limit(limits.head_ms):
             head = reader.read_head(limits.head_bytes)
         if head is None:
             return None
@@ -293,12 +297,12 @@
             )
         if head.get('expect').lower() == '100-continue':
             sock.sendall(b'HTTP/1.1 100 Continue\r\n\r\n')
-        with _time_limit(max(limits.head_ms, BODY_TIMEOUT_MS)):
+        with _read_limit(max(limits.head_ms, BODY_TIMEOUT_MS)):
             body = reader.read_body(shape, limits.body_bytes)
         return contexts.Request(head, body, self._timer.now_ms())
 
     def _wait_for_byte(
-        self, sock: socket.socket, reader: framing.Reader
+        self, sock: socket.socket, reader: message_readers.Reader
     ) -> bool:
         """Wait for a request's first byte; return False at the end.
 
@@ -307,7 +311,7 @@
         self._idle.add(sock)
         sock.settimeout(clock.to_seconds(self.limits.idle_ms))
         try:
-            received = sock.recv(framing.READ_BYTES)
+            received = sock.recv(message_readers.READ_BYTES)
         finally:
             self._idle.discard(sock)
             sock.settimeout(None)
@@ -315,22 +319,14 @@
         return bool(received)
 
 
-@contextlib.contextmanager
-def _time_limit(span_ms: float) -> Iterator[None]:
-    """Limit how long the block takes.
-
-    :raises RequestTimeoutError: if it takes more than ``span_ms``.
-    """
-    timeout = gevent.Timeout(clock.to_seconds(span_ms))
-    try:
-        with timeout:
-            yield
-    except gevent.Timeout as expired:
-        if expired is not timeout:
-            raise
-        raise exceptions.RequestTimeoutError(
+def _read_limit(span_ms: float) -> contextlib.AbstractContextManager[None]:
+    """Return a time limit for reading a part of a request."""
+    return time_limits.time_limit(
+        span_ms,
+        exceptions.RequestTimeoutError(
             f'the request was not read within {span_ms:.0f} ms', step='read'
-        ) from None
+        ),
+    )
 
 
 @contextlib.contextmanager
@@ -361,14 +357,25 @@
 
 def _is_closed(sock: socket.socket) -> bool:
     """Tell whether the peer closed a connection, without reading from it."""
+    try:
+        return _peek(sock) == b''
+    except OSError:
+        return True
+
+
+def _peek(sock: socket.socket) -> bytes | None:
+    """Return a byte that has arrived without removing it.
+
+    Return ``None`` if none has, and an empty string at the end.
+
+    :raises OSError: if the connection failed.
+    """
     flags = sockets.MSG_PEEK | sockets.MSG_DONTWAIT
     try:
         # The underlying socket, since recv of gevent's would block.
-        return not sock._sock.recv(1, flags)  # noqa: WPS437
+        return sock._sock.recv(1, flags)  # noqa: WPS437
     except BlockingIOError:
-        return False
-    except OSError:
-        return True
+        return None
 
 
 def _linger(sock: socket.socket) -> None:
@@ -381,5 +388,5 @@
         with gevent.Timeout(
             clock.to_seconds(LINGER_TIMEOUT_MS), exception=False
         ):
-            while sock.recv(framing.READ_BYTES):
+            while sock.recv(message_readers.READ_BYTES):
                 gevent.sleep(0)
--- a/src/carobfork/platform/endpoints.py
+++ b/src/carobfork/platform/endpoints.py
@@ -9,7 +9,7 @@
 from gevent import server, socket
 
 from carobfork import exceptions
-from carobfork.gateway import framing, servers
+from carobfork.gateway import framing, message_readers, servers
 
 CONNECTION_TIMEOUT_SECONDS = 30
 """Longest life of a connection."""
@@ -47,7 +47,7 @@
         self._server.stop(timeout=0)
 
     def _serve(self, sock: socket.socket, _address: tuple) -> None:
-        reader = framing.Reader(sock)
+        reader = message_readers.Reader(sock)
         try:
             with gevent.Timeout(CONNECTION_TIMEOUT_SECONDS, exception=False):
                 is_open = True
@@ -58,7 +58,9 @@
         finally:
             sock.close()
 
-    def _serve_one(self, sock: socket.socket, reader: framing.Reader) -> bool:
+    def _serve_one(
+        self, sock: socket.socket, reader: message_readers.Reader
+    ) -> bool:
         head = reader.read_head(_HEAD_BYTES)
         if head is None:
             return False
--- a/src/carobfork/platform/objects.py
+++ b/src/carobfork/platform/objects.py
@@ -10,8 +10,8 @@
 import structlog
 from gevent import socket
 
-from carobfork import clock, exceptions
-from carobfork.gateway import framing
+from carobfork import clock, exceptions, time_limits
+from carobfork.gateway import framing, message_readers
 from carobfork.platform import decoding
 
 CONNECT_TIMEOUT_MS = 1000
@@ -183,10 +183,15 @@
         if body is not None:
             fields.append(('Content-Type', 'application/json'))
         head = framing.encode_head(f'{method} {path} HTTP/1.1', fields)
-        with contextlib.closing(self._connect()) as connected:
-            connected.settimeout(clock.to_seconds(timeout_ms))
+        with (
+            contextlib.closing(self._connect()) as connected,
+            time_limits.time_limit(
+                timeout_ms, TimeoutError(f'no answer in {timeout_ms:.0f} ms')
+            ),
+        ):
+            connected.settimeout(None)
             connected.sendall(head + payload)
-            reader = framing.Reader(connected)
+            reader = message_readers.Reader(connected)
             answer = reader.read_head(framing.MAX_HEAD_BYTES)
             if answer is None:
                 raise EOFError('the connection ended before an answer')
--- a/src/carobfork/storage/links.py
+++ b/src/carobfork/storage/links.py
@@ -10,7 +10,7 @@
 import functools
 import itertools
 import socket as sockets
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any
 
@@ -19,7 +19,7 @@
 import structlog
 from gevent import event, queue, socket
 
-from carobfork import clock, exceptions
+from carobfork import clock, exceptions, time_limits
 from carobfork.storage import groups, messages
 
 CONNECT_TIMEOUT_MS = 200
@@ -294,7 +294,11 @@
     sock = socket.create_connection(
         address, timeout=clock.to_seconds(CONNECT_TIMEOUT_MS)
     )
-    with contextlib.closing(sock), _reply_timeout(address):
+    late = TimeoutError(f'no reply from {address} in {REPLY_TIMEOUT_MS} ms')
+    with (
+        contextlib.closing(sock),
+        time_limits.time_limit(REPLY_TIMEOUT_MS, late),
+    ):
         sock.settimeout(None)
         sock.sendall(messages.encode(messages.Envelope(1, 0, message)))
         buffered = bytearray()
@@ -310,24 +314,6 @@
     return messages.decode(frames[0]).message
 
 
-@contextlib.contextmanager
-def _reply_timeout(address: tuple[str, int]) -> Iterator[None]:
-    """Bound the time of the block, however the peer spreads its bytes.
-
-    :raises TimeoutError: if it takes more than ``REPLY_TIMEOUT_MS``.
-    """
-    timeout = gevent.Timeout(clock.to_seconds(REPLY_TIMEOUT_MS))
-    try:
-        with timeout:
-            yield
-    except gevent.Timeout as expired:
-        if expired is not timeout:
-            raise
-        raise TimeoutError(
-            f'no reply from {address} within {REPLY_TIMEOUT_MS} ms'
-        ) from None
-
-
 class Links:
     """The links to the members of a group, opened and closed as it changes.
 
--- a/tests/plain_calls.py
+++ b/tests/plain_calls.py
@@ -6,7 +6,7 @@
 import attrs
 from gevent import socket
 
-from carobfork.gateway import framing
+from carobfork.gateway import framing, message_readers
 from tests import configurations
 
 WAIT_SECONDS = 30
@@ -52,7 +52,7 @@
 
 def read_answer(sock):
     """Read a response, whole or broken off."""
-    reader = framing.Reader(sock)
+    reader = message_readers.Reader(sock)
     head = reader.read_head(framing.MAX_HEAD_BYTES)
     body = bytearray()
     try:
--- /dev/null
+++ b/tests/test_broken_servers.py
@@ -0,0 +1,312 @@
+"""Test answers of backend servers that are broken, late or without end.
+
+Each case scripts one server's bytes; the other servers of the deployment are
+gone. The tests guard against answers that reach the wrong caller, broken
+answers that look complete, and bytes that a host takes without end.
+"""
+
+import contextlib
+import unittest
+
+import gevent
+from gevent import server, socket
+
+from carobfork.gateway import events, framing, message_readers
+from tests import configurations, plain_calls, platform_hosts
+
+WHOLE = (
+    b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Stamp: s\r\n'
+    b'Content-Length: 5\r\n\r\nwhole'
+)
+STREAM = (
+    b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Stamp: s\r\n'
+    b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+EVENT = b'id: 1\ndata: a\n\n'
+
+
+def send_whole(sock, attempt):
+    """Send a whole answer."""
+    sock.sendall(WHOLE % attempt)
+
+
+class ScriptedServer:
+    """Answer each request with bytes of a script, as a context manager."""
+
+    def __init__(self):
+        """Create a server that answers whole."""
+        self.script = send_whole
+        self.runs = 0
+        self.sent_bytes = 0
+        self._server = server.StreamServer(('127.0.0.1', 0), self._serve)
+
+    def __enter__(self):
+        """Listen."""
+        self._server.start()
+        self.address = f'127.0.0.1:{self._server.server_port}'
+        return self
+
+    def __exit__(self, *failure):
+        """Stop listening."""
+        self._server.stop(timeout=0)
+
+    def send_forever(self, sock, piece):
+        """Send bytes until the peer closes."""
+        while True:
+            sock.sendall(piece)
+            self.sent_bytes += len(piece)
+            gevent.sleep(0)
+
+    def _serve(self, sock, _address):
+        reader = message_readers.Reader(sock)
+        with contextlib.suppress(OSError), contextlib.closing(sock):
+            head = reader.read_head(framing.MAX_HEAD_BYTES)
+            while head is not None:
+                reader.read_body(framing.request_shape(head), 10_000)
+                self.runs += 1
+                self.script(sock, head.get('x-attempt-id').encode())
+                head = reader.read_head(framing.MAX_HEAD_BYTES)
+
+
+class ScriptedCase(unittest.TestCase):
+    """Cases with one scripted server for each service."""
+
+    @classmethod
+    def setUpClass(cls):
+        """Start a deployment and replace its servers."""
+        cls.stack = contextlib.ExitStack()
+        cls.hosts = cls.stack.enter_context(platform_hosts.Deployment())
+        cls.scripted = cls.stack.enter_context(ScriptedServer())
+        for instance in list(cls.hosts.backends):
+            cls.hosts.store.remove('servers', instance)
+        for number, service in enumerate(
+            (configurations.TOOLS, configurations.ENGINES)
+        ):
+            entry = {
+                'Service': service,
+                'Address': cls.scripted.address,
+                'Zone': 'a',
+                'Slots': 4,
+                'State': 'ready',
+                'born': 1,
+            }
+            cls.hosts.store.put('servers', f's{number}', entry)
+        front = cls.hosts.fronts['front-0']
+        platform_hosts.wait_until(
+            lambda: front.table.get('s0') and front.table.get('s1'),
+            'the servers',
+        )
+
+    @classmethod
+    def tearDownClass(cls):
+        """Stop the deployment."""
+        cls.stack.close()
+
+    def ask(self, path='/order/1', **options):
+        """Send a request and return the answer."""
+        answer = self.hosts.ask(path, method='POST', body=b'x', **options)
+        for worker in self.hosts.fronts['front-0'].table:
+            worker.avoided_until_ms = 0
+        return answer
+
+
+class LateAnswersTest(ScriptedCase):
+    """Second copies of answers on connections in use again."""
+
+    def setUp(self):
+        """Remember what each request was answered before."""
+        self.before = b''
+
+    def test_a_late_second_copy(self):
+        """The copy arrives with the next answer and reaches no caller."""
+
+        def script(sock, attempt):
+            answer = WHOLE % attempt
+            sock.sendall(self.before + answer)
+            self.before = answer.replace(b'whole', b'other')
+
+        self.scripted.script = script
+        for _ in range(5):
+            answer = self.ask()
+            self.assertEqual((answer.status, answer.body), (200, b'whole'))
+
+    def test_a_late_refusal_without_a_name(self):
+        """It does not say that the next call has not run.
+
+        On a new connection it does: there is no earlier request.
+        """
+        refusal = (
+            b'HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
+        )
+        self.scripted.script = lambda sock, _attempt: sock.sendall(refusal)
+        self.assertEqual(self.ask().status, 429)
+        self.scripted.script = send_whole
+        self.assertEqual(self.ask().status, 200)
+        self.scripted.script = lambda sock, _attempt: sock.sendall(refusal)
+        self.assertEqual(self.ask().status, 502)
+
+    def test_informational_responses(self):
+        """A few are skipped; the answer after them is the answer."""
+        early = b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'
+        self.scripted.script = lambda sock, attempt: sock.sendall(
+            early * 2 + WHOLE % attempt
+        )
+        answer = self.ask()
+        self.assertEqual((answer.status, answer.body), (200, b'whole'))
+
+
+class EndlessAnswersTest(ScriptedCase):
+    """Bytes that are no answer, without end until the caller closes."""
+
+    def assert_cut(self, start, piece, path='/order/1', most=2_000_000):
+        """Check that a host stops taking the bytes long before the deadline.
+
+        :param start: sent first; may contain the attempt.
+        :param piece: sent again and again.
+        :param most: bytes that may have been sent by then.
+        """
+        self.scripted.sent_bytes = 0
+
+        def script(sock, attempt):
+            sock.sendall(start.replace(b'%b', attempt))
+            self.scripted.send_forever(sock, piece)
+
+        self.scripted.script = script
+        answer = self.ask(path)
+        self.assertFalse(answer.status == 200 and answer.is_whole)
+        self.assertLess(self.scripted.sent_bytes, most)
+        return answer
+
+    def test_garbage_instead_of_a_head(self):
+        """Bytes without a line end are cut at the longest head."""
+        self.assertEqual(self.assert_cut(b'', b'a' * 1000).status, 502)
+
+    def test_endless_headers(self):
+        """So are headers without an end."""
+        self.assert_cut(b'HTTP/1.1 200 OK\r\n', b'X-A: %b\r\n' % (b'b' * 90))
+
+    def test_endless_empty_lines(self):
+        """Only a few empty lines may come before a head."""
+        self.assert_cut(b'', b'\r\n' * 100)
+
+    def test_endless_informational_responses(self):
+        """Only a few may come before an answer."""
+        self.assert_cut(b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 10)
+
+    def test_a_body_without_end(self):
+        """An answer that is kept until it is whole has a longest length."""
+        head = (WHOLE % b'%b').partition(b'Content-Length')[0]
+        self.assert_cut(b'%b\r\n' % head, b'a' * 1000, most=4_000_000)
+
+    def test_an_event_without_end(self):
+        """A stream's event has a longest length; the caller's stream breaks."""
+        line = b'id: 1\ndata: '
+        start = STREAM + framing.encode_chunk(line)
+        piece = framing.encode_chunk(b'a' * 1000)
+        self.assert_cut(start, piece, path='/chat/1')
+
+    def test_trailers_without_end(self):
+        """An answer with endless trailers is not complete."""
+        start = b''.join((STREAM, framing.encode_chunk(EVENT), b'0\r\n'))
+        self.assert_cut(start, b'X-A: b\r\n' * 10, path='/chat/1')
+
+    def test_a_chunk_size_without_end(self):
+        """A chunk's size has a longest line."""
+        self.assert_cut(STREAM, b'0' * 100, path='/chat/1')
+
+    def test_a_length_that_is_no_number(self):
+        """A length of thousands of digits is malformed, not a crash."""
+        head = (WHOLE % b'%b').partition(b'Content-Length')[0]
+        start = b'%bContent-Length: %b\r\n\r\n' % (head, b'1' * 5000)
+        self.assertEqual(self.assert_cut(start, b'a').status, 502)
+
+
+class BrokenAnswersTest(ScriptedCase):
+    """Answers that break off."""
+
+    def answer_and_close(self, content):
+        """Let the server send bytes and close the connection."""
+
+        def script(sock, attempt):
+            sock.sendall(content.replace(b'%b', attempt))
+            sock.shutdown(socket.SHUT_RDWR)
+
+        self.scripted.script = script
+
+    def test_a_body_that_breaks_off(self):
+        """It reaches the caller as an unknown outcome, not as a success."""
+        self.answer_and_close(WHOLE.replace(b'whole', b'wh'))
+        self.assertEqual(self.ask().status, 502)
+
+    def test_a_stream_that_breaks_off(self):
+        """Its end is missing at the caller, too."""
+        self.answer_and_close(STREAM + framing.encode_chunk(EVENT))
+        answer = self.ask('/chat/1')
+        self.assertFalse(answer.is_whole)
+
+    def test_a_stream_that_ends_inside_an_event(self):
+        """A last chunk inside an event is no end of a stream."""
+        inside = framing.encode_chunk(b'%bid: 2\ndata: b' % EVENT)
+        self.answer_and_close(STREAM + inside + framing.LAST_CHUNK)
+        self.assertFalse(self.ask('/chat/1').is_whole)
+
+
+class SlowStreamsTest(ScriptedCase):
+    """Streams that are slow but sound, and streams that only drip."""
+
+    def test_a_slow_stream_is_not_cut(self):
+        """It is passed on whole as long as its caller waits."""
+
+        def script(sock, attempt):
+            sock.sendall(STREAM % attempt)
+            for number in range(1, 5):
+                gevent.sleep(0.5)
+                event = b'id: %d\ndata: a\n\n' % number
+                sock.sendall(framing.encode_chunk(event))
+            sock.sendall(framing.LAST_CHUNK)
+
+        self.scripted.script = script
+        answer = self.ask('/chat/1')
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(answer.body.count(b'id:'), 4)
+
+    def test_a_dripping_stream_ends(self):
+        """One that sends a byte now and then ends with the deadline."""
+
+        def script(sock, attempt):
+            sock.sendall(STREAM % attempt + framing.encode_chunk(EVENT))
+            while True:
+                gevent.sleep(0.05)
+                sock.sendall(framing.encode_chunk(b':'))
+
+        self.scripted.script = script
+        answer = self.ask('/chat/1', headers={'X-Deadline-Ms': '1000'})
+        self.assertFalse(answer.is_whole)
+        self.assertLess(len(answer.body), events.MAX_EVENT_BYTES)
+
+
+class PlannedStopTest(unittest.TestCase):
+    """Requests that arrive while an entry host stops."""
+
+    def test_a_request_that_has_just_arrived(self):
+        """It is answered although its connection counted as idle."""
+        with platform_hosts.Deployment() as hosts:
+            sock = socket.create_connection(hosts.address('front-0'))
+            with contextlib.closing(sock):
+                sock.settimeout(plain_calls.WAIT_SECONDS)
+                gevent.sleep(0.1)
+                sock.sendall(plain_calls.encode('/look/1'))
+                hosts.fronts['front-0'].server.stop_accepting()
+                answer = plain_calls.read_answer(sock)
+                self.assertEqual((answer.status, answer.is_whole), (200, True))
+                self.assertEqual(sock.recv(1), b'')
+
+    def test_idle_connections(self):
+        """A connection without a request is closed at once."""
+        with platform_hosts.Deployment() as hosts:
+            sock = socket.create_connection(hosts.address('front-0'))
+            with contextlib.closing(sock):
+                sock.settimeout(plain_calls.WAIT_SECONDS)
+                gevent.sleep(0.1)
+                hosts.fronts['front-0'].server.stop_accepting()
+                self.assertEqual(sock.recv(1), b'')
--- a/tests/test_gateway_framing.py
+++ b/tests/test_gateway_framing.py
@@ -9,7 +9,7 @@
 from gevent import socket
 
 from carobfork import exceptions
-from carobfork.gateway import events, framing
+from carobfork.gateway import events, framing, message_readers
 
 
 def parse(text):
@@ -70,7 +70,7 @@
         self.addCleanup(ours.close)
         theirs.sendall(sent)
         theirs.close()
-        return framing.Reader(ours)
+        return message_readers.Reader(ours)
 
     def test_two_messages(self):
         """The head of the next message follows a body directly."""
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -8,7 +8,7 @@
 
 from gevent import server
 
-from carobfork.gateway import framing
+from carobfork.gateway import framing, message_readers
 from carobfork.platform import endpoints, heads, names, objects
 from tests import configurations, plain_calls
 
@@ -34,7 +34,7 @@
 
     def take(self, sock, _address):
         """Record a request and answer it."""
-        self.sent = sock.recv(framing.READ_BYTES)
+        self.sent = sock.recv(message_readers.READ_BYTES)
         sock.sendall(ANSWER)
         sock.close()
 
