Place repeatable calls where any connection is kept

Only connections used in the last 0.4 s drew a call, though calls that may be repeated may use any; and turns kept theirs for 4 s, while a host sends one server a turn about as often at this size. Change: a policy is told how long a connection may have been idle for the call; turns may use one that was idle for up to 10 s (a failed turn is sent again by its caller). The pool tells a worker when its last connection went. Tested: a decision test, seen failing (no such parameter).

--- a/src/carobfork/gateway/connection_pools.py
+++ b/src/carobfork/gateway/connection_pools.py
@@ -24,7 +24,7 @@
 MAX_UNSAFE_IDLE_MS = 400
 """For calls that run at most once. The server may have dropped the connection
 silently, and then it is unknown whether the call ran."""
-MAX_STREAM_IDLE_MS = 4000
+MAX_STREAM_IDLE_MS = 10_000
 """For turns that run at most once. The limit is higher than for other calls,
 since callers send a failed turn again from its start."""
 USER_TIMEOUT_MS = 1200
@@ -41,6 +41,7 @@
 
     :param sock: the connected socket.
     :param reader: reads responses from the socket.
+    :param worker: the server that it leads to.
     :param is_reused: whether it was idle in the pool before.
     :param idle_since_ms: time at which it was last returned to the pool.
     :param max_idle_ms: how long it may be idle before it is closed.
@@ -50,6 +51,7 @@
 
     sock: socket.socket
     reader: message_readers.Reader
+    worker: workers.Worker
     is_reused: bool = False
     idle_since_ms: float = 0
     max_idle_ms: float = DEFAULT_MAX_IDLE_MS
@@ -138,7 +140,9 @@
         """Close the connections that have been idle for too long."""
         for key, idle in list(self._idle.items()):
             while idle and not self._is_usable(idle[0], idle[0].max_idle_ms):
-                idle.popleft().close()
+                expired = idle.popleft()
+                expired.close()
+                expired.worker.idle_connections = len(idle)
             if not idle:
                 self._idle.pop(key)
 
@@ -169,7 +173,7 @@
         sock.setsockopt(
             sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
         )
-        return Connection(sock, message_readers.Reader(sock))
+        return Connection(sock, message_readers.Reader(sock), worker)
 
 
 def _key(worker: workers.Worker) -> tuple:
--- a/src/carobfork/gateway/placements.py
+++ b/src/carobfork/gateway/placements.py
@@ -1,7 +1,8 @@
 """Choose the backend server that runs a call.
 
 Placement policies are registered under a name. A policy takes the call, the
-candidate workers and the time in ms, and returns a worker, or ``None`` if no
+candidate workers, the time in ms and how long a kept connection may have been
+idle to be used for the call, in ms. It returns a worker, or ``None`` if no
 candidate has a free slot.
 """
 
@@ -20,7 +21,7 @@
 an idle one."""
 RECENT_CONNECTION_MS = connection_pools.MAX_UNSAFE_IDLE_MS
 """Idle time up to which any call may use a kept connection, also one that runs
-at most once."""
+at most once. The default of policies."""
 SLOW_TIME_RATIO = 1.5
 """How much longer than on the quickest candidate a call may be expected to take
 before a worker counts as slow: more than the figures of sound machines differ
@@ -37,7 +38,8 @@
 calls beyond its slots."""
 
 PlacementPolicy = Callable[
-    [calls.Call, Sequence[workers.Worker], float], workers.Worker | None
+    [calls.Call, Sequence[workers.Worker], float, float],
+    workers.Worker | None,
 ]
 PLACEMENTS: dict[str, PlacementPolicy] = {}  # noqa: WPS407
 
@@ -54,7 +56,10 @@
 
 @register('least_loaded')
 def place_least_loaded(
-    _call: calls.Call, candidates: Sequence[workers.Worker], now_ms: float
+    _call: calls.Call,
+    candidates: Sequence[workers.Worker],
+    now_ms: float,
+    max_idle_ms: float = RECENT_CONNECTION_MS,
 ) -> workers.Worker | None:
     """Choose the less loaded of two random workers.
 
@@ -63,9 +68,9 @@
     hundred ms old and would all choose the one worker that appears idle.
 
     Below half load a worker is as quick as an idle one, so workers with a
-    recently used connection come first. Otherwise, with many hosts and many
-    workers, nearly every call would open a new connection. Workers on machines
-    that stay slow are left to the comparison.
+    connection that the call may use come first. Otherwise, with many hosts
+    and many workers, nearly every call would open a new connection. Workers
+    on machines that stay slow are left to the comparison.
     """
     free = [
         worker
@@ -80,7 +85,7 @@
     connected = [
         worker
         for worker in lightly_loaded
-        if _has_recent_connection(worker, now_ms)
+        if _has_connection(worker, now_ms, max_idle_ms)
     ]
     if connected:
         return max(
@@ -94,7 +99,10 @@
 
 @register('home')
 def place_at_home(
-    call: calls.Call, candidates: Sequence[workers.Worker], now_ms: float
+    call: calls.Call,
+    candidates: Sequence[workers.Worker],
+    now_ms: float,
+    max_idle_ms: float = RECENT_CONNECTION_MS,
 ) -> workers.Worker | None:
     """Choose the worker that has the program's prompts in its cache.
 
@@ -115,12 +123,15 @@
             load_ratio = _load_ratio(worker, now_ms)
             if worker in quick and load_ratio < MAX_HOME_LOAD_RATIO:
                 return worker
-    return place_least_loaded(call, candidates, now_ms)
+    return place_least_loaded(call, candidates, now_ms, max_idle_ms)
 
 
 @register('round_robin')
 def place_randomly(
-    _call: calls.Call, candidates: Sequence[workers.Worker], _now_ms: float
+    _call: calls.Call,
+    candidates: Sequence[workers.Worker],
+    _now_ms: float,
+    _max_idle_ms: float = RECENT_CONNECTION_MS,
 ) -> workers.Worker | None:
     """Choose a random worker, full or not, as a baseline for comparisons.
 
@@ -181,11 +192,12 @@
     ]
 
 
-def _has_recent_connection(worker: workers.Worker, now_ms: float) -> bool:
-    """Return whether a recently used connection is kept."""
+def _has_connection(
+    worker: workers.Worker, now_ms: float, max_idle_ms: float
+) -> bool:
+    """Return whether a connection is kept that a call may use."""
     return bool(
-        worker.idle_connections
-        and now_ms - worker.last_kept_ms < RECENT_CONNECTION_MS
+        worker.idle_connections and now_ms - worker.last_kept_ms < max_idle_ms
     )
 
 
--- a/src/carobfork/gateway/queues.py
+++ b/src/carobfork/gateway/queues.py
@@ -11,7 +11,13 @@
 import structlog
 
 from carobfork import clock
-from carobfork.gateway import calls, placements, routes, workers
+from carobfork.gateway import (
+    calls,
+    connection_pools,
+    placements,
+    routes,
+    workers,
+)
 
 MAX_WAIT_RATIO = 0.3
 """Share of a call's remaining time that it may wait; the rest is needed to run
@@ -195,6 +201,7 @@
         """
         now_ms = self._timer.now_ms()
         candidates = self._candidates(queued)
+        max_idle_ms = connection_pools.max_idle_ms(queued.route)
         chosen = None
         if not queued.route.is_repeatable:
             trusted = [
@@ -202,8 +209,10 @@
                 for worker in candidates
                 if not worker.has_recent_failure(now_ms)
             ]
-            chosen = self._policy(queued.call, trusted, now_ms)
-        return chosen or self._policy(queued.call, candidates, now_ms)
+            chosen = self._policy(queued.call, trusted, now_ms, max_idle_ms)
+        return chosen or self._policy(
+            queued.call, candidates, now_ms, max_idle_ms
+        )
 
     def _overflow_or_refuse(self, queued: QueuedCall) -> None:
         worker = placements.place_overflow(
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -190,6 +190,21 @@
         )
         self.assertIs(chosen, fresh)
 
+    def test_repeatable_calls_use_older_connections(self):
+        """A call that may be repeated goes where any connection is kept.
+
+        Hosts that each send few calls to many servers would otherwise open a
+        connection for nearly every call.
+        """
+        kept = self.candidates[2]
+        kept.idle_connections = 1
+        kept.last_kept_ms = 0
+        now_ms = 10 * placements.RECENT_CONNECTION_MS
+        for number in range(10):
+            call = calls.Call(str(number), program='p')
+            chosen = self.place(call, self.candidates, now_ms, float('inf'))
+            self.assertIs(chosen, kept)
+
     def test_a_server_that_comes_back_in_a_burst(self):
         """Hosts with the same outdated load figures do not all choose it."""
         random.seed(1)
