Split worker tables, ports and single requests from their modules

Change: WorkerTable with its constants to gateway/worker_tables.py, the codec and response writer protocols to gateway/ports.py, request_once to storage/single_requests.py. Nothing else.

--- a/src/carobfork/gateway/admissions.py
+++ b/src/carobfork/gateway/admissions.py
@@ -7,7 +7,13 @@
 from gevent import event
 
 from carobfork import clock, exceptions
-from carobfork.gateway import contexts, placements, queues, workers
+from carobfork.gateway import (
+    contexts,
+    placements,
+    queues,
+    worker_tables,
+    workers,
+)
 
 PROCESS_INTERVAL_MS = 20
 """Interval at which waiting calls are reconsidered, because slots also become
@@ -28,7 +34,7 @@
     """
 
     def __init__(
-        self, table: workers.WorkerTable, timer: clock.Clock, policy: str
+        self, table: worker_tables.WorkerTable, timer: clock.Clock, policy: str
     ) -> None:
         """Create a controller without queues."""
         self._table = table
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -6,7 +6,6 @@
 
 import contextlib
 from collections.abc import Callable, Iterator
-from typing import Protocol
 
 import attrs
 import gevent
@@ -19,6 +18,7 @@
     contexts,
     events,
     framing,
+    ports,
     routes,
     stalls,
     turns,
@@ -50,57 +50,6 @@
     code = 'server_refused'
 
 
-class Codec(Protocol):
-    """Translate heads to and from call metadata."""
-
-    def decode_call(self, head: framing.Head) -> calls.Call:
-        """Return the call that a request head describes."""
-
-    def encode_request(
-        self,
-        head: framing.Head,
-        instance: str,
-        left_ms: float,
-        body_bytes: int,
-        last_event: str,
-    ) -> bytes:
-        """Return the encoded head for a backend server.
-
-        :param head: the caller's head.
-        :param instance: the backend server's identifier.
-        :param left_ms: time until the caller's deadline.
-        :param body_bytes: length of the body.
-        :param last_event: identifier of the last event that the caller
-            received, or empty.
-        """
-
-    def decode_answer(self, head: framing.Head) -> calls.ServerAnswer:
-        """Return the metadata of a response head."""
-
-
-class ResponseWriter(Protocol):
-    """Write the response to a caller.
-
-    ``has_begun`` is true once the head of the response is sent.
-    """
-
-    has_begun: bool
-
-    def respond(
-        self, status: int, fields: list[tuple[str, str]], body: bytes
-    ) -> None:
-        """Send a complete response."""
-
-    def begin(self, status: int, fields: list[tuple[str, str]]) -> None:
-        """Prepare the head of a response of unknown length."""
-
-    def send(self, piece: bytes) -> None:
-        """Send a piece of the body."""
-
-    def end(self) -> None:
-        """End the body."""
-
-
 @attrs.frozen
 class _Answer:
     """A response head.
@@ -129,7 +78,10 @@
     """
 
     def __init__(
-        self, codec: Codec, turn_manager: turns.TurnManager, timer: clock.Clock
+        self,
+        codec: ports.Codec,
+        turn_manager: turns.TurnManager,
+        timer: clock.Clock,
     ) -> None:
         """Create an exchanger with an empty connection pool."""
         self.pool = connection_pools.ConnectionPool(timer)
@@ -142,7 +94,7 @@
         self,
         context: contexts.RequestContext,
         worker: workers.Worker,
-        response: ResponseWriter,
+        response: ports.ResponseWriter,
     ) -> None:
         """Send a request once and relay the answer.
 
@@ -314,7 +266,7 @@
         context: contexts.RequestContext,
         connection: connection_pools.Connection,
         answer: _Answer,
-        response: ResponseWriter,
+        response: ports.ResponseWriter,
         watch: stalls.Watch,
     ) -> None:
         status = answer.told.status
@@ -346,7 +298,7 @@
         context: contexts.RequestContext,
         connection: connection_pools.Connection,
         answer: _Answer,
-        response: ResponseWriter,
+        response: ports.ResponseWriter,
         watch: stalls.Watch,
     ) -> None:
         if not response.has_begun:
--- a/src/carobfork/gateway/queues.py
+++ b/src/carobfork/gateway/queues.py
@@ -16,6 +16,7 @@
     connection_pools,
     placements,
     routes,
+    worker_tables,
     workers,
 )
 
@@ -91,7 +92,7 @@
     def __init__(
         self,
         service: str,
-        table: workers.WorkerTable,
+        table: worker_tables.WorkerTable,
         timer: clock.Clock,
         policy: placements.PlacementPolicy,
         on_wait: Callable[[], None] = _do_nothing,
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -14,9 +14,10 @@
     events,
     exchanges,
     metrics,
+    ports,
     routes,
     turns,
-    workers,
+    worker_tables,
 )
 
 STARTUP_TIMEOUT_MS = 800
@@ -58,8 +59,8 @@
 
     def __init__(
         self,
-        codec: exchanges.Codec,
-        table: workers.WorkerTable,
+        codec: ports.Codec,
+        table: worker_tables.WorkerTable,
         turn_manager: turns.TurnManager,
         timer: clock.Clock,
         policy: str = 'home',
@@ -77,7 +78,7 @@
         self.queue_times = metrics.Histogram()
 
     def handle(
-        self, request: contexts.Request, response: exchanges.ResponseWriter
+        self, request: contexts.Request, response: ports.ResponseWriter
     ) -> None:
         """Forward a request and send the answer to the caller.
 
@@ -146,7 +147,7 @@
     def _forward(
         self,
         context: contexts.RequestContext,
-        response: exchanges.ResponseWriter,
+        response: ports.ResponseWriter,
     ) -> None:
         if context.route.kind == routes.Kind.stream and context.call.program:
             self._open_turn(context)
@@ -205,7 +206,7 @@
     def _try_once(
         self,
         context: contexts.RequestContext,
-        response: exchanges.ResponseWriter,
+        response: ports.ResponseWriter,
     ) -> bool:
         """Send the request to one worker; return whether it was answered."""
         with self.admission.slot(context) as worker:
--- /dev/null
+++ b/src/carobfork/gateway/worker_tables.py
@@ -0,0 +1,237 @@
+"""Track the backend servers (workers) that calls are scheduled on.
+
+Two sources are combined: the platform's registry, which lags behind and loses
+entries during an outage of the platform's store, and the results of calls.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+
+import structlog
+
+from carobfork import clock
+from carobfork.gateway import workers
+
+UNLISTED_TTL_MS = 1500
+"""How long a worker without an entry may get calls if no other is left.
+
+Shorter than the time that a backend server continues to serve after its entry
+is removed.
+"""
+RELISTING_TIMEOUT_MS = 2500
+"""How long after an outage workers without an entry may get calls and are kept:
+entries that expired during it are registered again about 2 s after its end."""
+MIN_SUSPECTING_HOSTS = 2
+"""Number of other hosts that must suspect a worker before it is avoided: a
+single host may itself be cut off from the worker."""
+OPEN_TURNS_TTL_MS = 250
+"""How long a count of open turns takes precedence over load reports, which may
+be older than one heartbeat."""
+
+logger = structlog.get_logger(part='workers')
+
+
+class WorkerTable:
+    """The known workers of all services.
+
+    :param timer: the clock for ages of entries, reports and failures.
+    """
+
+    def __init__(self, timer: clock.Clock) -> None:
+        """Create an empty table."""
+        self.is_loaded = False
+        self._timer = timer
+        self._workers: dict[str, workers.Worker] = {}
+        self._relisting_until_ms = workers.NEVER_MS
+        self._remote_waiting: Mapping[str, int] = {}
+        self._remote_updated_ms = workers.NEVER_MS
+        self._failure_domain = ''
+
+    def __iter__(self) -> Iterator[workers.Worker]:
+        """Iterate over all workers, including those without an entry."""
+        return iter(self._workers.values())
+
+    def get(self, instance: str) -> workers.Worker | None:
+        """Return a worker, or ``None`` if it is unknown."""
+        return self._workers.get(instance)
+
+    def prefer_failure_domain(self, failure_domain: str) -> None:
+        """Prefer the workers of a failure domain, or none if it is empty."""
+        if failure_domain != self._failure_domain:
+            self._failure_domain = failure_domain
+            for worker in self._workers.values():
+                worker.is_local = worker.entry.failure_domain == failure_domain
+
+    def apply(
+        self, entries: Iterable[workers.Entry], was_unreachable: bool
+    ) -> None:
+        """Apply a complete listing of the registry.
+
+        :param entries: all entries.
+        :param was_unreachable: whether the registry was unreachable before
+            this listing.
+        """
+        now_ms = self._timer.now_ms()
+        if was_unreachable and self.is_loaded:
+            self._relisting_until_ms = now_ms + RELISTING_TIMEOUT_MS
+        self.is_loaded = True
+        listed = {entry.instance: entry for entry in entries}
+        for entry in listed.values():
+            self._apply_entry(entry)
+        for worker in list(self._workers.values()):
+            if worker.instance not in listed:
+                self._mark_unlisted(worker, now_ms)
+
+    def update_open_turns(
+        self, open_turns: Mapping[str, int], announced_worker: str
+    ) -> None:
+        """Apply the store hosts' current count of open turns.
+
+        Workers that have never run a counted turn keep their load figures.
+
+        :param open_turns: open turns of all hosts by worker.
+        :param announced_worker: the worker of a turn of this host that is
+            counted but has no slot yet.
+        """
+        now_ms = self._timer.now_ms()
+        for worker in self._workers.values():
+            total_turns = open_turns.get(worker.instance, 0)
+            total_turns -= worker.instance == announced_worker
+            if (
+                total_turns > 0
+                or worker.open_turns_updated_ms > workers.NEVER_MS
+            ):
+                worker.update_load(total_turns, now_ms)
+                worker.open_turns_updated_ms = now_ms
+
+    def update_remote_load(
+        self, in_flight: Mapping[str, int], waiting: Mapping[str, int]
+    ) -> None:
+        """Apply the load report of all other hosts.
+
+        :param in_flight: number of running calls by worker.
+        :param waiting: number of calls that wait for a slot, by service.
+        """
+        now_ms = self._timer.now_ms()
+        self._remote_updated_ms = now_ms
+        self._remote_waiting = waiting
+        for worker in self._workers.values():
+            # Load reports are older than counts of open turns.
+            if now_ms - worker.open_turns_updated_ms > OPEN_TURNS_TTL_MS:
+                worker.remote_in_flight = in_flight.get(worker.instance, 0)
+                worker.remote_updated_ms = now_ms
+
+    @property
+    def has_remote_waiting(self) -> bool:
+        """Whether calls wait at other hosts, by the last load report."""
+        return any(
+            self.remote_waiting(service) for service in self._remote_waiting
+        )
+
+    def remote_waiting(self, service: str) -> int:
+        """Return the number of waiting calls at other hosts.
+
+        Return 0 if the last load report is too old.
+
+        :param service: the service that the calls are for.
+        """
+        if (
+            self._timer.now_ms() - self._remote_updated_ms
+            > workers.REMOTE_LOAD_TTL_MS
+        ):
+            return 0
+        return self._remote_waiting.get(service, 0)
+
+    def update_suspects(self, suspects: Mapping[str, int]) -> None:
+        """Apply the suspicions of other hosts.
+
+        :param suspects: number of other hosts that suspect a worker, by its
+            identifier.
+        """
+        now_ms = self._timer.now_ms()
+        for worker in self._workers.values():
+            count = suspects.get(worker.instance, 0)
+            is_suspected = count >= MIN_SUSPECTING_HOSTS
+            worker.last_suspected_ms = (
+                now_ms if is_suspected else workers.NEVER_MS
+            )
+            if count:
+                worker.last_failure_ms = now_ms
+
+    def suspects(self) -> list[str]:
+        """Return the workers that are avoided for failed calls of this host."""
+        now_ms = self._timer.now_ms()
+        return [
+            worker.instance
+            for worker in self._workers.values()
+            if worker.avoided_until_ms > now_ms
+        ]
+
+    def in_flight(self) -> dict[str, int]:
+        """Return the number of this host's calls by worker, without zeros."""
+        return {
+            worker.instance: worker.in_flight
+            for worker in self._workers.values()
+            if worker.in_flight
+        }
+
+    def usable(self, service: str) -> list[workers.Worker]:
+        """Return the workers that may get a new call of a service.
+
+        Avoided workers are returned only if all workers with an entry are
+        avoided. Workers without an entry are returned only if no worker has
+        one, because all entries may have expired in an outage of the registry.
+        """
+        now_ms = self._timer.now_ms()
+        found = [
+            worker
+            for worker in self._workers.values()
+            if worker.entry.service == service and not worker.entry.is_draining
+        ]
+        listed = [
+            worker for worker in found if worker.unlisted_since_ms is None
+        ]
+        ready = [worker for worker in listed if not worker.is_avoided(now_ms)]
+        if ready or listed:
+            return ready or listed
+        return [
+            worker for worker in found if self._may_still_serve(worker, now_ms)
+        ]
+
+    def _may_still_serve(self, worker: workers.Worker, now_ms: float) -> bool:
+        if now_ms < self._relisting_until_ms:
+            return True
+        return now_ms - worker.unlisted_since_ms < UNLISTED_TTL_MS
+
+    def _apply_entry(self, entry: workers.Entry) -> None:
+        known = self._workers.get(entry.instance)
+        if known is None or known.entry.started_ms != entry.started_ms:
+            logger.info(
+                'worker registered',
+                worker=entry.instance,
+                service=entry.service,
+                draining=entry.is_draining,
+                restarted=known is not None,
+            )
+            # Calls on the previous process release their slots on the
+            # previous object, which is no longer used.
+            self._workers[entry.instance] = workers.Worker(
+                entry, is_local=entry.failure_domain == self._failure_domain
+            )
+            return
+        if known.entry.is_draining != entry.is_draining:
+            logger.info(
+                'worker draining' if entry.is_draining else 'worker ready',
+                worker=entry.instance,
+            )
+        known.entry = entry
+        known.unlisted_since_ms = None
+
+    def _mark_unlisted(self, worker: workers.Worker, now_ms: float) -> None:
+        if worker.unlisted_since_ms is None:
+            worker.unlisted_since_ms = now_ms
+            logger.info(
+                'worker gone', worker=worker.instance, calls=worker.in_flight
+            )
+        is_expired = not self._may_still_serve(worker, now_ms)
+        if is_expired and not worker.in_flight:
+            self._workers.pop(worker.instance)
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -13,11 +13,17 @@
     relays,
     servers,
     turns,
-    workers,
+    worker_tables,
 )
 from carobfork.platform import endpoints, heads, settings
 from carobfork.roles import hosts, updates
-from carobfork.storage import clients, groups, links, messages
+from carobfork.storage import (
+    clients,
+    groups,
+    links,
+    messages,
+    single_requests,
+)
 
 POOL_TRIM_INTERVAL_MS = 500
 NEWS_CHECK_INTERVAL_MS = 250
@@ -52,7 +58,7 @@
         self.directory = directories.Directory(
             host_settings.node, host_settings.zone, f'{ip}:{port}', self.timer
         )
-        self.table = workers.WorkerTable(self.timer)
+        self.table = worker_tables.WorkerTable(self.timer)
         self.links = links.Links(
             self.timer,
             links.Heartbeats(
@@ -225,7 +231,7 @@
 
     def _recall(self, seed: settings.Address) -> None:
         try:
-            recalled = links.request_once(seed, messages.Recall())
+            recalled = single_requests.request_once(seed, messages.Recall())
         except (OSError, exceptions.BadRequestError) as error:
             logger.info('recall failed', peer=seed, reason=str(error))
             return
--- a/src/carobfork/roles/updates.py
+++ b/src/carobfork/roles/updates.py
@@ -11,7 +11,7 @@
 from gevent import event
 
 from carobfork import clock, exceptions
-from carobfork.gateway import relays, workers
+from carobfork.gateway import relays, worker_tables
 from carobfork.platform import decoding, followers, names, registers
 from carobfork.storage import clients, links, messages, snapshots
 
@@ -32,7 +32,7 @@
     """
 
     relay: relays.Relay
-    table: workers.WorkerTable
+    table: worker_tables.WorkerTable
     storage: clients.Client
 
 
@@ -90,7 +90,7 @@
         """Apply a store host's changes; tell whether all could be applied."""
         self._targets.storage.apply(recalled.group)
         was_unreachable = (
-            recalled.since_outage_ms < workers.RELISTING_TIMEOUT_MS
+            recalled.since_outage_ms < worker_tables.RELISTING_TIMEOUT_MS
         )
         updated_kinds, is_complete = self._snapshots.merge(recalled.changes)
         for kind in updated_kinds:
--- a/src/carobfork/storage/links.py
+++ b/src/carobfork/storage/links.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import contextlib
 import functools
 import itertools
 import socket as sockets
@@ -19,16 +18,13 @@
 import structlog
 from gevent import event, queue, socket
 
-from carobfork import clock, exceptions, time_limits
+from carobfork import clock, exceptions
 from carobfork.storage import groups, messages
 
 CONNECT_TIMEOUT_MS = 200
 """Covers many round trips between failure domains. A new connection replaces a
 lost first packet earlier than the kernel, which sends it again after a second.
 That matters when all hosts start at once and some do not listen yet."""
-REPLY_TIMEOUT_MS = 500
-"""For a request on a connection of its own; a host that has just started may
-have many to answer."""
 HEARTBEAT_INTERVAL_MS = 250
 """Interval on links that carry status reports; a dead peer is detected within
 a few heartbeats."""
@@ -48,7 +44,7 @@
 TCP_USER_TIMEOUT_MS = 1000
 """Kernel timeout for unacknowledged bytes, for the case that no heartbeat is
 pending."""
-_READ_BYTES = 262_144
+READ_BYTES = 262_144
 
 logger = structlog.get_logger(part='links')
 
@@ -227,7 +223,7 @@
                 self._heartbeats.interval_ms(self.member) + SILENCE_TIMEOUT_MS
             )
             sock.settimeout(clock.to_seconds(silence_ms))
-            received = sock.recv(_READ_BYTES)
+            received = sock.recv(READ_BYTES)
             if not received:
                 return
             self.last_received_ms = self._timer.now_ms()
@@ -284,36 +280,6 @@
     )
 
 
-def request_once(address: tuple[str, int], message: Any) -> Any:
-    """Send a request on a separate connection and return its reply.
-
-    :param address: the host's IP address and port.
-    :raises OSError: if the host can't be reached or does not reply in time.
-    :raises BadRequestError: if the reply is malformed.
-    """
-    sock = socket.create_connection(
-        address, timeout=clock.to_seconds(CONNECT_TIMEOUT_MS)
-    )
-    late = TimeoutError(f'no reply from {address} in {REPLY_TIMEOUT_MS} ms')
-    with (
-        contextlib.closing(sock),
-        time_limits.time_limit(REPLY_TIMEOUT_MS, late),
-    ):
-        sock.settimeout(None)
-        sock.sendall(messages.encode(messages.Envelope(1, 0, message)))
-        buffered = bytearray()
-        frames: list[bytes] = []
-        while not frames:
-            received = sock.recv(_READ_BYTES)
-            if not received:
-                raise ConnectionResetError(
-                    f'{address} closed the connection before its reply'
-                )
-            buffered.extend(received)
-            frames = messages.pop_frames(buffered)
-    return messages.decode(frames[0]).message
-
-
 class Links:
     """The links to the members of a group, opened and closed as it changes.
 
--- a/tests/test_boards.py
+++ b/tests/test_boards.py
@@ -7,7 +7,7 @@
 import unittest
 
 from carobfork import clock
-from carobfork.gateway import calls, placements, workers
+from carobfork.gateway import calls, placements, worker_tables, workers
 from carobfork.storage import turn_counters
 
 
@@ -57,7 +57,7 @@
             for number in range(self.servers)
         ]
         self.tables = [
-            workers.WorkerTable(self.timer) for _ in range(self.hosts)
+            worker_tables.WorkerTable(self.timer) for _ in range(self.hosts)
         ]
         for table in self.tables:
             table.apply(entries, was_unreachable=False)
@@ -91,6 +91,6 @@
         table.update_open_turns({'s0': 5}, '')
         table.update_remote_load({}, {})
         self.assertEqual(table.get('s0').load(self.timer.now_ms()), 5)
-        self.timer.advance(workers.OPEN_TURNS_TTL_MS + 1)
+        self.timer.advance(worker_tables.OPEN_TURNS_TTL_MS + 1)
         table.update_remote_load({}, {})
         self.assertEqual(table.get('s0').load(self.timer.now_ms()), 0)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -15,6 +15,7 @@
     placements,
     queues,
     routes,
+    worker_tables,
     workers,
 )
 from carobfork.storage import messages
@@ -47,7 +48,7 @@
     def setUp(self):
         """Register two workers."""
         self.timer = clock.ManualClock()
-        self.table = workers.WorkerTable(self.timer)
+        self.table = worker_tables.WorkerTable(self.timer)
         self.apply('a', 'b')
 
     def apply(self, *instances, was_unreachable=False):
@@ -67,17 +68,17 @@
         """Workers whose entries all expire get calls for a limited time."""
         self.apply()
         self.assertEqual(self.usable(), ['a', 'b'])
-        self.timer.advance(workers.UNLISTED_TTL_MS + 1)
+        self.timer.advance(worker_tables.UNLISTED_TTL_MS + 1)
         self.assertEqual(self.usable(), [])
 
     def test_entries_come_back_after_an_outage(self):
         """Workers without an entry are kept for a while, then removed."""
         self.apply(was_unreachable=True)
-        self.timer.advance(workers.UNLISTED_TTL_MS + 1)
+        self.timer.advance(worker_tables.UNLISTED_TTL_MS + 1)
         self.assertEqual(self.usable(), ['a', 'b'])
         self.apply('a')
         self.assertEqual(self.usable(), ['a'])
-        self.timer.advance(workers.RELISTING_TIMEOUT_MS)
+        self.timer.advance(worker_tables.RELISTING_TIMEOUT_MS)
         self.apply('a')
         self.assertIsNone(self.table.get('b'))
 
@@ -302,7 +303,7 @@
     def setUp(self):
         """Create a queue with idle workers."""
         self.timer = clock.ManualClock()
-        self.table = workers.WorkerTable(self.timer)
+        self.table = worker_tables.WorkerTable(self.timer)
         self.table.apply([entry('a', 2), entry('b', 2)], False)
         self.queue = queues.CallQueue(
             SERVICE, self.table, self.timer, placements.PLACEMENTS['home']
@@ -430,7 +431,7 @@
     def test_no_servers(self):
         """A call is refused at once if there is no worker."""
         self.table.apply([], False)
-        self.timer.advance(workers.UNLISTED_TTL_MS + 1)
+        self.timer.advance(worker_tables.UNLISTED_TTL_MS + 1)
         self.submit('vain')
         self.assertEqual(len(self.refused), 1)
 
--- a/tests/test_idle_hosts.py
+++ b/tests/test_idle_hosts.py
@@ -22,6 +22,7 @@
     relays,
     routes,
     turns,
+    worker_tables,
     workers,
 )
 from carobfork.platform import followers, heads, settings
@@ -55,7 +56,7 @@
     def setUp(self):
         """Start the greenlet with one backend server of one slot."""
         timer = clock.ManualClock()
-        self.table = workers.WorkerTable(timer)
+        self.table = worker_tables.WorkerTable(timer)
         self.table.apply([ENTRY], was_unreachable=False)
         self.admission = admissions.AdmissionController(
             self.table, timer, 'home'
@@ -98,7 +99,7 @@
         self.timer = clock.ManualClock()
         self.relay = relays.Relay(
             heads,
-            workers.WorkerTable(self.timer),
+            worker_tables.WorkerTable(self.timer),
             turns.TurnManager(mock.Mock()),
             self.timer,
         )
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -14,7 +14,13 @@
 from carobfork import clock, exceptions
 from carobfork.gateway import relays
 from carobfork.roles import front
-from carobfork.storage import clients, groups, links, messages
+from carobfork.storage import (
+    clients,
+    groups,
+    links,
+    messages,
+    single_requests,
+)
 
 LOST = ('127.0.0.1', 9)
 
@@ -38,7 +44,7 @@
         self.addCleanup(listener.stop)
         address = listener.server_host, listener.server_port
         with gevent.Timeout(30), self.assertRaises(TimeoutError):
-            links.request_once(address, messages.Recall())
+            single_requests.request_once(address, messages.Recall())
 
     def test_a_start_beside_hosts_that_are_still_down(self):
         """A lost first packet costs less than half of what callers wait.
@@ -56,7 +62,7 @@
             mock.patch.object(socket, 'create_connection', lose_packet),
             self.assertRaises(TimeoutError),
         ):
-            links.request_once(LOST, messages.Recall())
+            single_requests.request_once(LOST, messages.Recall())
         delay_ms = timeouts[0] + front.RECALL_INTERVAL_MS
         self.assertLess(delay_ms, relays.STARTUP_TIMEOUT_MS / 2)
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -14,6 +14,7 @@
     relays,
     routes,
     turns,
+    worker_tables,
     workers,
 )
 from carobfork.platform import heads
@@ -27,7 +28,7 @@
 
     Nothing listens at the servers' addresses.
     """
-    table = workers.WorkerTable(timer)
+    table = worker_tables.WorkerTable(timer)
     entries = [
         workers.Entry(name, SERVICE, '127.0.0.1', 1, 'z', slots=2)
         for name in NAMES
