Let urgent calls go first across the whole fleet

In a burst, turns of rank 0 waited 214 ms in the mean and those of rank 1 292 ms, each with half of all calls waiting: every host orders its own queue only, a free slot goes to the host that sees it first, and overdue calls of any rank fill the servers' own queues. Change: hosts tell waiting calls by rank. While less urgent calls wait here or at other hosts, a call that gets no slot goes to the shortest of the servers' own queues (up to 1.5 calls a slot), which take calls in order of arrival, so no slot stands idle. Overdue calls stay out of these queues while more urgent ones are being made (gateway/ranks.py). The expected wait leaves out less urgent calls of other hosts. Hosts of earlier builds report no ranks; nothing changes towards them.

--- a/src/carobfork/gateway/admissions.py
+++ b/src/carobfork/gateway/admissions.py
@@ -63,6 +63,15 @@
             if queue.waiting
         }
 
+    def waiting_ranks(self) -> dict[int, dict[str, int]]:
+        """Return the number of waiting calls by rank and service."""
+        ranks: dict[int, dict[str, int]] = {}
+        for name, queue in self._queues.items():
+            for queued in queue.waiting:
+                waiting = ranks.setdefault(queued.route.rank, {})
+                waiting[name] = waiting.get(name, 0) + 1
+        return ranks
+
     def process_waiting(self) -> None:
         """Grant free slots and refuse overdue calls in all queues."""
         for queue in list(self._queues.values()):
--- a/src/carobfork/gateway/placements.py
+++ b/src/carobfork/gateway/placements.py
@@ -36,6 +36,9 @@
 MAX_CALLS_PER_SLOT = 2
 """Maximum number of calls per slot, running or waiting, on a worker that takes
 calls beyond its slots."""
+MAX_URGENT_CALLS_PER_SLOT = 1.5
+"""The same for calls that go before less urgent ones of all hosts: with a short
+queue at each worker they get the slots that become free."""
 
 PlacementPolicy = Callable[
     [calls.Call, Sequence[workers.Worker], float, float],
@@ -141,18 +144,22 @@
 
 
 def place_overflow(
-    candidates: Sequence[workers.Worker], now_ms: float
+    candidates: Sequence[workers.Worker],
+    now_ms: float,
+    max_calls_per_slot: float = MAX_CALLS_PER_SLOT,
 ) -> workers.Worker | None:
     """Choose the least loaded worker that accepts calls beyond its slots.
 
     Suits a burst in which all slots are taken: waiting longer in this host's
     queue would take more of the call's time than the backend server's own
-    queue. Workers at ``MAX_CALLS_PER_SLOT`` are excluded.
+    queue.
+
+    :param max_calls_per_slot: workers with more calls are excluded.
     """
     below_limit = [
         worker
         for worker in candidates
-        if worker.load(now_ms) < worker.entry.slots * MAX_CALLS_PER_SLOT
+        if worker.load(now_ms) < worker.entry.slots * max_calls_per_slot
     ]
     return min(
         below_limit,
--- a/src/carobfork/gateway/queues.py
+++ b/src/carobfork/gateway/queues.py
@@ -15,6 +15,7 @@
     calls,
     connection_pools,
     placements,
+    ranks,
     routes,
     worker_tables,
     workers,
@@ -105,12 +106,16 @@
         self._timer = timer
         self._policy = policy
         self._mean_hold_ms = INITIAL_HOLD_MS
+        self._ranks = ranks.RankMemory()
 
     def submit(self, queued: QueuedCall) -> None:
         """Grant the call a slot, enqueue it or refuse it."""
         queued.arrived_ms = self._timer.now_ms()
+        self._ranks.record(queued.route.rank, queued.arrived_ms)
         if not self.waiting and self._try_grant(queued):
             return
+        if self._overflow_if_urgent(queued):
+            return
         is_in_time = self.expected_wait_ms(queued) <= queued.max_wait_ms
         if is_in_time and self._candidates(queued):
             self.waiting.append(queued)
@@ -141,28 +146,32 @@
     def process_waiting(self) -> None:
         """Grant free slots to waiting calls.
 
-        An overdue call goes to a worker's own queue if one is short enough,
-        or is refused.
+        An overdue call goes to a worker's own queue if one is short enough
+        and no more urgent calls need it, or is refused.
         """
         for queued in sorted(self.waiting, key=QueuedCall.priority_key):
             waited_ms = self._timer.now_ms() - queued.arrived_ms
-            if self._try_grant(queued):
+            if self._try_grant(queued) or self._overflow_if_urgent(queued):
                 self.waiting.remove(queued)
             elif waited_ms > queued.max_wait_ms:
                 self.waiting.remove(queued)
-                self._overflow_or_refuse(queued)
+                if not self._overflow_if_overdue(queued):
+                    queued.resolve(None)
 
     def expected_wait_ms(self, queued: QueuedCall) -> float:
         """Estimate how long a call waits, in ms.
 
-        Counts the calls with the same or a higher priority in this queue and
-        all that wait for the service at other hosts.
+        Counts the calls with the same or a higher priority in this queue, and
+        those with the same or a higher rank at other hosts.
         """
         ahead = sum(
             other.priority_key() <= queued.priority_key()
             for other in self.waiting
         )
         ahead += self._table.remote_waiting(self._service)
+        ahead -= self._table.remote_waiting(
+            self._service, behind=queued.route.rank
+        )
         slots = sum(worker.entry.slots for worker in self._candidates(queued))
         return (ahead + 1) * self._mean_hold_ms / max(slots, 1)
 
@@ -215,12 +224,40 @@
             queued.call, candidates, now_ms, max_idle_ms
         )
 
-    def _overflow_or_refuse(self, queued: QueuedCall) -> None:
+    def _goes_first(self, queued: QueuedCall) -> bool:
+        """Return whether less urgent calls wait here or at other hosts.
+
+        Each host orders its own queue only, and a slot that becomes free goes
+        to the host that sees it first, whatever waits at the others. A worker
+        takes calls in the order of their arrival, so a call in its own queue
+        gets the next slot. Urgent calls are sent there while less urgent ones
+        wait in the hosts' queues.
+        """
+        rank = queued.route.rank
+        return self._table.remote_waiting(self._service, behind=rank) > 0 or (
+            any(other.route.rank > rank for other in self.waiting)
+        )
+
+    def _overflow_if_urgent(self, queued: QueuedCall) -> bool:
+        return self._goes_first(queued) and self._overflow(
+            queued, placements.MAX_URGENT_CALLS_PER_SLOT
+        )
+
+    def _overflow_if_overdue(self, queued: QueuedCall) -> bool:
+        """Overflow a call unless more urgent calls need the workers' queues."""
+        is_behind = self._ranks.has_more_urgent(
+            queued.route.rank, self._timer.now_ms()
+        )
+        return not is_behind and self._overflow(
+            queued, placements.MAX_CALLS_PER_SLOT
+        )
+
+    def _overflow(self, queued: QueuedCall, max_calls_per_slot: float) -> bool:
+        """Send a call to a worker's own queue if one is short enough."""
         worker = placements.place_overflow(
-            self._candidates(queued), self._timer.now_ms()
+            self._candidates(queued), self._timer.now_ms(), max_calls_per_slot
         )
-        if not self._assign(queued, worker):
-            queued.resolve(None)
+        return self._assign(queued, worker)
 
     def _assign(
         self, queued: QueuedCall, worker: workers.Worker | None
--- a/src/carobfork/gateway/worker_tables.py
+++ b/src/carobfork/gateway/worker_tables.py
@@ -43,6 +43,7 @@
         self._workers: dict[str, workers.Worker] = {}
         self._relisting_until_ms = workers.NEVER_MS
         self._remote_waiting: Mapping[str, int] = {}
+        self._remote_ranks: Mapping[int, Mapping[str, int]] = {}
         self._remote_updated_ms = workers.NEVER_MS
         self._failure_domain = ''
 
@@ -104,16 +105,21 @@
                 worker.open_turns_updated_ms = now_ms
 
     def update_remote_load(
-        self, in_flight: Mapping[str, int], waiting: Mapping[str, int]
+        self,
+        in_flight: Mapping[str, int],
+        waiting: Mapping[str, int],
+        waiting_ranks: Mapping[int, Mapping[str, int]] | None = None,
     ) -> None:
         """Apply the load report of all other hosts.
 
         :param in_flight: number of running calls by worker.
         :param waiting: number of calls that wait for a slot, by service.
+        :param waiting_ranks: the same by rank and service, if reported.
         """
         now_ms = self._timer.now_ms()
         self._remote_updated_ms = now_ms
         self._remote_waiting = waiting
+        self._remote_ranks = waiting_ranks or {}
         for worker in self._workers.values():
             # Load reports are older than counts of open turns.
             if now_ms - worker.open_turns_updated_ms > OPEN_TURNS_TTL_MS:
@@ -127,19 +133,25 @@
             self.remote_waiting(service) for service in self._remote_waiting
         )
 
-    def remote_waiting(self, service: str) -> int:
+    def remote_waiting(self, service: str, behind: int | None = None) -> int:
         """Return the number of waiting calls at other hosts.
 
         Return 0 if the last load report is too old.
 
         :param service: the service that the calls are for.
+        :param behind: count only calls that are less urgent than this rank;
+            none are counted if the report has no ranks.
         """
-        if (
-            self._timer.now_ms() - self._remote_updated_ms
-            > workers.REMOTE_LOAD_TTL_MS
-        ):
+        age_ms = self._timer.now_ms() - self._remote_updated_ms
+        if age_ms > workers.REMOTE_LOAD_TTL_MS:
             return 0
-        return self._remote_waiting.get(service, 0)
+        if behind is None:
+            return self._remote_waiting.get(service, 0)
+        return sum(
+            waiting.get(service, 0)
+            for rank, waiting in self._remote_ranks.items()
+            if rank > behind
+        )
 
     def update_suspects(self, suspects: Mapping[str, int]) -> None:
         """Apply the suspicions of other hosts.
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -194,6 +194,7 @@
             epoch,
             self.directory.version,
             self.table.suspects(),
+            self.relay.admission.waiting_ranks(),
         )
 
     def _heartbeat_interval_ms(self, member: groups.Member) -> float:
@@ -218,7 +219,9 @@
             self.table.prefer_failure_domain(
                 self.settings.zone if is_near else ''
             )
-            self.table.update_remote_load(answer.in_flight, answer.waiting)
+            self.table.update_remote_load(
+                answer.in_flight, answer.waiting, answer.waiting_ranks
+            )
             self.table.update_suspects(answer.suspects)
             news = answer.news
         self.updates.apply_news(self.links.get(member.disk), news)
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -238,6 +238,7 @@
     :param epoch: the epoch of the storage group that it knows.
     :param hosts_version: the version of the set of hosts that it knows.
     :param suspects: backend servers that have just failed its calls.
+    :param waiting_ranks: its calls that wait for a slot, by rank and service.
     """
 
     node: str
@@ -249,6 +250,7 @@
     epoch: int = 0
     hosts_version: int = 0
     suspects: list[str] = attrs.Factory(list)
+    waiting_ranks: dict[int, dict[str, int]] = attrs.Factory(dict)
 
 
 @register
@@ -264,6 +266,8 @@
     :param waiting: waiting calls of all other entry hosts, by service.
     :param suspects: number of other entry hosts that suspect a backend
         server, by its name.
+    :param waiting_ranks: waiting calls of all other entry hosts, by rank and
+        service.
     """
 
     version: int
@@ -272,6 +276,7 @@
     waiting: dict[str, int]
     news: News
     suspects: dict[str, int] = attrs.Factory(dict)
+    waiting_ranks: dict[int, dict[str, int]] = attrs.Factory(dict)
 
 
 @register
--- a/src/carobfork/storage/presences.py
+++ b/src/carobfork/storage/presences.py
@@ -9,7 +9,7 @@
 import collections
 import itertools
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -53,6 +53,7 @@
     waiting: Mapping[str, int] = attrs.Factory(dict)
     suspects: Mapping[str, int] = attrs.Factory(dict)
     by_node: Mapping[str, messages.Presence] = attrs.Factory(dict)
+    waiting_ranks: Mapping[int, Mapping[str, int]] = attrs.Factory(dict)
 
 
 _EMPTY_PRESENCE = messages.Presence('', '', '', is_leaving=False)
@@ -96,6 +97,10 @@
             _subtract(totals.waiting, own.waiting),
             news,
             _subtract(totals.suspects, dict.fromkeys(own.suspects, 1)),
+            {
+                rank: _subtract(waiting, own.waiting_ranks.get(rank, {}))
+                for rank, waiting in totals.waiting_ranks.items()
+            },
         )
 
     def record_reported(self, presences: Iterable[messages.Presence]) -> None:
@@ -146,6 +151,7 @@
                     )
                 ),
                 by_node,
+                _sum_by_rank(by_node.values()),
             )
         return self._totals
 
@@ -173,6 +179,18 @@
     return dict(totals)
 
 
+def _sum_by_rank(
+    reports: Collection[messages.Presence],
+) -> dict[int, dict[str, int]]:
+    ranks = {rank for report in reports for rank in report.waiting_ranks}
+    return {
+        rank: _sum_counts(
+            report.waiting_ranks.get(rank, {}) for report in reports
+        )
+        for rank in ranks
+    }
+
+
 def _subtract(
     totals: Mapping[str, int], own: Mapping[str, int]
 ) -> dict[str, int]:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -400,6 +400,27 @@
         self.queue.process_waiting()
         self.assertEqual(self.names(), ['waiting'])
 
+    def test_urgent_calls_pass_those_of_other_hosts(self):
+        """An urgent call goes to a worker's queue past waiting routine ones.
+
+        Without routine calls elsewhere it waits here as usual.
+        """
+        self.fill()
+        self.submit('alone')
+        self.assertEqual(self.names(), [])
+        ranks = {2: {SERVICE: 5}}
+        self.table.update_remote_load({}, {SERVICE: 5}, ranks)
+        self.submit('urgent')
+        self.assertEqual(self.names(), ['urgent'])
+
+    def test_routine_calls_leave_the_servers_queues(self):
+        """An overdue routine call is refused if urgent calls were made."""
+        self.fill()
+        self.submit('routine', rank=2)
+        self.timer.advance(queues.MAX_WAIT_MS + 200)
+        self.queue.process_waiting()
+        self.assertEqual([name for name, _ in self.refused], ['routine'])
+
     def test_what_cannot_be_served_is_refused_at_once(self):
         """Calls beyond the possible throughput are refused on arrival."""
         self.fill()
--- a/tests/test_presences.py
+++ b/tests/test_presences.py
@@ -45,6 +45,22 @@
         self.assertEqual(reply.waiting, {'engines': 2})
         self.assertEqual(set(reply.hosts), {'a', 'b'})
 
+    def test_ranks_of_waiting_calls(self):
+        """Waiting calls of all other hosts are added up by rank."""
+        for node, ranks in (
+            ('a', {0: {'engines': 2}, 2: {'engines': 1}}),
+            ('b', {2: {'engines': 3, 'tools': 1}}),
+        ):
+            report = attrs.evolve(presence(node), waiting_ranks=ranks)
+            self.near.record(report, NEWS)
+        self.timer.advance(presences.TOTALS_TTL_MS + 1)
+        report = attrs.evolve(presence('c'), waiting_ranks={0: {'engines': 9}})
+        reply = self.near.record(report, NEWS)
+        self.assertEqual(
+            reply.waiting_ranks,
+            {0: {'engines': 2}, 2: {'engines': 4, 'tools': 1}},
+        )
+
     def test_calls_that_wait_elsewhere_hurry_reports(self):
         """A store host learns of waiting calls through forwarded reports too.
 
