Take refusals that name no attempt at their word again

Cause: took a refusal without an attempt on a reused connection for a broken answer. The platform's own example of a server that sheds names no attempt, so calls that run at most once would have ended as unknown where the server had refused them. Change: such a refusal counts as before. What the check was for is held by another rule, now stated and tested: a connection on which a refusal came is not kept, so a late copy of it reaches no other request. It used to be put into the pool and closed right after; it no longer passes through the pool. The test is replaced by two: a late copy is never the answer to a later call, and a refusal on a connection used before says that the call has not run.

--- a/src/carobfork/gateway/calls.py
+++ b/src/carobfork/gateway/calls.py
@@ -89,16 +89,13 @@
         """Whether the final response is yet to come, and there is no body."""
         return self.status < _MIN_FINAL_STATUS
 
-    def is_for(self, attempt: str, is_reused: bool) -> bool:
+    def is_for(self, attempt: str) -> bool:
         """Return whether the response answers an attempt.
 
-        A server that did not run the call may omit the attempt. On a reused
-        connection such a response may be a late one to an earlier request,
-        so it says nothing about this one.
+        A server that did not run the call may omit the attempt.
 
         :param attempt: identifier of the expected attempt.
-        :param is_reused: whether the connection has had an earlier request.
         """
         if self.not_run and not self.attempt:
-            return not is_reused
+            return True
         return self.attempt == attempt
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -196,7 +196,8 @@
     ) -> None:
         with _raise_as_refusal(worker.instance):
             connection.reader.read_body(answer.shape, MAX_ANSWER_BYTES)
-        self._release_connection(worker, connection, answer)
+        # The connection is not kept: a late copy of a refusal that names no
+        # attempt would be taken for the answer to the next request on it.
         if answer.told.is_elsewhere:
             worker.record_failure(self._timer.now_ms())
         raise ServerRefusedError(
@@ -213,7 +214,7 @@
         """Return the answer to this request; skip late answers to others."""
         for _ in range(MAX_STRAY_ANSWERS + 1):
             answer = self._read_answer(context, connection)
-            if answer.told.is_for(context.call.attempt, connection.is_reused):
+            if answer.told.is_for(context.call.attempt):
                 return answer
             logger.warning(
                 'stray answer',
