Leave routine calls a part of the servers' queues

Agent programs wait for their turns, so a burst limits itself; refusing their overdue turns three times ends them. Change: an overdue routine call may still go to a server's own queue, up to 1.5 calls a slot while more urgent ones are made; urgent ones up to 2.

--- a/src/carobfork/gateway/placements.py
+++ b/src/carobfork/gateway/placements.py
@@ -36,9 +36,9 @@
 MAX_CALLS_PER_SLOT = 2
 """Maximum number of calls per slot, running or waiting, on a worker that takes
 calls beyond its slots."""
-MAX_URGENT_CALLS_PER_SLOT = 1.5
-"""The same for calls that go before less urgent ones of all hosts: with a short
-queue at each worker they get the slots that become free."""
+MAX_ROUTINE_CALLS_PER_SLOT = 1.5
+"""The same for overdue calls while more urgent ones are being made, to which the
+rest of the workers' own queues is left."""
 
 PlacementPolicy = Callable[
     [calls.Call, Sequence[workers.Worker], float, float],
--- a/src/carobfork/gateway/queues.py
+++ b/src/carobfork/gateway/queues.py
@@ -146,8 +146,8 @@
     def process_waiting(self) -> None:
         """Grant free slots to waiting calls.
 
-        An overdue call goes to a worker's own queue if one is short enough
-        and no more urgent calls need it, or is refused.
+        An overdue call goes to a worker's own queue if one is short enough,
+        or is refused.
         """
         for queued in sorted(self.waiting, key=QueuedCall.priority_key):
             waited_ms = self._timer.now_ms() - queued.arrived_ms
@@ -240,16 +240,22 @@
 
     def _overflow_if_urgent(self, queued: QueuedCall) -> bool:
         return self._goes_first(queued) and self._overflow(
-            queued, placements.MAX_URGENT_CALLS_PER_SLOT
+            queued, placements.MAX_CALLS_PER_SLOT
         )
 
     def _overflow_if_overdue(self, queued: QueuedCall) -> bool:
-        """Overflow a call unless more urgent calls need the workers' queues."""
-        is_behind = self._ranks.has_more_urgent(
+        """Send an overdue call to a worker's queue, a routine one to a short one.
+
+        The rest of the workers' queues is left to more urgent calls.
+        """
+        has_more_urgent = self._ranks.has_more_urgent(
             queued.route.rank, self._timer.now_ms()
         )
-        return not is_behind and self._overflow(
-            queued, placements.MAX_CALLS_PER_SLOT
+        return self._overflow(
+            queued,
+            placements.MAX_ROUTINE_CALLS_PER_SLOT
+            if has_more_urgent
+            else placements.MAX_CALLS_PER_SLOT,
         )
 
     def _overflow(self, queued: QueuedCall, max_calls_per_slot: float) -> bool:
--- a/src/carobfork/gateway/ranks.py
+++ b/src/carobfork/gateway/ranks.py
@@ -1,7 +1,7 @@
 """Remember which ranks of a service's calls are being made.
 
 The load pattern: in a burst of several ranks at many hosts, overdue routine
-calls fill the workers' own queues, and urgent calls wait behind them there.
+calls fill the workers' own queues, and urgent calls find no room there.
 """
 
 RANK_MEMORY_MS = 3000
