--- a/src/carobfork/gateway/placements.py
+++ b/src/carobfork/gateway/placements.py
@@ -37,8 +37,8 @@
 """Maximum number of calls per slot, running or waiting, on a worker that takes
 calls beyond its slots."""
 MAX_ROUTINE_CALLS_PER_SLOT = 1.5
-"""The same for overdue calls while more urgent ones are being made, to which the
-rest of the workers' own queues is left."""
+"""The same for overdue calls while more urgent ones are being made. The rest of
+the workers' own queues is left to those."""
 
 PlacementPolicy = Callable[
     [calls.Call, Sequence[workers.Worker], float, float],
--- a/src/carobfork/gateway/queues.py
+++ b/src/carobfork/gateway/queues.py
@@ -244,9 +244,9 @@
         )
 
     def _overflow_if_overdue(self, queued: QueuedCall) -> bool:
-        """Send an overdue call to a worker's queue, a routine one to a short one.
+        """Send an overdue call to a worker's own queue if it is short enough.
 
-        The rest of the workers' queues is left to more urgent calls.
+        If more urgent calls are being made, a part of it is left to them.
         """
         has_more_urgent = self._ranks.has_more_urgent(
             queued.route.rank, self._timer.now_ms()
