Follow a request through the logs of all hosts

Cause: a request's lines stand in the logs of several of hundreds of hosts, and what happened to its workers on lines without its identifier.

--- a/src/carobfork/clock.py
+++ b/src/carobfork/clock.py
@@ -1,5 +1,6 @@
 """Clocks in milliseconds: the system's own and one moved by tests."""
 
+import datetime
 import time
 from typing import Protocol
 
@@ -48,6 +49,15 @@
         self._now_ms += span_ms
 
 
+def parse_timestamp_ms(text: str) -> float:
+    """Return the Unix time in ms that a log's timestamp states.
+
+    :param text: time in the form of ISO 8601, with its offset from UTC.
+    :raises ValueError: if it is malformed.
+    """
+    return datetime.datetime.fromisoformat(text).timestamp() * MS_PER_SECOND
+
+
 def to_seconds(span_ms: float) -> float:
     """Convert a span for libraries that count in seconds."""
     return span_ms / MS_PER_SECOND
--- a/src/carobfork/commands/groups.py
+++ b/src/carobfork/commands/groups.py
@@ -6,6 +6,7 @@
     daemons,
     hosts,
     keys,
+    log_files,
     programs,
     settings,
     states,
@@ -29,5 +30,6 @@
         self.state = states.StateCommands()
         self.program = programs.ProgramCommands()
         self.host = hosts.HostCommands()
+        self.logs = log_files.LogCommands()
         self.bench = benches.BenchCommands()
         self.explain = programs.explain
