--- a/src/carobfork/gateway/queues.py
+++ b/src/carobfork/gateway/queues.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 
 import attrs
-import structlog
 
 from carobfork import clock
 from carobfork.gateway import (
@@ -36,8 +35,6 @@
 HOLD_MEAN_WEIGHT = 0.05
 """Weight of the latest call in the moving mean of hold times."""
 
-logger = structlog.get_logger(part='desk')
-
 
 def _do_nothing() -> None:
     """Ignore waiting calls in a queue that its owner processes itself."""
