Log and count requests to servers that name a request limit

Cause: the logs could not tell whether hosts hear of a server's limit, nor which attempts go to such a server. Change: the adapter decodes Server-Limit; a worker logs when it is named, changed or dropped, the exchange logs each attempt sent to it; two metrics. No decision uses it yet.

--- a/src/carobfork/gateway/calls.py
+++ b/src/carobfork/gateway/calls.py
@@ -72,6 +72,8 @@
     :param is_elsewhere: whether another server has taken over the address.
     :param is_encoded: whether the body has a content encoding.
     :param load: the server's load, if reported.
+    :param limit_per_s: requests a second that the server takes from all hosts
+        together, if it names a limit.
     :param idle_ms: how long the server keeps an idle connection open, if
         reported.
     """
@@ -82,6 +84,7 @@
     is_elsewhere: bool = False
     is_encoded: bool = False
     load: ServerLoad | None = None
+    limit_per_s: float | None = None
     idle_ms: float | None = None
 
     @property
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -85,6 +85,7 @@
     ) -> None:
         """Create an exchanger with an empty connection pool."""
         self.pool = connection_pools.ConnectionPool(timer)
+        self.sent_to_limited = 0
         self._stalls = stalls.StallDetector(timer)
         self._codec = codec
         self._turns = turn_manager
@@ -177,17 +178,34 @@
             context.event_log.last_id,
         )
         context.is_sent = True
+        self._log_limited(context, worker)
         with _raise_as_failure(worker.instance):
             connection.sock.settimeout(None)
             with _sending(connection, head + context.body):
                 answer = self._read_matching_answer(context, connection)
         if answer.told.load:
             worker.record_load(answer.told.load, self._timer.now_ms())
+        if not answer.told.is_elsewhere:
+            worker.record_limit(answer.told.limit_per_s)
         if answer.told.not_run:
             context.is_sent = context.failed_attempts > 0
             self._raise_refusal(worker, connection, answer)
         return answer
 
+    def _log_limited(
+        self, context: contexts.RequestContext, worker: workers.Worker
+    ) -> None:
+        if worker.limit_per_s is not None:
+            self.sent_to_limited += 1
+            logger.info(
+                'sent to limited worker',
+                request=context.call.attempt,
+                worker=worker.instance,
+                limit_per_s=worker.limit_per_s,
+                runs=context.failed_attempts,
+                refusals=context.refusals,
+            )
+
     def _raise_refusal(
         self,
         worker: workers.Worker,
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -76,6 +76,8 @@
         other host suspected it.
     :param mean_duration_ms: moving mean of the durations of its calls.
     :param is_local: whether it is in the preferred failure domain.
+    :param limit_per_s: requests a second that it takes from all hosts
+        together, as it last named, if it names a limit.
     """
 
     entry: Entry
@@ -93,6 +95,7 @@
     last_failure_ms: float = NEVER_MS
     mean_duration_ms: float = 0
     is_local: bool = False
+    limit_per_s: float | None = None
     _slowdown: slowdowns.Slowdown = attrs.Factory(slowdowns.Slowdown)
 
     @property
@@ -121,6 +124,17 @@
         if reported.time_ratio is not None:
             self._slowdown.record(reported.time_ratio, now_ms)
 
+    def record_limit(self, limit_per_s: float | None) -> None:
+        """Apply the request limit that an answer names, or its absence."""
+        if limit_per_s != self.limit_per_s:
+            logger.info(
+                'worker limit',
+                worker=self.instance,
+                limit_per_s=limit_per_s,
+                before=self.limit_per_s,
+            )
+            self.limit_per_s = limit_per_s
+
     def time_ratio(self, now_ms: float) -> float:
         """Return how long calls are expected to take, relative to usual."""
         return self._slowdown.ratio(self.mean_duration_ms, now_ms)
--- a/src/carobfork/platform/heads.py
+++ b/src/carobfork/platform/heads.py
@@ -1,6 +1,7 @@
 """Translate headers of callers and backend servers."""
 
 import contextlib
+import math
 from collections.abc import Sequence
 
 from carobfork import clock, exceptions
@@ -91,6 +92,7 @@
         is_elsewhere=status == _MISDIRECTED,
         is_encoded=bool(head.get('content-encoding')),
         load=_load(head.get(names.LOAD)),
+        limit_per_s=_rate(head.get(names.LIMIT)),
         idle_ms=_idle_ms(head.get('keep-alive')),
     )
 
@@ -131,6 +133,14 @@
     )
 
 
+def _rate(text: str) -> float | None:
+    with contextlib.suppress(ValueError):
+        rate = float(text)
+        if math.isfinite(rate) and rate >= 0:
+            return rate
+    return None
+
+
 def _idle_ms(text: str) -> float | None:
     for option in text.split(','):
         name, _equals, seconds = option.strip().partition('=')
--- a/src/carobfork/platform/names.py
+++ b/src/carobfork/platform/names.py
@@ -18,6 +18,8 @@
 PROMPT_PREFIX = 'x-prompt-prefix'
 NOT_RUN = 'x-not-run'
 LOAD = 'x-server-load'
+LIMIT = 'server-limit'
+"""Requests a second that a worker takes from all hosts together."""
 EXPECT_INSTANCE = 'X-Expect-Instance'
 DEADLINE_FIELD = 'X-Deadline-Ms'
 AFFINITY_COOKIE = 'X-Affinity-Key'
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -157,6 +157,7 @@
             'requests_refused': counts.refused,
             'responses_broken': counts.broken,
             'server_connections_opened': self.relay.exchanger.pool.opened,
+            'requests_sent_to_limited': self.relay.exchanger.sent_to_limited,
             'platform_calls': self.store.calls,
             'log_lines_lost': host_logs.lost_lines(),
         }
@@ -165,6 +166,9 @@
             'requests_in_progress': counts.in_progress,
             'requests_waiting': sum(self.relay.admission.waiting().values()),
             'caller_connections': counts.connections,
+            'servers_limited': sum(
+                worker.limit_per_s is not None for worker in self.table
+            ),
             'storage_epoch': self.storage.group.epoch,
             'configuration_version': (
                 self.relay.routes.version if self.relay.routes else 0
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -163,6 +163,23 @@
         head = framing.parse_head(b'HTTP/1.1 200 OK\r\nX-Server-Load: 3,x,8,90')
         self.assertIsNone(heads.decode_answer(head).load)
 
+    def test_limit_of_a_server(self):
+        """A limit is a finite rate; anything else names none."""
+        for text, limit_per_s in (
+            ('7.25', 7.25),
+            ('0', 0),
+            ('', None),
+            ('-1', None),
+            ('x', None),
+            ('nan', None),
+            ('inf', None),
+        ):
+            head = framing.parse_head(
+                f'HTTP/1.1 200 OK\r\nServer-Limit: {text}'.encode()
+            )
+            answer = heads.decode_answer(head)
+            self.assertEqual(answer.limit_per_s, limit_per_s)
+
 
 class ObjectsTest(unittest.TestCase):
     """Routes in stored configurations."""
