--- a/tests/backends.py
+++ b/tests/backends.py
@@ -6,6 +6,7 @@
 
 import collections
 import json
+import time
 
 import attrs
 import gevent
@@ -38,6 +39,8 @@
     delay_ms: int = 0
     hangs: bool = False
     """Whether requests are read and never answered."""
+    limit_per_s: float | None = None
+    """Request limit that the answers name."""
     hang_after: int | None = None
     """Events after which the next streams stop without an end."""
 
@@ -57,6 +60,7 @@
         self.bodies: dict[str, bytes] = {}
         self.heads: dict[str, dict] = {}
         self.cancelled = 0
+        self.arrivals: list[float] = []
 
     def _run(self, request: Request, path: str) -> Response:
         attempt = request.headers['X-Attempt-Id']
@@ -66,10 +70,15 @@
                 status=_MISDIRECTED,
                 headers={'X-Instance-Id': self.instance},
             )
+        self.arrivals.append(time.monotonic())
         if self.faults.full:
             return Response(
                 status=_SHED,
-                headers={'X-Not-Run': '1', 'X-Attempt-Id': attempt},
+                headers={
+                    'X-Not-Run': '1',
+                    'X-Attempt-Id': attempt,
+                    **self._limit_headers(),
+                },
             )
         self.runs[attempt] += 1
         self.bodies[attempt] = request.get_data()
@@ -79,6 +88,7 @@
             'X-Attempt-Id': self.faults.stray_attempt or attempt,
             'X-Response-Stamp': f'{self.instance}.{attempt}',
             'X-Server-Load': '1,0,8',
+            **self._limit_headers(),
         }
         if request.headers.get('Accept') == 'text/event-stream':
             first = int(request.headers.get('Last-Event-Id') or 0) + 1
@@ -90,6 +100,11 @@
         body = json.dumps({'server': self.instance, 'path': path})
         return Response(body, headers=headers)
 
+    def _limit_headers(self) -> dict[str, str]:
+        if self.faults.limit_per_s is None:
+            return {}
+        return {'Server-Limit': str(self.faults.limit_per_s)}
+
     def _delay_answer(self) -> None:
         gevent.sleep(self.faults.delay_ms / 1000)
         if self.faults.hangs:
