Keep the hosts together below the request limits that servers name

Cause: a bound that holds for the sum of all hosts was no one's: the header was not read, and each host placed calls by free slots alone. Change: a request to a limited server needs a permit. One member of the storage group, derived from the server's name, grants them on a schedule without credit for idle time. Hosts that can't reach it share half the limit. Calls go to other servers meanwhile; the expected wait and Retry-After count limits. QueuedCall and the selection of workers leave queues.py for modules of their own. Store hosts say in their news that they grant permits, so old ones are never sent a message that they don't know. Why it works: the granter counts for all; alone, hosts add half the limit at most, below the tolerated one and a half times.

--- a/src/carobfork/clock.py
+++ b/src/carobfork/clock.py
@@ -58,6 +58,11 @@
     return datetime.datetime.fromisoformat(text).timestamp() * MS_PER_SECOND
 
 
+def per_ms(rate_per_s: float) -> float:
+    """Convert a rate per second to one per ms."""
+    return rate_per_s / MS_PER_SECOND
+
+
 def to_seconds(span_ms: float) -> float:
     """Convert a span for libraries that count in seconds."""
     return span_ms / MS_PER_SECOND
--- a/src/carobfork/gateway/admissions.py
+++ b/src/carobfork/gateway/admissions.py
@@ -10,6 +10,7 @@
 from carobfork.gateway import (
     contexts,
     placements,
+    queued_calls,
     queues,
     worker_tables,
     workers,
@@ -156,8 +157,8 @@
         self,
         context: contexts.RequestContext,
         resolve: Callable[[workers.Worker | None], None] = _discard_slot,
-    ) -> queues.QueuedCall:
+    ) -> queued_calls.QueuedCall:
         left_ms = context.deadline_at_ms - self._timer.now_ms()
-        return queues.QueuedCall(
+        return queued_calls.QueuedCall(
             context.call, context.route, left_ms, resolve, context.avoided
         )
--- a/src/carobfork/gateway/directories.py
+++ b/src/carobfork/gateway/directories.py
@@ -3,6 +3,7 @@
 Entry hosts forward the calls to backend servers.
 """
 
+import collections
 from collections.abc import Iterator
 
 from carobfork import clock
@@ -16,6 +17,9 @@
 HOSTS_TTL_MS = 1600
 """How long a store host's report is trusted: about six heartbeats. By then
 another store host has replaced a lost one."""
+HOST_COUNT_TTL_MS = 5000
+"""How long a larger number of hosts is believed: the report of a store host
+that has just started lacks most of them."""
 
 
 class Directory:
@@ -42,6 +46,7 @@
         self._failure_domain = failure_domain
         self._address = address
         self._hosts: dict[str, tuple[str, str, bool]] = {}
+        self._counts: collections.deque[tuple[float, int]] = collections.deque()
 
     @property
     def has_enough_local_hosts(self) -> bool:
@@ -56,6 +61,17 @@
         if message.hosts is not None:
             self._hosts = message.hosts
             self.version = message.version
+        self._counts.append((self._updated_ms, len(self._hosts)))
+        oldest_ms = self._updated_ms - HOST_COUNT_TTL_MS
+        while self._counts[0][0] < oldest_ms:
+            self._counts.popleft()
+
+    def count_hosts(self) -> int:
+        """Return the number of entry hosts, 0 if none was ever reported.
+
+        It is the most of the last few seconds with a report.
+        """
+        return max((count for _, count in self._counts), default=0)
 
     def addresses(self, failure_domain: str, is_self_ready: bool) -> list[str]:
         """Return the addresses for callers of a failure domain.
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -18,6 +18,7 @@
     contexts,
     events,
     framing,
+    limiters,
     ports,
     routes,
     stalls,
@@ -75,6 +76,7 @@
     :param codec: translates heads to and from call metadata.
     :param turn_manager: stores complete turns.
     :param timer: the clock for deadlines and durations.
+    :param limiter: learns the request limits that servers name.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         codec: ports.Codec,
         turn_manager: turns.TurnManager,
         timer: clock.Clock,
+        limiter: limiters.Limiter,
     ) -> None:
         """Create an exchanger with an empty connection pool."""
         self.pool = connection_pools.ConnectionPool(timer)
@@ -90,6 +93,7 @@
         self._codec = codec
         self._turns = turn_manager
         self._timer = timer
+        self._limiter = limiter
 
     def exchange(
         self,
@@ -186,12 +190,19 @@
         if answer.told.load:
             worker.record_load(answer.told.load, self._timer.now_ms())
         if not answer.told.is_elsewhere:
-            worker.record_limit(answer.told.limit_per_s)
+            self._record_limit(worker, answer.told)
         if answer.told.not_run:
             context.is_sent = context.failed_attempts > 0
             self._raise_refusal(worker, connection, answer)
         return answer
 
+    def _record_limit(
+        self, worker: workers.Worker, told: calls.ServerAnswer
+    ) -> None:
+        """Record a limit, or its absence in the answer to a call that ran."""
+        if told.limit_per_s is not None or not told.not_run:
+            self._limiter.record(worker, told.limit_per_s)
+
     def _log_limited(
         self, context: contexts.RequestContext, worker: workers.Worker
     ) -> None:
--- /dev/null
+++ b/src/carobfork/gateway/queued_calls.py
@@ -0,0 +1,50 @@
+"""Hold a call that needs a slot of a backend server."""
+
+from collections.abc import Callable
+
+import attrs
+
+from carobfork.gateway import calls, routes, workers
+
+MAX_WAIT_RATIO = 0.3
+"""Share of a call's remaining time that it may wait; the rest is needed to run
+it."""
+MAX_WAIT_MS = 800
+"""Upper bound of that wait."""
+
+
+@attrs.define(eq=False)
+class QueuedCall:
+    """A call that needs a slot.
+
+    :param call: the caller's metadata.
+    :param route: the route that the request matched.
+    :param left_ms: time until the caller's deadline.
+    :param resolve: called once with the granted worker, or with ``None`` if
+        the call is refused.
+    :param avoided: workers that have failed or refused this call.
+    :param arrived_ms: when the call was submitted, set by the queue.
+    """
+
+    call: calls.Call
+    route: routes.Route
+    left_ms: float
+    resolve: Callable[[workers.Worker | None], None]
+    avoided: frozenset[str] = frozenset()
+    arrived_ms: float = 0
+
+    @property
+    def max_wait_ms(self) -> float:
+        """How long the call may wait in the queue."""
+        return min(self.left_ms * MAX_WAIT_RATIO, MAX_WAIT_MS)
+
+    def priority_key(self) -> tuple[int, bool, float]:
+        """Return the sort key: rank, then the program's due time.
+
+        Programs that are already late come after those that can still be in
+        time. Under overload, ordering by due time alone would make all of
+        them late.
+        """
+        finish_ms = self.call.program_deadline_ms
+        due_ms = self.left_ms if finish_ms is None else finish_ms
+        return self.route.rank, due_ms <= 0, self.arrived_ms + due_ms
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -67,7 +67,9 @@
     ) -> None:
         """Create a relay without a configuration."""
         self.routes: routes.RouteTable | None = None
-        self.exchanger = exchanges.Exchanger(codec, turn_manager, timer)
+        self.exchanger = exchanges.Exchanger(
+            codec, turn_manager, timer, table.limiter
+        )
         self._codec = codec
         self.table = table
         self._turns = turn_manager
--- /dev/null
+++ b/src/carobfork/gateway/selections.py
@@ -0,0 +1,132 @@
+"""Select a backend server for a call among those that may get it."""
+
+from collections.abc import Iterable
+
+from carobfork import clock
+from carobfork.gateway import (
+    connection_pools,
+    placements,
+    queued_calls,
+    worker_tables,
+    workers,
+)
+
+
+class WorkerSelector:
+    """Select workers of one service by a policy and their request limits.
+
+    :param service: the service's name.
+    :param table: the workers of all services.
+    :param timer: the clock for loads and failures.
+    :param policy: the placement policy.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        table: worker_tables.WorkerTable,
+        timer: clock.Clock,
+        policy: placements.PlacementPolicy,
+    ) -> None:
+        """Create a selector."""
+        self._service = service
+        self._table = table
+        self._timer = timer
+        self._policy = policy
+
+    def candidates(
+        self, queued: queued_calls.QueuedCall
+    ) -> list[workers.Worker]:
+        """Return the workers that a call may run on, full or not."""
+        usable = self._table.usable(self._service)
+        untried = [
+            worker for worker in usable if worker.instance not in queued.avoided
+        ]
+        if untried or not queued.route.is_repeatable:
+            return untried
+        return usable
+
+    def choose(
+        self, queued: queued_calls.QueuedCall, max_permit_wait_ms: float
+    ) -> workers.Worker | None:
+        """Return the worker for a call, or ``None`` if there is none now.
+
+        If the best one is limited and there is no permit for it, a permit is
+        requested for this call or the next one. Meanwhile others are used.
+
+        :param max_permit_wait_ms: longest wait until that permit is valid.
+        """
+        candidates = self.candidates(queued)
+        chosen = self._place(queued, candidates)
+        if chosen is None or self._table.limiter.may_send(chosen):
+            return chosen
+        self._table.limiter.request(chosen, max_permit_wait_ms)
+        return self._place(queued, self._sendable(candidates))
+
+    def choose_overflow(
+        self, queued: queued_calls.QueuedCall, max_calls_per_slot: float
+    ) -> workers.Worker | None:
+        """Return a worker whose own queue is short enough, if there is one.
+
+        :param max_calls_per_slot: workers with more calls are excluded.
+        """
+        return placements.place_overflow(
+            self._sendable(self.candidates(queued)),
+            self._timer.now_ms(),
+            max_calls_per_slot,
+        )
+
+    def calls_per_ms(
+        self, candidates: Iterable[workers.Worker], hold_ms: float
+    ) -> float:
+        """Return the rate at which workers take the calls of all hosts.
+
+        :param hold_ms: how long a call holds a slot.
+        """
+        rates = (
+            _calls_per_ms(worker, worker.entry.slots / hold_ms)
+            for worker in candidates
+        )
+        return max(sum(rates), 1 / hold_ms)
+
+    def _sendable(
+        self, candidates: list[workers.Worker]
+    ) -> list[workers.Worker]:
+        """Return the workers that are not limited or have a permit."""
+        return [
+            worker
+            for worker in candidates
+            if self._table.limiter.may_send(worker)
+        ]
+
+    def _place(
+        self,
+        queued: queued_calls.QueuedCall,
+        candidates: list[workers.Worker],
+    ) -> workers.Worker | None:
+        """Apply the policy to candidates.
+
+        A call that must not run twice goes to a worker with a recent failure
+        only if there is no other: if the connection broke, it would be
+        unknown whether the call ran.
+        """
+        now_ms = self._timer.now_ms()
+        max_idle_ms = connection_pools.max_idle_ms(queued.route)
+        chosen = None
+        if not queued.route.is_repeatable:
+            trusted = [
+                worker
+                for worker in candidates
+                if not worker.has_recent_failure(now_ms)
+            ]
+            chosen = self._policy(queued.call, trusted, now_ms, max_idle_ms)
+        return chosen or self._policy(
+            queued.call, candidates, now_ms, max_idle_ms
+        )
+
+
+def _calls_per_ms(worker: workers.Worker, by_slots: float) -> float:
+    """Return the rate of one worker, given the rate that its slots allow."""
+    if worker.limit_per_s is None:
+        return by_slots
+    return min(by_slots, clock.per_ms(worker.limit_per_s))
--- a/src/carobfork/gateway/worker_tables.py
+++ b/src/carobfork/gateway/worker_tables.py
@@ -9,7 +9,7 @@
 import structlog
 
 from carobfork import clock
-from carobfork.gateway import workers
+from carobfork.gateway import limiters, workers
 
 UNLISTED_TTL_MS = 1500
 """How long a worker without an entry may get calls if no other is left.
@@ -34,11 +34,17 @@
     """The known workers of all services.
 
     :param timer: the clock for ages of entries, reports and failures.
+    :param limiter: keeps to the request limits that workers name.
     """
 
-    def __init__(self, timer: clock.Clock) -> None:
+    def __init__(
+        self,
+        timer: clock.Clock,
+        limiter: limiters.Limiter | None = None,
+    ) -> None:
         """Create an empty table."""
         self.is_loaded = False
+        self.limiter = limiter or limiters.Limiter(timer)
         self._timer = timer
         self._workers: dict[str, workers.Worker] = {}
         self._relisting_until_ms = workers.NEVER_MS
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -7,7 +7,7 @@
 import attrs
 import structlog
 
-from carobfork.gateway import calls, slowdowns
+from carobfork.gateway import calls, permits, slowdowns
 
 NEVER_MS = float('-inf')
 """Time of an event that has not happened; earlier than any other time."""
@@ -77,7 +77,9 @@
     :param mean_duration_ms: moving mean of the durations of its calls.
     :param is_local: whether it is in the preferred failure domain.
     :param limit_per_s: requests a second that it takes from all hosts
-        together, as it last named, if it names a limit.
+        together, if it names a limit.
+    :param limit_heard_ms: when an answer last named a limit or none.
+    :param permit_stock: this host's permits while it is limited.
     """
 
     entry: Entry
@@ -96,6 +98,8 @@
     mean_duration_ms: float = 0
     is_local: bool = False
     limit_per_s: float | None = None
+    limit_heard_ms: float = NEVER_MS
+    permit_stock: permits.PermitStock = attrs.Factory(permits.PermitStock)
     _slowdown: slowdowns.Slowdown = attrs.Factory(slowdowns.Slowdown)
 
     @property
@@ -124,16 +128,14 @@
         if reported.time_ratio is not None:
             self._slowdown.record(reported.time_ratio, now_ms)
 
-    def record_limit(self, limit_per_s: float | None) -> None:
+    def record_limit(self, limit_per_s: float | None, now_ms: float) -> None:
         """Apply the request limit that an answer names, or its absence."""
-        if limit_per_s != self.limit_per_s:
-            logger.info(
-                'worker limit',
-                worker=self.instance,
-                limit_per_s=limit_per_s,
-                before=self.limit_per_s,
-            )
-            self.limit_per_s = limit_per_s
+        self.limit_heard_ms = now_ms
+        self._change_limit(limit_per_s)
+
+    def clear_limit(self) -> None:
+        """Drop the limit, because another host heard that it has ended."""
+        self._change_limit(None)
 
     def time_ratio(self, now_ms: float) -> float:
         """Return how long calls are expected to take, relative to usual."""
@@ -184,3 +186,13 @@
             failures=self.consecutive_failures,
             pause_ms=pause_ms,
         )
+
+    def _change_limit(self, limit_per_s: float | None) -> None:
+        if limit_per_s != self.limit_per_s:
+            logger.info(
+                'worker limit',
+                worker=self.instance,
+                limit_per_s=limit_per_s,
+                before=self.limit_per_s,
+            )
+            self.limit_per_s = limit_per_s
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -9,6 +9,7 @@
 from carobfork.gateway import (
     admissions,
     directories,
+    limiters,
     metrics,
     relays,
     servers,
@@ -22,6 +23,7 @@
     groups,
     links,
     messages,
+    permit_clients,
     single_requests,
 )
 
@@ -58,7 +60,6 @@
         self.directory = directories.Directory(
             host_settings.node, host_settings.zone, f'{ip}:{port}', self.timer
         )
-        self.table = worker_tables.WorkerTable(self.timer)
         self.links = links.Links(
             self.timer,
             links.Heartbeats(
@@ -74,6 +75,15 @@
             host_settings.zone,
             self.timer,
         )
+        self.permits = permit_clients.PermitClient(self.storage, self.links)
+        self.table = worker_tables.WorkerTable(
+            self.timer,
+            limiters.Limiter(
+                self.timer,
+                self.permits.request,
+                self.directory.count_hosts,
+            ),
+        )
         self.relay = relays.Relay(
             heads, self.table, turns.TurnManager(self.storage), self.timer
         )
@@ -228,6 +238,7 @@
             )
             self.table.update_suspects(answer.suspects)
             news = answer.news
+        self.permits.set_granter(member.disk, news.grants_permits)
         self.updates.apply_news(self.links.get(member.disk), news)
 
     def _recall_until_known(self, seed: settings.Address) -> None:
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -217,11 +217,13 @@
     :param group: the storage group, if the receiver's is older.
     :param revisions: the platform revisions that it knows, by kind.
     :param is_fresh: whether it currently follows the platform.
+    :param grants_permits: whether it answers ``PermitRequest``.
     """
 
     group: groups.Group | None
     revisions: dict[str, int]
     is_fresh: bool
+    grants_permits: bool = False
 
 
 @register
@@ -253,6 +255,39 @@
     waiting_ranks: dict[int, dict[str, int]] = attrs.Factory(dict)
 
 
+@register
+@attrs.frozen
+class PermitRequest:
+    """Request a permit to send one request to a limited backend server.
+
+    :param limit_per_s: the limit as the sender last heard it, or ``None`` if
+        the server named none any more.
+    :param age_ms: time since the sender heard that.
+    :param max_wait_ms: the longest acceptable wait until the permit is valid.
+    """
+
+    worker: str
+    limit_per_s: float | None
+    age_ms: float
+    max_wait_ms: float
+
+
+@register
+@attrs.frozen
+class Permit:
+    """The reply to ``PermitRequest``.
+
+    :param limit_per_s: the limit that was heard last by any host, if any.
+    :param wait_ms: time until the permit is valid; ``None`` if there is no
+        permit.
+    :param retry_ms: time after which another request may succeed.
+    """
+
+    limit_per_s: float | None
+    wait_ms: float | None = None
+    retry_ms: float = 0
+
+
 @register
 @attrs.frozen
 class Hosts:
--- a/src/carobfork/storage/replicas.py
+++ b/src/carobfork/storage/replicas.py
@@ -12,6 +12,7 @@
     disks,
     groups,
     messages,
+    permit_tables,
     record_indexes,
     status_exchanges,
     turn_counters,
@@ -40,6 +41,7 @@
             disk, self.adopt, clock.SystemClock()
         )
         self.open_turns = turn_counters.TurnCounter(clock.SystemClock())
+        self.permits = permit_tables.PermitTable(clock.SystemClock())
         self._listed_entries: list = []
         self._listing_number = 0
 
@@ -130,6 +132,12 @@
         self.open_turns.assign(message.attempt, message.worker)
         reply(messages.Done())
 
+    def handle_permit_request(
+        self, message: messages.PermitRequest, reply: ReplyCallback
+    ) -> None:
+        """Grant a permit to send to a limited backend server."""
+        reply(self.permits.grant(message))
+
     def handle_adopt(
         self, message: messages.Adopt, reply: ReplyCallback
     ) -> None:
@@ -215,6 +223,7 @@
     'Fetch': Replica.handle_fetch,
     'Finish': Replica.handle_finish,
     'Give': Replica.handle_give,
+    'PermitRequest': Replica.handle_permit_request,
     'Place': Replica.handle_place,
 }
 _EPOCH_FENCED = frozenset((Replica.handle_begin, Replica.handle_finish))
--- a/src/carobfork/storage/status_exchanges.py
+++ b/src/carobfork/storage/status_exchanges.py
@@ -123,6 +123,7 @@
             group if epoch < group.epoch else None,
             self._disk.snapshots.revisions(),
             is_fresh,
+            grants_permits=True,
         )
 
 
--- a/tests/test_fleet_queues.py
+++ b/tests/test_fleet_queues.py
@@ -17,6 +17,7 @@
 from carobfork.gateway import (
     calls,
     placements,
+    queued_calls,
     queues,
     ranks,
     routes,
@@ -104,7 +105,7 @@
             'r', 'h', '/', routes.Kind.stream, (), rank=rank, is_resumable=True
         )
         self.table.update_open_turns(self.fleet.counts(), '')
-        self.queue.submit(queues.QueuedCall(call, route, 3000, resolve))
+        self.queue.submit(queued_calls.QueuedCall(call, route, 3000, resolve))
 
     def waiting_ranks(self):
         """Return the number of waiting calls by rank."""
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -13,6 +13,7 @@
     calls,
     directories,
     placements,
+    queued_calls,
     queues,
     routes,
     worker_tables,
@@ -319,7 +320,7 @@
             chosen.append((name, worker))
 
         call = calls.Call(name, program_deadline_ms=finish_ms)
-        queued = queues.QueuedCall(call, make_route(rank), 3000, resolve)
+        queued = queued_calls.QueuedCall(call, make_route(rank), 3000, resolve)
         self.queue.submit(queued)
         return queued
 
@@ -377,7 +378,7 @@
         for number in range(3):
             call = calls.Call(str(number))
             self.queue.submit(
-                queues.QueuedCall(call, unsafe, 3000, chosen.append)
+                queued_calls.QueuedCall(call, unsafe, 3000, chosen.append)
             )
         names = [worker.instance for worker in chosen]
         self.assertEqual(names, ['b', 'b', 'a'])
@@ -396,7 +397,7 @@
         """An overdue call goes to the least loaded worker's own queue."""
         self.fill()
         self.submit('waiting')
-        self.timer.advance(queues.MAX_WAIT_MS + 200)
+        self.timer.advance(queued_calls.MAX_WAIT_MS + 200)
         self.queue.process_waiting()
         self.assertEqual(self.names(), ['waiting'])
 
@@ -418,7 +419,7 @@
         self.fill()
         for number in range(4):
             self.submit(f'routine-{number}', rank=2)
-        self.timer.advance(queues.MAX_WAIT_MS + 200)
+        self.timer.advance(queued_calls.MAX_WAIT_MS + 200)
         self.queue.process_waiting()
         self.assertEqual(len(self.granted), 2)
         self.assertEqual(len(self.refused), 2)
--- a/tests/test_idle_hosts.py
+++ b/tests/test_idle_hosts.py
@@ -18,7 +18,7 @@
     calls,
     contexts,
     framing,
-    queues,
+    queued_calls,
     relays,
     routes,
     turns,
@@ -68,7 +68,9 @@
 
     def submit(self, answers):
         """Submit a call that appends its outcome to ``answers``."""
-        queued = queues.QueuedCall(calls.Call('x'), ROUTE, 3000, answers.append)
+        queued = queued_calls.QueuedCall(
+            calls.Call('x'), ROUTE, 3000, answers.append
+        )
         self.admission.queue(SERVICE).submit(queued)
 
     def test_nothing_waits(self):
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -5,17 +5,23 @@
 """
 
 import itertools
+import random
 import time
 import unittest
 
 import gevent
 
+from carobfork import clock
+from carobfork.gateway import limiters, workers
+from carobfork.storage import messages, permit_tables
 from tests import platform_hosts
 
 FRONTS = 3
 LIMIT_PER_S = 4
 CALLS_PER_S = 45
 CALLS = 240
+SERVICE_MS = 80
+"""Duration of a call; one server can then run hardly more than all calls."""
 WINDOW_SECONDS = 4
 LEARNING_SECONDS = 1
 """Time in which hosts learn of a limit; the platform allows some seconds."""
@@ -43,12 +49,14 @@
         self.hosts = platform_hosts.Deployment(fronts=FRONTS)
         self.enterContext(self.hosts)
         self.answers = []
+        for backend in self.hosts.backends.values():
+            backend.faults.delay_ms = SERVICE_MS
 
-    def limit(self, *instances):
-        """Let servers name the limit and return when."""
+    def limit(self, *instances, limit_per_s=LIMIT_PER_S):
+        """Let servers name a limit, or none, and return when."""
         for instance in instances:
-            faults = self.hosts.backends[instance].faults
-            faults.limit_per_s = LIMIT_PER_S
+            backend = self.hosts.backends[instance]
+            backend.faults.limit_per_s = limit_per_s
         return time.monotonic()
 
     def call(self, front):
@@ -79,3 +87,216 @@
         self.press()
         self.assert_within_limit('t0', since)
         self.assertEqual({status for status, _ in self.answers}, {200})
+
+    def test_a_lost_store_host_lifts_no_limit(self):
+        """The bound holds while store hosts end and come back."""
+        since = self.limit('t0')
+        caller = gevent.spawn(self.press)
+        gevent.sleep(2)
+        for name in list(self.hosts.keepers):
+            self.hosts.stop_keeper(name)
+            gevent.sleep(0.3)
+            self.hosts.start_keeper(name)
+            self.hosts.wait_for_members(len(self.hosts.keepers))
+        caller.join()
+        self.assert_within_limit('t0', since)
+
+    def test_what_limits_leave_no_room_for_is_refused_at_once(self):
+        """With both servers limited, the rest is refused without a wait."""
+        since = self.limit('t0', 't1')
+        self.press()
+        for instance in ('t0', 't1'):
+            self.assert_within_limit(instance, since)
+        statuses = {status for status, _ in self.answers}
+        self.assertEqual(statuses, {200, 429})
+        refused = [took for status, took in self.answers if status == 429]
+        at_once = sum(took < SERVICE_MS / 1000 for took in refused)
+        self.assertGreater(at_once, 0.8 * len(refused))
+
+    def test_a_limit_that_ends(self):
+        """Hosts use the server again once it names no limit."""
+        self.limit('t0')
+        self.press(60)
+        self.limit('t0', limit_per_s=None)
+        self.press(60)
+        limits = [
+            front.table.get('t0').limit_per_s
+            for front in self.hosts.fronts.values()
+        ]
+        self.assertEqual(set(limits), {None})
+
+
+HOSTS = 171
+SERVER_LIMIT_PER_S = 8
+TICK_MS = 10
+UNTIL_MS = 10_000
+TRIP_MS = 10
+
+
+class Fleet:
+    """Entry hosts that all want one server, and the table that grants.
+
+    Each host has a call for the server in one of ten ticks, far more than the
+    limit allows.
+    """
+
+    def __init__(self):
+        """Create hosts that have heard of the limit."""
+        random.seed(27)
+        self.timer = clock.ManualClock()
+        self.table = permit_tables.PermitTable(self.timer)
+        self.sent_ms = []
+        self.requests = 0
+        self.replies = []
+        self.lost = set()
+        self.hosts = [self.create_host(number) for number in range(HOSTS)]
+
+    def create_host(self, number):
+        """Return a host's limiter and its view of the server."""
+        limiter = limiters.Limiter(
+            self.timer,
+            lambda request, on_reply: self.ask(number, request, on_reply),
+            lambda: HOSTS,
+        )
+        entry = workers.Entry('e0', 'engines', '127.0.0.1', 1, 'z', 8)
+        worker = workers.Worker(entry)
+        limiter.record(worker, SERVER_LIMIT_PER_S)
+        return limiter, worker
+
+    def ask(self, number, request, on_reply):
+        """Carry a request to the table and its reply back, or lose it."""
+        self.requests += 1
+        if number in self.lost:
+            self.replies.append((self.timer.now_ms(), on_reply, None))
+            return
+        reply = self.table.grant(request)
+        arrives_ms = self.timer.now_ms() + TRIP_MS
+        self.replies.append((arrives_ms, on_reply, reply))
+
+    def step(self):
+        """Deliver replies and let some hosts place a call."""
+        self.timer.advance(TICK_MS)
+        now_ms = self.timer.now_ms()
+        due = [reply for reply in self.replies if reply[0] <= now_ms]
+        self.replies = [reply for reply in self.replies if reply[0] > now_ms]
+        for _, on_reply, reply in due:
+            on_reply(reply)
+        for limiter, worker in random.sample(self.hosts, HOSTS // 10):
+            self.place(limiter, worker)
+
+    def place(self, limiter, worker):
+        """Send a call if there is a permit; else request one."""
+        if limiter.may_send(worker):
+            limiter.take(worker)
+            self.sent_ms.append(self.timer.now_ms())
+        else:
+            limiter.request(worker, limiters.MAX_WAIT_MS)
+
+    def play(self, until_ms):
+        """Play until a time."""
+        while self.timer.now_ms() < until_ms:
+            self.step()
+
+    def most_in_window(self):
+        """Return the most requests in four seconds."""
+        seconds = [moment / clock.MS_PER_SECOND for moment in self.sent_ms]
+        return most_in_window(seconds, 0)
+
+
+class FleetTest(unittest.TestCase):
+    """171 hosts that all want a server with a limit."""
+
+    most_allowed = 1.5 * SERVER_LIMIT_PER_S * WINDOW_SECONDS + 5
+
+    def test_the_limit_is_kept_and_used(self):
+        """The fleet sends nearly all that is allowed, and asks rarely."""
+        fleet = Fleet()
+        fleet.play(UNTIL_MS)
+        self.assertLessEqual(fleet.most_in_window(), self.most_allowed)
+        asked_for = SERVER_LIMIT_PER_S * UNTIL_MS / clock.MS_PER_SECOND
+        self.assertGreater(len(fleet.sent_ms), 0.9 * asked_for)
+        requests_per_s = fleet.requests / UNTIL_MS * clock.MS_PER_SECOND
+        self.assertLess(requests_per_s, 1.5 * HOSTS)
+
+    def test_hosts_alone(self):
+        """Hosts without the store host stay below the limit, too."""
+        fleet = Fleet()
+        fleet.play(UNTIL_MS)
+        fleet.lost = set(range(HOSTS))
+        fleet.play(2 * UNTIL_MS)
+        self.assertLessEqual(fleet.most_in_window(), self.most_allowed)
+        sent = sum(moment > UNTIL_MS for moment in fleet.sent_ms)
+        self.assertGreater(sent, 0)
+
+    def test_some_hosts_alone(self):
+        """A part of the hosts alone adds at most half of the limit."""
+        for ratio in (0.1, 0.5, 0.9):
+            fleet = Fleet()
+            fleet.lost = set(range(int(HOSTS * ratio)))
+            fleet.play(UNTIL_MS)
+            with self.subTest(ratio=ratio):
+                self.assertLessEqual(fleet.most_in_window(), self.most_allowed)
+
+    def test_a_granter_that_takes_over(self):
+        """A table that starts anew grants no permits for what was granted."""
+        fleet = Fleet()
+        for number in range(1, 6):
+            fleet.play(number * UNTIL_MS / 5)
+            fleet.table = permit_tables.PermitTable(fleet.timer)
+        self.assertLessEqual(fleet.most_in_window(), self.most_allowed)
+
+    def test_a_pause_earns_no_credit(self):
+        """After a pause the fleet sends no more than before."""
+        for lost in (set(), set(range(HOSTS))):
+            fleet = Fleet()
+            fleet.lost = lost
+            fleet.play(1000)
+            fleet.timer.advance(60_000)
+            fleet.play(75_000)
+            with self.subTest(lost=len(lost)):
+                self.assertLessEqual(fleet.most_in_window(), self.most_allowed)
+
+    def test_the_end_of_a_limit_reaches_all(self):
+        """A host that gets no answers learns of the end from its requests."""
+        fleet = Fleet()
+        fleet.play(2000)
+        limiter, worker = fleet.hosts[0]
+        limiter.record(worker, None)
+        fleet.play(6000)
+        limits = {worker.limit_per_s for _, worker in fleet.hosts}
+        self.assertEqual(limits, {None})
+
+    def test_a_limit_of_nothing(self):
+        """A server that takes nothing still gets a request now and then."""
+        fleet = Fleet()
+        for limiter, worker in fleet.hosts:
+            limiter.record(worker, 0)
+        fleet.play(3 * UNTIL_MS)
+        self.assertGreater(len(fleet.sent_ms), 0)
+        self.assertLessEqual(fleet.most_in_window(), 5)
+
+
+class PermitTableTest(unittest.TestCase):
+    """What one store host grants."""
+
+    def test_news_by_age(self):
+        """What was heard last counts, in whichever order it arrives."""
+        timer = clock.ManualClock(1000)
+        table = permit_tables.PermitTable(timer)
+        table.grant(messages.PermitRequest('e0', None, 10, 0))
+        old = table.grant(messages.PermitRequest('e0', 5, 400, 0))
+        self.assertIsNone(old.limit_per_s)
+        new = table.grant(messages.PermitRequest('e0', 5, 0, 500))
+        self.assertEqual(new.limit_per_s, 5)
+
+    def test_contention_leaves_permits_to_urgent_calls(self):
+        """A routine call may reserve fewer permits ahead."""
+        table = permit_tables.PermitTable(clock.ManualClock())
+        routine = messages.PermitRequest(
+            'e0', 8, 0, limiters.ROUTINE_MAX_WAIT_MS
+        )
+        urgent = messages.PermitRequest('e0', 8, 0, limiters.MAX_WAIT_MS)
+        for _ in range(SERVER_LIMIT_PER_S):
+            table.grant(routine)
+        self.assertIsNone(table.grant(routine).wait_ms)
+        self.assertIsNotNone(table.grant(urgent).wait_ms)
