Log which requests are on servers that end

Change: a fingerprint of method, path, caller and body in the lines of a request; a host that loses a connection in an exchange tries to open another one, and logs and counts the server as crashed if that is refused. No decision uses it yet.

--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -40,7 +40,9 @@
     :param deadline_at_ms: when the deadline expires.
     :param event_log: the events that the caller received.
     :param body: the body that backend servers get.
+    :param fingerprint: identifies the request whichever attempt carries it.
     :param turn: the turn, if it is part of a program's conversation.
+    :param has_output: whether the latest attempt got a part of an answer.
     :param is_sent: whether a backend server may have run the call.
     :param failed_attempts: attempts that failed after the request was sent.
     :param refusals: number of workers that refused it or were unreachable.
@@ -58,7 +60,9 @@
     deadline_at_ms: float
     event_log: events.EventLog
     body: bytes
+    fingerprint: str = ''
     turn: turns.Turn | None = None
+    has_output: bool = False
     is_sent: bool = False
     failed_attempts: int = 0
     refusals: int = 0
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -182,6 +182,7 @@
             context.event_log.last_id,
         )
         context.is_sent = True
+        context.has_output = False
         self._log_limited(context, worker)
         with _raise_as_failure(worker.instance):
             connection.sock.settimeout(None)
@@ -339,6 +340,7 @@
                 new_bytes = _accept_new_events(context, splitter.feed(piece))
                 if new_bytes:
                     watch.record_progress()
+                    context.has_output = True
                     response.send(new_bytes)
                     watch.expect_next()
             watch.pause()
--- a/src/carobfork/gateway/limiters.py
+++ b/src/carobfork/gateway/limiters.py
@@ -149,9 +149,7 @@
             stock.add(now_ms + reply.wait_ms)
 
     def _back_off(self, stock: permits.PermitStock, retry_ms: float) -> None:
-        max_ms = max(
-            MIN_BACKOFF_MS, self._count_hosts() * BACKOFF_PER_HOST_MS
-        )
+        max_ms = max(MIN_BACKOFF_MS, self._count_hosts() * BACKOFF_PER_HOST_MS)
         backoff_ms = min(MIN_BACKOFF_MS * 2**stock.refusals, max_ms)
         stock.refusals += backoff_ms < max_ms
         jitter = MIN_JITTER + random.random()
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -11,8 +11,10 @@
 from carobfork.gateway import (
     admissions,
     contexts,
+    crash_detectors,
     events,
     exchanges,
+    fingerprints,
     metrics,
     ports,
     routes,
@@ -78,6 +80,7 @@
         self._started_ms = timer.now_ms()
         self.latencies = metrics.Histogram()
         self.queue_times = metrics.Histogram()
+        self.crashes_seen = 0
 
     def handle(
         self, request: contexts.Request, response: ports.ResponseWriter
@@ -126,6 +129,7 @@
             request.arrived_ms + wait_ms,
             events.EventLog(call.last_event if route.is_resumable else ''),
             request.body,
+            fingerprints.compute_fingerprint(head, call, request.body),
         )
 
     def _wait_for_routes(self) -> None:
@@ -157,6 +161,7 @@
             logger.info(
                 'trying another worker',
                 request=context.call.attempt,
+                fingerprint=context.fingerprint,
                 worker=context.worker,
                 runs=context.failed_attempts,
                 refusals=context.refusals,
@@ -189,6 +194,7 @@
         logger.info(
             'request ended',
             request=context.call.attempt,
+            fingerprint=context.fingerprint,
             program=context.call.program,
             route=context.route.name,
             version=self.routes.version,
@@ -222,6 +228,8 @@
             except exceptions.ConnectionFailedError as error:
                 worker.record_failure(self._timer.now_ms())
                 self.exchanger.pool.discard_idle(worker)
+                if crash_detectors.has_crashed(context, worker, error):
+                    self.crashes_seen += 1
                 self._count_failure(context, error)
             else:
                 return True
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -167,6 +167,7 @@
             'requests_refused': counts.refused,
             'responses_broken': counts.broken,
             'server_connections_opened': self.relay.exchanger.pool.opened,
+            'server_crashes_seen': self.relay.crashes_seen,
             'requests_sent_to_limited': self.relay.exchanger.sent_to_limited,
             'platform_calls': self.store.calls,
             'log_lines_lost': host_logs.lost_lines(),
