--- a/tests/backends.py
+++ b/tests/backends.py
@@ -39,12 +39,18 @@
     delay_ms: int = 0
     hangs: bool = False
     """Whether requests are read and never answered."""
+    crashes_on: bytes = b''
+    """Body of the requests that end the server."""
     limit_per_s: float | None = None
     """Request limit that the answers name."""
     hang_after: int | None = None
     """Events after which the next streams stop without an end."""
 
 
+def _do_nothing() -> None:
+    """Ignore a crash."""
+
+
 class BackendApplication(web.Application):
     """Serve calls and streams of one server.
 
@@ -61,6 +67,8 @@
         self.heads: dict[str, dict] = {}
         self.cancelled = 0
         self.arrivals: list[float] = []
+        self.crashes: list[float] = []
+        self.on_crash = _do_nothing
 
     def _run(self, request: Request, path: str) -> Response:
         attempt = request.headers['X-Attempt-Id']
@@ -82,6 +90,12 @@
             )
         self.runs[attempt] += 1
         self.bodies[attempt] = request.get_data()
+        if self.faults.crashes_on and (
+            self.bodies[attempt] == self.faults.crashes_on
+        ):
+            self.crashes.append(time.monotonic())
+            self.on_crash()
+            gevent.sleep(_HANG_SECONDS)
         self.heads[attempt] = dict(request.headers)
         self._delay_answer()
         headers = {
--- a/tests/platform_hosts.py
+++ b/tests/platform_hosts.py
@@ -12,6 +12,9 @@
 from carobfork.roles import store as store_role
 from tests import backends, configurations, object_store, plain_calls
 
+CRASH_SECONDS = 0.3
+"""How long a backend server that crashed is away."""
+
 
 def wait_until(condition, what='the condition'):
     """Wait until a condition holds, with a generous limit."""
@@ -37,6 +40,7 @@
         self.keepers = {}
         self._stack = contextlib.ExitStack()
         self._folders = {}
+        self._servers = {}
         self._ports = {}
         self._counts = (stores, fronts)
         self._store_address = ('127.0.0.1', configurations.free_port())
@@ -160,9 +164,12 @@
         """Start and register a backend server."""
         address = ('127.0.0.1', configurations.free_port())
         application = backends.BackendApplication(instance)
-        server = backends.serve(application, address)
-        self._stack.callback(server.stop, 0)
+        self._servers[instance] = backends.serve(application, address)
+        self._stack.callback(lambda: self._servers[instance].stop(0))
         self.backends[instance] = application
+        application.on_crash = lambda: gevent.spawn(
+            self._crash, instance, address, service
+        )
         application.address = '{}:{}'.format(*address)
         self.register(instance, service)
 
@@ -201,6 +208,14 @@
         path = options.pop('path', '/chat/1')
         return self.ask(path, headers=headers, method='POST', **options)
 
+    def _crash(self, instance, address, service):
+        """End a backend server and start it again a moment later."""
+        application = self.backends[instance]
+        self._servers[instance].stop(0)
+        gevent.sleep(CRASH_SECONDS)
+        self._servers[instance] = backends.serve(application, address)
+        self.register(instance, service, born=len(application.crashes) + 1)
+
 
 class DeploymentCase(unittest.TestCase):
     """Cases that share one deployment and don't disturb each other."""
