Stop sending requests that crash the servers that run them

Cause: nothing tied attempts of the same request to each other. Hosts sent a broken stream on at once, and each new attempt, at any host, began anew. Evidence: `worker crashed` lines: 4 of 124 fingerprints on four or five servers that ended, none of which got output; trials with the heads: the same path from ten programs, whose prompts differ. Change: hosts report a server that refuses connections after it broke a call off, to all store hosts; these count by digests of the request and of its path, keep what is blocked on disk and tell each other. A turn reads the counts with its budget. After three ends without output a request is refused as not run. A path that servers answer is never blocked. The stand-in's crash now closes the request's connection: before, it left it open, so that the committed test failed for hangs. Why it works: the next attempt at any host reads what all hosts have reported; restarts read it from disk.

--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -3,7 +3,14 @@
 import attrs
 
 from carobfork import exceptions
-from carobfork.gateway import calls, events, framing, routes, turns
+from carobfork.gateway import (
+    calls,
+    events,
+    fingerprints,
+    framing,
+    routes,
+    turns,
+)
 
 MIN_LEFT_MS = 15
 """Minimum time left to send a request: no backend server can answer in less."""
@@ -40,7 +47,7 @@
     :param deadline_at_ms: when the deadline expires.
     :param event_log: the events that the caller received.
     :param body: the body that backend servers get.
-    :param fingerprint: identifies the request whichever attempt carries it.
+    :param keys: identify the request whichever attempt carries it.
     :param turn: the turn, if it is part of a program's conversation.
     :param has_output: whether the latest attempt got a part of an answer.
     :param is_sent: whether a backend server may have run the call.
@@ -60,7 +67,7 @@
     deadline_at_ms: float
     event_log: events.EventLog
     body: bytes
-    fingerprint: str = ''
+    keys: fingerprints.Fingerprints = fingerprints.Fingerprints()
     turn: turns.Turn | None = None
     has_output: bool = False
     is_sent: bool = False
--- a/src/carobfork/gateway/crash_detectors.py
+++ b/src/carobfork/gateway/crash_detectors.py
@@ -33,7 +33,8 @@
         'worker crashed',
         worker=worker.instance,
         request=context.call.attempt,
-        fingerprint=context.fingerprint,
+        fingerprint=context.keys.request,
+        path=context.keys.path,
         has_output=context.has_output,
     )
     return True
--- a/src/carobfork/gateway/fingerprints.py
+++ b/src/carobfork/gateway/fingerprints.py
@@ -2,31 +2,44 @@
 
 import hashlib
 
+import attrs
+
 from carobfork.gateway import calls, framing
 
 _DIGEST_BYTES = 8
 
 
-def compute_fingerprint(
-    head: framing.Head, call: calls.Call, body: bytes
-) -> str:
-    """Return a digest of a request's method, path, caller and body.
+@attrs.frozen
+class Fingerprints:
+    """Digests of a request, without what differs between attempts.
+
+    :param request: digest of method, path, caller and body.
+    :param path: digest of method and path. Prompts grow with a program's
+        history, so programs that ask the same have different bodies.
+    """
+
+    request: str = ''
+    path: str = ''
 
-    The attempt, the deadline and the event to resume after differ between
-    attempts and are left out.
+
+def compute_fingerprints(
+    head: framing.Head, call: calls.Call, body: bytes
+) -> Fingerprints:
+    """Return a request's digests.
 
     :param head: the caller's head.
     :param call: the call that it describes.
     :param body: the body as the caller sent it.
     """
-    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
-    parts = (
-        head.get('host'),
-        *head.first[:2],
-        call.program,
-        call.session,
-        call.affinity,
+    path_parts = (head.get('host'), *head.first[:2])
+    caller_parts = (call.program, call.session, call.affinity)
+    return Fingerprints(
+        _digest((*path_parts, *caller_parts), body), _digest(path_parts, b'')
     )
+
+
+def _digest(parts: tuple[str, ...], body: bytes) -> str:
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
     for part in parts:
         digest.update(part.encode(errors='replace'))
         digest.update(b'\n')
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -17,10 +17,12 @@
     fingerprints,
     metrics,
     ports,
+    request_guards,
     routes,
     turns,
     worker_tables,
 )
+from carobfork.storage import messages
 
 STARTUP_TIMEOUT_MS = 800
 """How long a request waits for the first configuration: a host gets it within
@@ -57,6 +59,7 @@
     :param turn_manager: manages the budgets and histories of turns.
     :param timer: the clock for deadlines and durations.
     :param policy: registered name of the placement policy.
+    :param guard: refuses requests that crash servers.
     """
 
     def __init__(
@@ -66,8 +69,10 @@
         turn_manager: turns.TurnManager,
         timer: clock.Clock,
         policy: str = 'home',
+        guard: request_guards.RequestGuard | None = None,
     ) -> None:
         """Create a relay without a configuration."""
+        self.guard = guard or request_guards.RequestGuard(timer, _ignore_report)
         self.routes: routes.RouteTable | None = None
         self.exchanger = exchanges.Exchanger(
             codec, turn_manager, timer, table.limiter
@@ -129,7 +134,7 @@
             request.arrived_ms + wait_ms,
             events.EventLog(call.last_event if route.is_resumable else ''),
             request.body,
-            fingerprints.compute_fingerprint(head, call, request.body),
+            fingerprints.compute_fingerprints(head, call, request.body),
         )
 
     def _wait_for_routes(self) -> None:
@@ -155,13 +160,15 @@
         context: contexts.RequestContext,
         response: ports.ResponseWriter,
     ) -> None:
+        self.guard.check(context)
         if context.route.kind == routes.Kind.stream and context.call.program:
             self._open_turn(context)
+            self.guard.check(context)
         while not self._try_once(context, response):
             logger.info(
                 'trying another worker',
                 request=context.call.attempt,
-                fingerprint=context.fingerprint,
+                fingerprint=context.keys.request,
                 worker=context.worker,
                 runs=context.failed_attempts,
                 refusals=context.refusals,
@@ -178,7 +185,9 @@
             service.event_tokens if service else 1,
             context.request.body,
             self.admission.preview(context),
+            context.keys,
         )
+        self.guard.learn(context.turn.crash_weights)
         context.body = context.turn.history + context.request.body
         if context.turn.open_turns is not None:
             self.table.update_open_turns(
@@ -194,7 +203,7 @@
         logger.info(
             'request ended',
             request=context.call.attempt,
-            fingerprint=context.fingerprint,
+            fingerprint=context.keys.request,
             program=context.call.program,
             route=context.route.name,
             version=self.routes.version,
@@ -230,8 +239,10 @@
                 self.exchanger.pool.discard_idle(worker)
                 if crash_detectors.has_crashed(context, worker, error):
                     self.crashes_seen += 1
+                    self.guard.record_crash(context, worker)
                 self._count_failure(context, error)
             else:
+                self.guard.record_answer(context.keys)
                 return True
             context.avoided = context.avoided.union((worker.instance,))
         return False
@@ -260,8 +271,14 @@
             self._count_refusal(context, error)
             return
         left_ms = context.deadline_at_ms - self._timer.now_ms()
-        if not context.can_retry() or left_ms < contexts.MIN_LEFT_MS:
+        is_blocked = bool(self.guard.left_ms(context.keys))
+        is_late = left_ms < contexts.MIN_LEFT_MS
+        if is_blocked or is_late or not context.can_retry():
             raise BrokenAnswerError(
                 error.message, step='relay', peer=context.worker
             ) from error
         context.failed_attempts += 1
+
+
+def _ignore_report(_report: messages.Crash | messages.CrashCleared) -> None:
+    """Discard a report where there are no store hosts."""
--- a/src/carobfork/gateway/turns.py
+++ b/src/carobfork/gateway/turns.py
@@ -11,7 +11,7 @@
 import structlog
 
 from carobfork import exceptions
-from carobfork.gateway import budgets, calls, events, routes
+from carobfork.gateway import budgets, calls, events, fingerprints, routes
 from carobfork.storage import messages
 
 logger = structlog.get_logger(part='turns')
@@ -45,6 +45,8 @@
     :param history: the bytes of the previous turns, sent before the new input.
     :param open_turns: open turns of all hosts by worker, including this one,
         if the store hosts returned them.
+    :param crash_weights: weights of the crashes of servers under the request
+        and under others to its path, by fingerprint.
     :param is_open: whether the turn has not been stored or settled.
     """
 
@@ -55,6 +57,7 @@
     worker: str = ''
     history: bytes = b''
     open_turns: Mapping[str, int] | None = None
+    crash_weights: Mapping[str, int] = attrs.Factory(dict)
     is_open: bool = True
 
     @property
@@ -98,6 +101,7 @@
         event_tokens: int,
         request: bytes,
         worker: str = '',
+        keys: fingerprints.Fingerprints | None = None,
     ) -> Turn:
         """Reserve the turn's tokens and read its history.
 
@@ -106,6 +110,7 @@
         :param event_tokens: number of tokens charged for one event.
         :param request: body of the caller's request.
         :param worker: the worker that the turn will probably run on.
+        :param keys: identify the request whichever attempt carries it.
         :raises BudgetExceededError: if the budget does not cover the turn.
         :raises UnknownProgramError: if the previous turn does not exist.
         :raises NotRunError: if the store can't be reached.
@@ -114,7 +119,8 @@
         previous = call.previous_turn if route.is_retained else ''
         if not turn.is_charged and not previous:
             return turn
-        begun = self._begin(turn, previous)
+        begun = self._begin(turn, previous, keys)
+        turn.crash_weights = begun.crash_weights
         turn.history = begun.chain
         turn.open_turns = begun.open_turns
         if not budgets.covers(call, begun.charges):
@@ -170,10 +176,19 @@
             turn.is_open = False
             gevent.spawn(self._store.settle, messages.Finish(charge))
 
-    def _begin(self, turn: Turn, previous: str) -> messages.Begun:
+    def _begin(
+        self,
+        turn: Turn,
+        previous: str,
+        keys: fingerprints.Fingerprints | None,
+    ) -> messages.Begun:
         charge = turn.make_charge(turn.call.output_tokens, is_settled=False)
         message = messages.Begin(
-            charge, previous, turn.route.retain_ms, worker=turn.worker
+            charge,
+            previous,
+            turn.route.retain_ms,
+            worker=turn.worker,
+            fingerprints=[keys.request, keys.path] if keys else [],
         )
         try:
             return self._store.begin(message)
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -12,6 +12,7 @@
     limiters,
     metrics,
     relays,
+    request_guards,
     servers,
     turns,
     worker_tables,
@@ -20,6 +21,7 @@
 from carobfork.roles import hosts, updates
 from carobfork.storage import (
     clients,
+    crash_reporters,
     groups,
     links,
     messages,
@@ -75,6 +77,7 @@
             host_settings.zone,
             self.timer,
         )
+        self.crash_reporter = crash_reporters.CrashReporter(self.links)
         self.permits = permit_clients.PermitClient(self.storage, self.links)
         self.table = worker_tables.WorkerTable(
             self.timer,
@@ -85,7 +88,13 @@
             ),
         )
         self.relay = relays.Relay(
-            heads, self.table, turns.TurnManager(self.storage), self.timer
+            heads,
+            self.table,
+            turns.TurnManager(self.storage),
+            self.timer,
+            guard=request_guards.RequestGuard(
+                self.timer, self.crash_reporter.report
+            ),
         )
         self.server = servers.Server(
             host_settings.front, self.relay, self.timer, self.is_ready
@@ -210,6 +219,7 @@
             self.directory.version,
             self.table.suspects(),
             self.relay.admission.waiting_ranks(),
+            self.relay.guard.blocked_version,
         )
 
     def _heartbeat_interval_ms(self, member: groups.Member) -> float:
@@ -238,7 +248,9 @@
                 answer.in_flight, answer.waiting, answer.waiting_ranks
             )
             self.table.update_suspects(answer.suspects)
+            self.relay.guard.apply_blocked(answer)
             news = answer.news
+        self.crash_reporter.set_keeper(member.disk, news.keeps_crashes)
         self.permits.set_granter(member.disk, news.grants_permits)
         self.updates.apply_news(self.links.get(member.disk), news)
 
--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -6,7 +6,7 @@
 """
 
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -313,9 +313,11 @@
     charges: dict[str, tuple[int, bool]] = {}
     knows_previous = False
     open_turns = None
+    crash_weights: dict[str, int] = {}
     longest = messages.Begun({})
     for begun in replies:
         open_turns = open_turns or begun.open_turns
+        _raise_weights(crash_weights, begun.crash_weights)
         knows_previous = knows_previous or begun.knows_previous
         if len(begun.chain) >= len(longest.chain):
             longest = begun
@@ -331,4 +333,11 @@
         charges=charges,
         knows_previous=knows_previous,
         open_turns=open_turns,
+        crash_weights=crash_weights,
     )
+
+
+def _raise_weights(merged: dict[str, int], weights: Mapping[str, int]) -> None:
+    """Keep the larger weight of each fingerprint."""
+    for fingerprint, weight in weights.items():
+        merged[fingerprint] = max(merged.get(fingerprint, 0), weight)
--- /dev/null
+++ b/src/carobfork/storage/crash_histories.py
@@ -0,0 +1,111 @@
+"""Remember which requests were on servers that crashed, and block those."""
+
+import attrs
+
+from carobfork import clock
+
+SILENT_CRASH_WEIGHT = 2
+"""Weight of a crash before any part of the answer had come."""
+OUTPUT_CRASH_WEIGHT = 1
+"""Weight of a crash after that: the request had begun to run soundly, so it is
+more likely that another one crashed the server."""
+BLOCKED_WEIGHT = 6
+"""Weight from which on a request is blocked: three silent crashes."""
+BLOCK_MS = 600_000
+"""How long a request is blocked after its last crash, and how long a crash
+counts: long compared with the retries of callers."""
+MAX_REQUESTS = 4096
+"""Bounds the memory; the requests whose last crash is oldest are dropped."""
+
+
+@attrs.define
+class _Suspect:
+    """A request that was on servers that crashed.
+
+    :param servers: the server processes whose crash was counted.
+    :param expires_ms: when its crashes stop counting.
+    """
+
+    expires_ms: float
+    weight: int = 0
+    servers: set[str] = attrs.Factory(set)
+
+
+class CrashHistory:
+    """Requests that were on servers that crashed, by fingerprint.
+
+    :param timer: measures the time since the last crash.
+    """
+
+    def __init__(self, timer: clock.Clock) -> None:
+        """Create a history without crashes."""
+        self._timer = timer
+        self._suspects: dict[str, _Suspect] = {}
+
+    def add(self, fingerprint: str, server: str, has_output: bool) -> None:
+        """Count a crash, once for each server process.
+
+        :param server: identifies the server process.
+        :param has_output: whether a part of the answer had come.
+        """
+        suspect = self._touch(fingerprint, BLOCK_MS)
+        if server not in suspect.servers:
+            suspect.servers.add(server)
+            suspect.weight += (
+                OUTPUT_CRASH_WEIGHT if has_output else SILENT_CRASH_WEIGHT
+            )
+
+    def learn(self, fingerprint: str, weight: int) -> None:
+        """Apply the weight of all crashes that another host knows of."""
+        if weight > self.weight(fingerprint):
+            self._touch(fingerprint, BLOCK_MS).weight = weight
+
+    def block(self, fingerprint: str, left_ms: float) -> None:
+        """Block a request that another host has blocked.
+
+        :param left_ms: how long it stays blocked.
+        """
+        suspect = self._touch(fingerprint, left_ms)
+        suspect.weight = max(suspect.weight, BLOCKED_WEIGHT)
+
+    def clear(self, fingerprint: str) -> None:
+        """Forget the crashes under a request."""
+        self._suspects.pop(fingerprint, None)
+
+    def weight(self, fingerprint: str) -> int:
+        """Return the weight of a request's crashes."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or suspect.expires_ms < self._timer.now_ms():
+            return 0
+        return suspect.weight
+
+    def left_ms(self, fingerprint: str) -> float:
+        """Return how long a request stays blocked, 0 if it is not."""
+        if self.weight(fingerprint) < BLOCKED_WEIGHT:
+            return 0
+        return self._suspects[fingerprint].expires_ms - self._timer.now_ms()
+
+    def blocked(self) -> dict[str, float]:
+        """Return how long each blocked request stays blocked, in ms."""
+        remaining = {
+            fingerprint: self.left_ms(fingerprint)
+            for fingerprint in self._suspects
+        }
+        return {
+            fingerprint: left_ms
+            for fingerprint, left_ms in remaining.items()
+            if left_ms
+        }
+
+    def _touch(self, fingerprint: str, left_ms: float) -> _Suspect:
+        """Return a request's entry, kept at least for a time from now on."""
+        now_ms = self._timer.now_ms()
+        if not self.weight(fingerprint):
+            self._suspects.pop(fingerprint, None)
+        suspect = self._suspects.pop(fingerprint, None) or _Suspect(now_ms)
+        suspect.expires_ms = max(suspect.expires_ms, now_ms + left_ms)
+        # The last one is the one that was touched last.
+        self._suspects[fingerprint] = suspect
+        if len(self._suspects) > MAX_REQUESTS:
+            self._suspects.pop(next(iter(self._suspects)))
+        return suspect
--- a/src/carobfork/storage/disks.py
+++ b/src/carobfork/storage/disks.py
@@ -7,7 +7,7 @@
 
 import pathlib
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -22,6 +22,7 @@
 EXPIRY_INTERVAL_MS = 5000
 _IDENTITY_FILE = 'identity'
 _SNAPSHOTS_FILE = 'notes'
+_BLOCKED_FILE = 'blocked'
 _DISK_ID_BYTES = 8
 
 logger = structlog.get_logger(part='disk')
@@ -65,6 +66,7 @@
     def __init__(self, folder: pathlib.Path, timer: clock.Clock) -> None:
         """Open the directory and read its contents."""
         self._folder = folder
+        self._timer = timer
         self.identity = _load_identity(folder)
         self._files = segments.Segments(folder)
         self.index = record_indexes.RecordIndex(self._files, timer)
@@ -102,6 +104,34 @@
             msgspec.msgpack.encode(self.snapshots.snapshots),
         )
 
+    def save_blocked(self, blocked: Mapping[str, float]) -> None:
+        """Store how long requests stay blocked, in ms, by fingerprint."""
+        now_ms = self._timer.now_ms()
+        until_ms = {
+            fingerprint: now_ms + left_ms
+            for fingerprint, left_ms in blocked.items()
+        }
+        try:
+            segments.write_file(
+                self._folder / _BLOCKED_FILE, msgspec.msgpack.encode(until_ms)
+            )
+        except OSError as error:
+            logger.error('blocked requests not stored', reason=str(error))
+
+    def load_blocked(self) -> dict[str, float]:
+        """Return how long requests stay blocked, in ms, by fingerprint."""
+        path = self._folder / _BLOCKED_FILE
+        if not path.exists():
+            return {}
+        now_ms = self._timer.now_ms()
+        until_ms = msgspec.msgpack.decode(
+            path.read_bytes(), type=dict[str, float]
+        )
+        return {
+            fingerprint: expires_ms - now_ms
+            for fingerprint, expires_ms in until_ms.items()
+        }
+
     def submit(self, submission: Submission) -> None:
         """Queue records for writing; without records, reply at once."""
         if submission.records:
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -74,6 +74,7 @@
     :param wants_details: whether the reply should contain the chain's bytes
         and the open turns.
     :param worker: the backend server that it will probably run on.
+    :param fingerprints: identify the request whichever attempt carries it.
     """
 
     charge: Charge | None
@@ -81,6 +82,7 @@
     retain_ms: float = 0
     wants_details: bool = False
     worker: str = ''
+    fingerprints: list[str] = attrs.Factory(list)
 
 
 @register
@@ -103,6 +105,8 @@
     :param missing: the turn before those of the chain, if the member does not
         hold it.
     :param open_turns: open turns by backend server, if details were requested.
+    :param crash_weights: weights of the crashes of servers under the request,
+        by its fingerprints.
     """
 
     charges: dict[str, tuple[int, bool]]
@@ -110,6 +114,7 @@
     chain: bytes = b''
     missing: str = ''
     open_turns: dict[str, int] | None = None
+    crash_weights: dict[str, int] = attrs.Factory(dict)
 
 
 @register
@@ -218,12 +223,14 @@
     :param revisions: the platform revisions that it knows, by kind.
     :param is_fresh: whether it currently follows the platform.
     :param grants_permits: whether it answers ``PermitRequest``.
+    :param keeps_crashes: whether it answers ``Crash``.
     """
 
     group: groups.Group | None
     revisions: dict[str, int]
     is_fresh: bool
     grants_permits: bool = False
+    keeps_crashes: bool = False
 
 
 @register
@@ -241,6 +248,7 @@
     :param hosts_version: the version of the set of hosts that it knows.
     :param suspects: backend servers that have just failed its calls.
     :param waiting_ranks: its calls that wait for a slot, by rank and service.
+    :param blocked_version: the version of the blocked requests that it knows.
     """
 
     node: str
@@ -253,6 +261,30 @@
     hosts_version: int = 0
     suspects: list[str] = attrs.Factory(list)
     waiting_ranks: dict[int, dict[str, int]] = attrs.Factory(dict)
+    blocked_version: int = 0
+
+
+@register
+@attrs.frozen
+class Crash:
+    """A backend server has crashed while it had a request.
+
+    :param fingerprint: identifies the request, or all requests to its path.
+    :param server: identifies the server's process.
+    :param has_output: whether a part of the answer had come.
+    """
+
+    fingerprint: str
+    server: str
+    has_output: bool
+
+
+@register
+@attrs.frozen
+class CrashCleared:
+    """Servers have answered requests with a fingerprint that is blocked."""
+
+    fingerprint: str
 
 
 @register
@@ -303,6 +335,9 @@
         server, by its name.
     :param waiting_ranks: waiting calls of all other entry hosts, by rank and
         service.
+    :param blocked_version: identifies the set of blocked requests.
+    :param blocked: how long requests stay blocked, in ms, by fingerprint;
+        ``None`` if the receiver knows this version.
     """
 
     version: int
@@ -312,6 +347,8 @@
     news: News
     suspects: dict[str, int] = attrs.Factory(dict)
     waiting_ranks: dict[int, dict[str, int]] = attrs.Factory(dict)
+    blocked_version: int = 0
+    blocked: dict[str, float] | None = None
 
 
 @register
@@ -320,10 +357,12 @@
     """A heartbeat between store hosts with the reports of entry hosts.
 
     :param presences: the recent reports that the sender received directly.
+    :param blocked: how long requests stay blocked, in ms, by fingerprint.
     """
 
     group: groups.Group
     presences: list[Presence]
+    blocked: dict[str, float] = attrs.Factory(dict)
 
 
 @register
--- a/src/carobfork/storage/replicas.py
+++ b/src/carobfork/storage/replicas.py
@@ -14,6 +14,7 @@
     messages,
     permit_tables,
     record_indexes,
+    request_blocks,
     status_exchanges,
     turn_counters,
 )
@@ -37,8 +38,9 @@
         """Create a replica with the group that is stored on the disk."""
         self.disk = disk
         self.index = disk.index
+        self.blocks = request_blocks.RequestBlocks(disk, clock.SystemClock())
         self.status_exchange = status_exchanges.StatusExchange(
-            disk, self.adopt, clock.SystemClock()
+            disk, self.adopt, self.blocks, clock.SystemClock()
         )
         self.open_turns = turn_counters.TurnCounter(clock.SystemClock())
         self.permits = permit_tables.PermitTable(clock.SystemClock())
@@ -79,6 +81,11 @@
         if status_handler is not None:
             status_handler(self.status_exchange, envelope.message, reply)
             return
+        block_handler = _BLOCK_HANDLERS.get(kind)
+        if block_handler is not None:
+            block_handler(self.blocks, envelope.message)
+            reply(messages.Done())
+            return
         handler = _HANDLERS[kind]
         if handler in _EPOCH_FENCED and envelope.epoch != self.group.epoch:
             is_stale = envelope.epoch < self.group.epoch
@@ -197,6 +204,7 @@
             chain,
             missing,
             self.open_turns.counts() if message.wants_details else None,
+            self.blocks.weights(message.fingerprints),
         )
 
     def _refusal(self, reason: str) -> messages.Refused:
@@ -233,3 +241,7 @@
     'Recall': status_exchanges.StatusExchange.handle_recall,
     'Report': status_exchanges.StatusExchange.handle_report,
 }
+_BLOCK_HANDLERS = {  # noqa: WPS407
+    'Crash': request_blocks.RequestBlocks.add,
+    'CrashCleared': request_blocks.RequestBlocks.clear,
+}
--- a/src/carobfork/storage/status_exchanges.py
+++ b/src/carobfork/storage/status_exchanges.py
@@ -3,10 +3,18 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 import structlog
 
 from carobfork import clock
-from carobfork.storage import disks, groups, messages, presences, snapshots
+from carobfork.storage import (
+    disks,
+    groups,
+    messages,
+    presences,
+    request_blocks,
+    snapshots,
+)
 
 PEER_FRESHNESS_TTL_MS = 600
 """Time for which a peer that follows the platform counts as up to date after
@@ -24,16 +32,22 @@
     :ivar is_following: returns whether this host follows the platform.
     :param disk: stores the platform's snapshots and the group.
     :param adopt: adopts a newer group.
+    :param blocks: the blocked requests.
     :param timer: measures the age of reports.
     """
 
     def __init__(
-        self, disk: disks.Disk, adopt: AdoptCallback, timer: clock.Clock
+        self,
+        disk: disks.Disk,
+        adopt: AdoptCallback,
+        blocks: request_blocks.RequestBlocks,
+        timer: clock.Clock,
     ) -> None:
         """Create an exchange that does not follow the platform yet."""
         self.is_following: Callable[[], bool] = _never
         self._disk = disk
         self._adopt = adopt
+        self._blocks = blocks
         self._timer = timer
         self._presences = presences.PresenceTable(timer)
         self._peer_fresh_ms = float('-inf')
@@ -78,7 +92,9 @@
     def build_report(self) -> messages.Report:
         """Return the group and the direct reports of entry hosts."""
         group = self._disk.identity.group
-        return messages.Report(group, self._presences.recent_direct())
+        return messages.Report(
+            group, self._presences.recent_direct(), self._blocks.blocked()
+        )
 
     def has_waiting_calls(self) -> bool:
         """Return whether calls wait at any entry host."""
@@ -103,7 +119,15 @@
         news = self._build_news(
             message.epoch, self.is_following() or has_fresh_peer
         )
-        reply(self._presences.record(message, news))
+        hosts = self._presences.record(message, news)
+        is_known = message.blocked_version == self._blocks.version
+        reply(
+            attrs.evolve(
+                hosts,
+                blocked_version=self._blocks.version,
+                blocked=None if is_known else self._blocks.blocked(),
+            )
+        )
 
     def handle_beat(self, message: messages.Beat, reply: ReplyCallback) -> None:
         """Reply to an entry host's heartbeat with the news."""
@@ -115,6 +139,7 @@
         """Record the reports that another store host received directly."""
         self._adopt(message.group)
         self._presences.record_reported(message.presences)
+        self._blocks.merge(message.blocked)
         reply(self._build_news(message.group.epoch, self.is_following()))
 
     def _build_news(self, epoch: int, is_fresh: bool) -> messages.News:
@@ -124,6 +149,7 @@
             self._disk.snapshots.revisions(),
             is_fresh,
             grants_permits=True,
+            keeps_crashes=True,
         )
 
 
--- a/tests/backends.py
+++ b/tests/backends.py
@@ -6,11 +6,12 @@
 
 import collections
 import json
+import socket as sockets
 import time
 
 import attrs
 import gevent
-from gevent import pywsgi
+from gevent import pool, pywsgi
 from werkzeug import Request, Response
 from werkzeug import exceptions as http_exceptions
 from werkzeug.routing import Rule
@@ -95,6 +96,7 @@
         ):
             self.crashes.append(time.monotonic())
             self.on_crash()
+            request.environ['backends.socket'].shutdown(sockets.SHUT_RDWR)
             gevent.sleep(_HANG_SECONDS)
         self.heads[attempt] = dict(request.headers)
         self._delay_answer()
@@ -145,10 +147,25 @@
         gevent.sleep(_EVENT_SECONDS + self.faults.delay_ms / 1000)
 
 
+class _Handler(pywsgi.WSGIHandler):
+    """Handler that lets the application end its connection."""
+
+    def get_environ(self):
+        """Return the environment with the connection's socket."""
+        return {**super().get_environ(), 'backends.socket': self.socket}
+
+
 def serve(
     application: BackendApplication, address: tuple[str, int]
 ) -> pywsgi.WSGIServer:
     """Return a started server of a backend."""
-    server = pywsgi.WSGIServer(address, application, log=None, error_log=None)
+    server = pywsgi.WSGIServer(
+        address,
+        application,
+        log=None,
+        error_log=None,
+        spawn=pool.Pool(),
+        handler_class=_Handler,
+    )
     server.start()
     return server
--- a/tests/platform_hosts.py
+++ b/tests/platform_hosts.py
@@ -1,6 +1,7 @@
 """A deployment in one process: store, backends, entry and store hosts."""
 
 import contextlib
+import functools
 import tempfile
 import time
 import unittest
@@ -167,7 +168,7 @@
         self._servers[instance] = backends.serve(application, address)
         self._stack.callback(lambda: self._servers[instance].stop(0))
         self.backends[instance] = application
-        application.on_crash = lambda: gevent.spawn(
+        application.on_crash = functools.partial(
             self._crash, instance, address, service
         )
         application.address = '{}:{}'.format(*address)
@@ -210,6 +211,10 @@
 
     def _crash(self, instance, address, service):
         """End a backend server and start it again a moment later."""
+        self._servers[instance].close()
+        gevent.spawn(self._restart, instance, address, service)
+
+    def _restart(self, instance, address, service):
         application = self.backends[instance]
         self._servers[instance].stop(0)
         gevent.sleep(CRASH_SECONDS)
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -5,10 +5,22 @@
 """
 
 import itertools
+import pathlib
+import tempfile
 import unittest
+from unittest import mock
 
+import attrs
 import gevent
 
+from carobfork import clock
+from carobfork.gateway import fingerprints, request_guards, workers
+from carobfork.storage import (
+    crash_histories,
+    disks,
+    messages,
+    request_blocks,
+)
 from tests import configurations, platform_hosts
 
 FRONTS = 3
@@ -77,3 +89,169 @@
         self.assertEqual(answers[-1].status, 503)
         for front in self.hosts.fronts:
             self.assertEqual(self.hosts.ask('/look/7', front=front).status, 200)
+
+    def test_a_deadly_path_with_other_bodies(self):
+        """Turns of several programs end servers under the same path."""
+        for number in range(2, 5):
+            self.hosts.add_backend(f'e{number}', configurations.ENGINES)
+        for backend in self.hosts.backends.values():
+            backend.faults.crashes_on = DEADLY
+        platform_hosts.wait_until(self.knows_servers, 'the servers')
+        fronts = itertools.cycle(list(self.hosts.fronts))
+        for number, front in enumerate(itertools.islice(fronts, CALLS)):
+            answer = self.hosts.turn(
+                f'p{number}', front=front, path='/chat/7', body=DEADLY
+            )
+            gevent.sleep(PAUSE_SECONDS)
+        self.assert_stopped()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self.hosts.turn('q', path='/chat/8').status, 200)
+
+    def test_a_restart_of_all_hosts_unblocks_nothing(self):
+        """Store hosts keep blocked requests on their disks."""
+        self.repeat('/look/7')
+        before = len(self.crashes())
+        for name in list(self.hosts.fronts):
+            self.hosts.stop_front(name)
+        for name in list(self.hosts.keepers):
+            self.hosts.keepers.pop(name).__exit__(None, None, None)
+        for name in ('store-0', 'store-1', 'store-2'):
+            self.hosts.start_keeper(name)
+        for number in range(FRONTS):
+            self.hosts.start_front(f'front-{number}')
+        platform_hosts.wait_until(self.knows_servers, 'the servers')
+        gevent.sleep(LEARNING_SECONDS)
+        self.repeat('/look/7')
+        self.assertEqual(len(self.crashes()), before)
+
+
+KEYS = fingerprints.Fingerprints('request', 'path')
+OTHER_KEYS = fingerprints.Fingerprints('other', 'path')
+
+
+class GuardTest(unittest.TestCase):
+    """One host's decisions, on a manual clock."""
+
+    def setUp(self):
+        """Create a guard whose reports are kept."""
+        self.timer = clock.ManualClock()
+        self.reports = []
+        self.guard = request_guards.RequestGuard(
+            self.timer, self.reports.append
+        )
+
+    def crash(self, server, keys=KEYS, has_output=False):
+        """Record the crash of a server under a request."""
+        entry = workers.Entry(server, 'tools', '127.0.0.1', 1, 'z', 4)
+        context = mock.Mock(keys=keys, has_output=has_output)
+        self.guard.record_crash(context, workers.Worker(entry))
+
+    def test_a_server_counts_once(self):
+        """Retries on one server process do not add up."""
+        for _ in range(CRASHES):
+            self.crash('t0')
+        self.assertFalse(self.guard.left_ms(KEYS))
+
+    def test_calls_that_had_begun_count_half(self):
+        """A call whose answer had begun was probably there by chance."""
+        for number in range(2 * CRASHES):
+            self.assertFalse(self.guard.left_ms(KEYS))
+            self.crash(f't{number}', has_output=True)
+        self.assertTrue(self.guard.left_ms(KEYS))
+
+    def test_a_path_that_is_answered_is_not_blocked(self):
+        """Other requests to a path in use go on; the deadly one does not."""
+        self.guard.record_answer(OTHER_KEYS)
+        for number in range(CRASHES):
+            self.crash(f't{number}')
+        self.assertTrue(self.guard.left_ms(KEYS))
+        self.assertFalse(self.guard.left_ms(OTHER_KEYS))
+
+    def test_a_block_ends(self):
+        """A request may run again long after its last crash."""
+        for number in range(CRASHES):
+            self.crash(f't{number}')
+        self.timer.advance(crash_histories.BLOCK_MS + 1)
+        self.assertFalse(self.guard.left_ms(KEYS))
+
+    def test_blocks_of_other_hosts(self):
+        """Requests are blocked and released as the store hosts say."""
+        news = messages.News(None, {}, is_fresh=True)
+        empty = messages.Hosts(1, None, {}, {}, news)
+        self.guard.apply_blocked(
+            attrs.evolve(empty, blocked_version=4, blocked={'path': 1000})
+        )
+        self.assertTrue(self.guard.left_ms(OTHER_KEYS))
+        self.assertEqual(self.guard.blocked_version, 4)
+        self.guard.apply_blocked(empty)
+        self.assertTrue(self.guard.left_ms(OTHER_KEYS))
+        self.guard.apply_blocked(
+            attrs.evolve(empty, blocked_version=5, blocked={})
+        )
+        self.assertFalse(self.guard.left_ms(OTHER_KEYS))
+
+    def test_a_wrong_block_is_cleared(self):
+        """A host that got answers on a path clears it at all hosts."""
+        self.guard.record_answer(KEYS)
+        news = messages.News(None, {}, is_fresh=True)
+        self.guard.apply_blocked(
+            messages.Hosts(1, None, {}, {}, news, blocked={'path': 1000})
+        )
+        self.assertFalse(self.guard.left_ms(KEYS))
+        self.assertEqual(self.reports, [messages.CrashCleared('path')])
+
+
+class BlocksTest(unittest.TestCase):
+    """What store hosts keep and tell each other."""
+
+    def setUp(self):
+        """Create the blocks of two store hosts."""
+        self.timer = clock.ManualClock()
+        self.blocks = [
+            request_blocks.RequestBlocks(self.open_disk(), self.timer)
+            for _ in range(2)
+        ]
+
+    def open_disk(self, folder=None):
+        """Return a disk in a folder, or in a new one."""
+        self.folder = folder or self.enterContext(tempfile.TemporaryDirectory())
+        disk = disks.Disk(pathlib.Path(self.folder), clock.WallClock())
+        self.addCleanup(disk.close)
+        return disk
+
+    def crash(self, count):
+        """Report crashes of several servers to the last store host."""
+        for number in range(count):
+            self.blocks[-1].add(messages.Crash('f', f't{number}', False))
+
+    def test_blocks_reach_other_store_hosts_and_the_disk(self):
+        """A store host that missed the reports learns of the block."""
+        versions = [blocks.version for blocks in self.blocks]
+        self.crash(CRASHES - 1)
+        self.assertEqual(self.blocks[-1].blocked(), {})
+        self.crash(CRASHES)
+        self.blocks[0].merge(self.blocks[-1].blocked())
+        for blocks, version in zip(self.blocks, versions, strict=True):
+            self.assertEqual(list(blocks.blocked()), ['f'])
+            self.assertNotEqual(blocks.version, version)
+        reopened = request_blocks.RequestBlocks(
+            self.open_disk(self.folder), self.timer
+        )
+        self.assertEqual(list(reopened.blocked()), ['f'])
+
+    def test_a_cleared_request_stays_cleared(self):
+        """Peers that have not heard of it do not block it again."""
+        self.crash(CRASHES)
+        stale = self.blocks[-1].blocked()
+        self.blocks[-1].clear(messages.CrashCleared('f'))
+        self.blocks[-1].merge(stale)
+        self.assertEqual(self.blocks[-1].blocked(), {})
+
+    def test_memory_is_bounded(self):
+        """Many suspects push out those whose last crash is oldest."""
+        history = crash_histories.CrashHistory(self.timer)
+        for number in range(crash_histories.MAX_REQUESTS + 1):
+            history.block(str(number), 1000)
+        blocked = history.blocked()
+        self.assertEqual(len(blocked), crash_histories.MAX_REQUESTS)
+        self.assertNotIn('0', blocked)
