Look only at the blocked requests when store hosts tell of them

Cause: each heartbeat between store hosts and each report of a crash went through all remembered requests, up to 4,096. Change: the set of blocked requests is kept and extended by what is new.

--- a/src/carobfork/storage/crash_histories.py
+++ b/src/carobfork/storage/crash_histories.py
@@ -85,18 +85,6 @@
             return 0
         return self._suspects[fingerprint].expires_ms - self._timer.now_ms()
 
-    def blocked(self) -> dict[str, float]:
-        """Return how long each blocked request stays blocked, in ms."""
-        remaining = {
-            fingerprint: self.left_ms(fingerprint)
-            for fingerprint in self._suspects
-        }
-        return {
-            fingerprint: left_ms
-            for fingerprint, left_ms in remaining.items()
-            if left_ms
-        }
-
     def _touch(self, fingerprint: str, left_ms: float) -> _Suspect:
         """Return a request's entry, kept at least for a time from now on."""
         now_ms = self._timer.now_ms()
--- a/src/carobfork/storage/request_blocks.py
+++ b/src/carobfork/storage/request_blocks.py
@@ -36,26 +36,30 @@
         self._timer = timer
         self._history = crash_histories.CrashHistory(timer)
         self._cleared_ms: dict[str, float] = {}
-        self._known: frozenset[str] = frozenset()
-        for fingerprint, left_ms in disk.load_blocked().items():
+        stored = disk.load_blocked()
+        for fingerprint, left_ms in stored.items():
             self._history.block(fingerprint, left_ms)
-        self._known = frozenset(self._history.blocked())
+        self._known = frozenset(stored)
 
     def add(self, crash: messages.Crash) -> None:
         """Count a crash that an entry host reports."""
         if not self._is_cleared(crash.fingerprint):
             self._history.add(crash.fingerprint, crash.server, crash.has_output)
-            self._save_new()
+            self._save_new((crash.fingerprint,))
 
     def merge(self, blocked: Mapping[str, float]) -> None:
         """Block the requests that another store host has blocked.
 
         :param blocked: how long each stays blocked, in ms.
         """
-        for fingerprint in blocked.keys() - self._known:
-            if not self._is_cleared(fingerprint):
-                self._history.block(fingerprint, blocked[fingerprint])
-        self._save_new()
+        unknown = [
+            fingerprint
+            for fingerprint in blocked.keys() - self._known
+            if not self._is_cleared(fingerprint)
+        ]
+        for fingerprint in unknown:
+            self._history.block(fingerprint, blocked[fingerprint])
+        self._save_new(unknown)
 
     def clear(self, cleared: messages.CrashCleared) -> None:
         """Unblock requests that servers have answered.
@@ -81,19 +85,29 @@
 
     def blocked(self) -> dict[str, float]:
         """Return how long each blocked request stays blocked, in ms."""
-        return self._history.blocked()
+        remaining = {
+            fingerprint: self._history.left_ms(fingerprint)
+            for fingerprint in self._known
+        }
+        return {name: left_ms for name, left_ms in remaining.items() if left_ms}
 
-    def _save_new(self) -> None:
-        blocked = self._history.blocked()
-        new = blocked.keys() - self._known
-        self._known = frozenset(blocked)
+    def _save_new(self, fingerprints: Iterable[str]) -> None:
+        """Store those of some fingerprints that are newly blocked."""
+        new = {
+            fingerprint
+            for fingerprint in fingerprints
+            if self._history.left_ms(fingerprint)
+        } - self._known
         if new:
             logger.warning('requests blocked', fingerprints=sorted(new))
+            self._known |= new
             self._save()
 
     def _save(self) -> None:
         self.version += 1
-        self._disk.save_blocked(self._history.blocked())
+        blocked = self.blocked()
+        self._known = frozenset(blocked)
+        self._disk.save_blocked(blocked)
 
     def _is_cleared(self, fingerprint: str) -> bool:
         cleared_ms = self._cleared_ms.get(fingerprint)
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -252,6 +252,9 @@
         history = crash_histories.CrashHistory(self.timer)
         for number in range(crash_histories.MAX_REQUESTS + 1):
             history.block(str(number), 1000)
-        blocked = history.blocked()
-        self.assertEqual(len(blocked), crash_histories.MAX_REQUESTS)
-        self.assertNotIn('0', blocked)
+        blocked = sum(
+            bool(history.left_ms(str(number)))
+            for number in range(crash_histories.MAX_REQUESTS + 1)
+        )
+        self.assertEqual(blocked, crash_histories.MAX_REQUESTS)
+        self.assertFalse(history.left_ms('0'))
