Keep no weights of paths that servers answer

Cause: a host read from the store hosts that a path was blocked, did not apply it while servers answered the path, but kept it for ten minutes; after a minute without a request it would have refused the next one. Found by reading. Change: weights of answered paths are not kept.

--- a/src/carobfork/gateway/limiters.py
+++ b/src/carobfork/gateway/limiters.py
@@ -108,7 +108,7 @@
             return
         if now_ms < stock.alone_until_ms:
             self._reserve_alone(worker, max_wait_ms)
-        elif stock.requested_ms == permits.NEVER_MS:
+        elif stock.requested_ms is None:
             self._ask(worker, max_wait_ms)
         elif now_ms - stock.requested_ms > REPLY_TIMEOUT_MS:
             self._apply_reply(worker, stock.requested_ms, None)
@@ -136,7 +136,7 @@
         stock = worker.permit_stock
         if stock.requested_ms != requested_ms:
             return
-        stock.requested_ms = permits.NEVER_MS
+        stock.requested_ms = None
         now_ms = self._timer.now_ms()
         if reply is None:
             stock.alone_until_ms = now_ms + ALONE_MS
--- a/src/carobfork/gateway/permits.py
+++ b/src/carobfork/gateway/permits.py
@@ -4,8 +4,6 @@
 
 from carobfork.storage import rate_schedules
 
-NEVER_MS = float('-inf')
-
 
 @attrs.define(eq=False)
 class PermitStock:
@@ -13,7 +11,7 @@
 
     :param valid_from_ms: from when each permit that was not used is valid.
     :param requested_ms: when a permit was requested that has not been granted
-        or refused yet, else ``NEVER_MS``.
+        or refused yet, else ``None``.
     :param retry_at_ms: time before which no permit is requested.
     :param refusals: refused requests since the last granted permit.
     :param schedule: this host's own schedule while no store host grants
@@ -22,11 +20,11 @@
     """
 
     valid_from_ms: list[float] = attrs.Factory(list)
-    requested_ms: float = NEVER_MS
-    retry_at_ms: float = NEVER_MS
+    requested_ms: float | None = None
+    retry_at_ms: float = 0
     refusals: int = 0
     schedule: rate_schedules.RateSchedule | None = None
-    alone_until_ms: float = NEVER_MS
+    alone_until_ms: float = 0
 
     def add(self, valid_from_ms: float) -> None:
         """Add a permit."""
--- a/src/carobfork/gateway/request_guards.py
+++ b/src/carobfork/gateway/request_guards.py
@@ -88,7 +88,8 @@
     def learn(self, weights: Mapping[str, int]) -> None:
         """Apply the weights of crashes that store hosts know of."""
         for suspect, weight in weights.items():
-            self._history.learn(suspect, weight)
+            if not self._is_answered(suspect):
+                self._history.learn(suspect, weight)
 
     def apply_blocked(self, answer: messages.Hosts) -> None:
         """Apply the blocked requests of all hosts, if they have changed.
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -167,6 +167,15 @@
         self.assertTrue(self.guard.left_ms(KEYS))
         self.assertFalse(self.guard.left_ms(OTHER_KEYS))
 
+    def test_weights_of_a_path_that_is_answered(self):
+        """What other hosts count is not kept for a path in use."""
+        self.guard.record_answer(OTHER_KEYS)
+        self.guard.learn({'path': crash_histories.BLOCKED_WEIGHT})
+        self.timer.advance(request_guards.ANSWERED_TTL_MS + 1)
+        self.assertFalse(self.guard.left_ms(KEYS))
+        self.guard.learn({'path': crash_histories.BLOCKED_WEIGHT})
+        self.assertTrue(self.guard.left_ms(KEYS))
+
     def test_a_block_ends(self):
         """A request may run again long after its last crash."""
         for number in range(CRASHES):
