Test that old store hosts get no message that they don't know

Cause: hosts ask for permits and report crashes only at store hosts that say that they take them, and no test held them to it; mixed-soak does not reach these messages, as its servers name no limits. Change: tests of the permit client and the crash reporter.

--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -17,6 +17,7 @@
 from carobfork.gateway import fingerprints, request_guards, workers
 from carobfork.storage import (
     crash_histories,
+    crash_reporters,
     disks,
     messages,
     request_blocks,
@@ -267,3 +268,27 @@
         )
         self.assertEqual(blocked, crash_histories.MAX_REQUESTS)
         self.assertFalse(history.left_ms('0'))
+
+
+class ReporterTest(unittest.TestCase):
+    """Which store hosts get reports."""
+
+    def test_reports_go_to_store_hosts_that_keep_them(self):
+        """Others would not know the message."""
+        links = {disk: mock.Mock() for disk in ('old', 'new')}
+        reporter = crash_reporters.CrashReporter(links)
+        reporter.set_keeper('new', keeps_crashes=True)
+        crash = messages.Crash('f', 't0', has_output=False)
+        reporter.report(crash)
+        links['old'].send_request.assert_not_called()
+        links['new'].send_request.assert_called_once_with(crash, mock.ANY)
+
+    def test_a_lost_report_is_sent_again(self):
+        """A store host that restarts gets the report a little later."""
+        link = mock.Mock()
+        link.send_request.side_effect = [None, None]
+        reporter = crash_reporters.CrashReporter({'new': link})
+        reporter.set_keeper('new', keeps_crashes=True)
+        reporter.report(messages.Crash('f', 't0', has_output=False))
+        link.send_request.call_args.args[1](None)
+        platform_hosts.wait_until(lambda: link.send_request.call_count == 2)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -8,12 +8,13 @@
 import random
 import time
 import unittest
+from unittest import mock
 
 import gevent
 
 from carobfork import clock
 from carobfork.gateway import limiters, workers
-from carobfork.storage import messages, permit_tables
+from carobfork.storage import groups, messages, permit_clients, permit_tables
 from tests import platform_hosts
 
 FRONTS = 3
@@ -279,6 +280,39 @@
         self.assertLessEqual(fleet.most_in_window(), 5)
 
 
+class PermitClientTest(unittest.TestCase):
+    """Whom an entry host asks for permits."""
+
+    def setUp(self):
+        """Create a client of two members, of which one grants permits."""
+        members = tuple(
+            groups.Member(disk, disk, '127.0.0.1', 1) for disk in ('old', 'new')
+        )
+        self.links = {disk: mock.Mock() for disk in ('old', 'new')}
+        self.client = permit_clients.PermitClient(
+            mock.Mock(group=groups.Group(1, members)), self.links
+        )
+        self.client.set_granter('new', grants_permits=True)
+
+    def test_old_store_hosts_get_no_message(self):
+        """A store host that does not grant permits is not asked."""
+        on_reply = mock.Mock()
+        for number in range(SERVER_LIMIT_PER_S):
+            request = messages.PermitRequest(f'e{number}', 1, 0, 0)
+            self.client.request(request, on_reply)
+        self.links['old'].send_request.assert_not_called()
+        asked = self.links['new'].send_request.call_count
+        self.assertEqual(asked + on_reply.call_count, SERVER_LIMIT_PER_S)
+        self.assertGreater(asked, 0)
+
+    def test_a_store_host_that_is_replaced_by_an_old_one(self):
+        """No message goes to a store host that has just lost the feature."""
+        self.client.set_granter('new', grants_permits=False)
+        on_reply = mock.Mock()
+        self.client.request(messages.PermitRequest('e0', 1, 0, 0), on_reply)
+        on_reply.assert_called_once_with(None)
+
+
 class PermitTableTest(unittest.TestCase):
     """What one store host grants."""
 
