--- a/src/carobfork/gateway/calls.py
+++ b/src/carobfork/gateway/calls.py
@@ -26,6 +26,8 @@
     :param previous_turn: the attempt of the turn that this one continues.
     :param last_event: identifier of the last event that the caller received,
         if it resumes a stream.
+    :param resumes: the attempt that brought the stream's first event to the
+        caller, if it resumes a stream.
     :param affinity: key that places a call without a prompt; calls with the
         same key prefer the same backend server.
     :param prefix: identifiers and lengths of the prompt's shared parts.
@@ -41,6 +43,7 @@
     output_tokens: int = 0
     previous_turn: str = ''
     last_event: str = ''
+    resumes: str = ''
     affinity: str = ''
     prefix: tuple[tuple[str, int], ...] = ()
 
--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -55,6 +55,7 @@
     :param refusals: number of workers that refused it or were unreachable.
     :param avoided: workers that have failed or refused it.
     :param worker: the worker of the latest attempt.
+    :param server_version: the version of that worker's software.
     :param queued_ms: total time that it has waited for slots.
     :param was_reused: whether the last failed attempt used a kept connection.
     :param failure: the error that the caller gets, if there is one.
@@ -75,6 +76,7 @@
     refusals: int = 0
     avoided: frozenset[str] = frozenset()
     worker: str = ''
+    server_version: str = ''
     queued_ms: float = 0
     was_reused: bool = False
     failure: exceptions.CarobforkError | None = None
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -170,6 +170,7 @@
                 request=context.call.attempt,
                 fingerprint=context.keys.request,
                 worker=context.worker,
+                server_version=context.server_version,
                 runs=context.failed_attempts,
                 refusals=context.refusals,
                 was_kept=context.was_reused,
@@ -208,6 +209,8 @@
             route=context.route.name,
             version=self.routes.version,
             worker=context.worker,
+            server_version=context.server_version,
+            resumes=context.call.resumes,
             runs=context.failed_attempts,
             refusals=context.refusals,
             was_kept=context.was_reused,
@@ -228,6 +231,7 @@
         """Send the request to one worker; return whether it was answered."""
         with self.admission.slot(context) as worker:
             context.worker = worker.instance
+            context.server_version = worker.entry.version
             if context.turn is not None:
                 self._turns.update_worker(context.turn, context.worker)
             try:
--- a/src/carobfork/gateway/worker_tables.py
+++ b/src/carobfork/gateway/worker_tables.py
@@ -227,6 +227,7 @@
                 'worker registered',
                 worker=entry.instance,
                 service=entry.service,
+                version=entry.version,
                 draining=entry.is_draining,
                 restarted=known is not None,
             )
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -44,6 +44,7 @@
     :param is_draining: whether it accepts no new calls.
     :param started_ms: Unix time of the process's start. A different value
         means a new process, so all observations are reset.
+    :param version: the version of its software; empty if it is unknown.
     """
 
     instance: str
@@ -54,6 +55,7 @@
     slots: int
     is_draining: bool = False
     started_ms: float = 0
+    version: str = ''
 
 
 @attrs.define(eq=False)
--- a/src/carobfork/platform/decoding.py
+++ b/src/carobfork/platform/decoding.py
@@ -178,6 +178,7 @@
             # Unix time at which the process started; the instance may be
             # older.
             started_ms=spec.get('born') or 0,
+            version=_version(spec.get('Version')),
         )
     except _MALFORMED as error:
         logger.warning('malformed entry', name=stored.name, reason=repr(error))
@@ -188,6 +189,11 @@
     return entry
 
 
+def _version(version: Any) -> str:
+    """Return a software version, or an empty string if it is unusable."""
+    return version if isinstance(version, str) else ''
+
+
 def _is_valid(entry: workers.Entry) -> bool:
     texts = (entry.service, entry.failure_domain, entry.ip)
     if not all(isinstance(text, str) and text for text in texts):
--- a/src/carobfork/platform/heads.py
+++ b/src/carobfork/platform/heads.py
@@ -37,6 +37,7 @@
         output_tokens=_whole(output) or 0,
         previous_turn=head.get(names.PREVIOUS_TURN),
         last_event=head.get(names.LAST_EVENT),
+        resumes=head.get(names.RESUMES),
         affinity=_cookie(head.get_all('cookie'), names.AFFINITY_COOKIE),
         prefix=_prefix(head.get(names.PROMPT_PREFIX)),
     )
--- a/src/carobfork/platform/names.py
+++ b/src/carobfork/platform/names.py
@@ -15,6 +15,8 @@
 """Tokens of the prompt and most tokens of the output, separated by a comma."""
 PREVIOUS_TURN = 'x-previous-turn'
 LAST_EVENT = 'last-event-id'
+RESUMES = 'resumes'
+"""The attempt that brought the first event of the stream to be resumed."""
 PROMPT_PREFIX = 'x-prompt-prefix'
 NOT_RUN = 'x-not-run'
 LOAD = 'x-server-load'
