--- a/tests/backends.py
+++ b/tests/backends.py
@@ -55,13 +55,17 @@
 class BackendApplication(web.Application):
     """Serve calls and streams of one server.
 
+    Each event names the version of the software in a comment line.
+
     :param instance: the server's identifier.
+    :param version: the version of its software.
     """
 
-    def __init__(self, instance: str) -> None:
+    def __init__(self, instance: str, version: str = 'v1') -> None:
         """Start without calls."""
         super().__init__([Rule('/<path:path>', endpoint=self._run)])
         self.instance = instance
+        self.version = version
         self.faults = BackendFaults()
         self.runs: collections.Counter[str] = collections.Counter()
         self.bodies: dict[str, bytes] = {}
@@ -133,7 +137,9 @@
         try:
             for number in range(first, EVENTS + 1):
                 self._delay_event(number)
-                yield f'id: {number}\ndata: word{number}\n\n'.encode()
+                yield (
+                    f': {self.version}\nid: {number}\ndata: word{number}\n\n'
+                ).encode()
             finished = True
         finally:
             self.cancelled += not finished
--- a/tests/platform_hosts.py
+++ b/tests/platform_hosts.py
@@ -161,10 +161,10 @@
             f'{count} members',
         )
 
-    def add_backend(self, instance, service):
-        """Start and register a backend server."""
+    def add_backend(self, instance, service, version='v1'):
+        """Start and register a backend server of a software version."""
         address = ('127.0.0.1', configurations.free_port())
-        application = backends.BackendApplication(instance)
+        application = backends.BackendApplication(instance, version)
         self._servers[instance] = backends.serve(application, address)
         self._stack.callback(lambda: self._servers[instance].stop(0))
         self.backends[instance] = application
@@ -183,6 +183,7 @@
             'Slots': 4,
             'State': 'ready',
             'born': 1,
+            'Version': self.backends[instance].version,
             **fields,
         }
         self.store.put('servers', instance, entry)
--- a/tests/soak/fleets.py
+++ b/tests/soak/fleets.py
@@ -122,6 +122,7 @@
             'Slots': 8,
             'State': 'ready',
             'born': born,
+            'Version': self.backends[instance].version,
             **fields,
         }
         self.store.put('servers', instance, entry)
--- a/tests/test_broken_servers.py
+++ b/tests/test_broken_servers.py
@@ -90,6 +90,7 @@
                 'Slots': 4,
                 'State': 'ready',
                 'born': 1,
+                'Version': 'v1',
             }
             cls.hosts.store.put('servers', f's{number}', entry)
         front = cls.hosts.fronts['front-0']
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,174 @@
+"""Streams go on only at servers of the software version that began them.
+
+Guards against streams joined from two versions, because neither a retry within
+a host nor a caller's attempt at another host looked at the servers' versions.
+"""
+
+import re
+import unittest
+
+from tests import configurations, platform_hosts, plain_calls
+
+VERSIONS = {'e0': 'v1', 'e1': 'v1', 'e2': 'v2', 'e3': 'v2'}
+STREAMS = 8
+"""Streams of each case: with servers chosen at random, all of them at the right
+version would be a rare chance."""
+VERSION_LINE = re.compile(rb'^: (\S+)$', re.MULTILINE)
+
+
+def versions_of(*answers):
+    """Return the versions that wrote the events of some answers."""
+    return {
+        version
+        for answer in answers
+        for version in VERSION_LINE.findall(answer.body)
+    }
+
+
+class StreamCase(unittest.TestCase):
+    """Two entry hosts before servers of two versions."""
+
+    def setUp(self):
+        """Start the deployment."""
+        self.hosts = platform_hosts.Deployment(fronts=2)
+        self.enterContext(self.hosts)
+        for instance, version in VERSIONS.items():
+            if instance not in self.hosts.backends:
+                self.hosts.add_backend(
+                    instance, configurations.ENGINES, version
+                )
+        self.wait_for_servers(VERSIONS)
+
+    def wait_for_servers(self, expected):
+        """Wait until all entry hosts know just these engines."""
+        platform_hosts.wait_until(
+            lambda: all(
+                {worker.instance for worker in front.table.usable('engines')}
+                == set(expected)
+                for front in self.hosts.fronts.values()
+            ),
+            'the servers',
+        )
+
+    def break_streams(self, events):
+        """Let the streams of all servers break off after some events."""
+        for instance in VERSIONS:
+            self.hosts.backends[instance].faults.break_after = events
+
+    def stream(self, front='front-0', **headers):
+        """Send a stream outside a program and return attempt and answer."""
+        attempt = plain_calls.new_attempt()
+        fields = {'Accept': 'text/event-stream', **headers}
+        answer = self.hosts.ask(
+            '/ask/1',
+            front=front,
+            method='POST',
+            headers={name.replace('_', '-'): fields[name] for name in fields},
+            body=b'question',
+            attempt=attempt,
+        )
+        return attempt, answer
+
+    def resume(self, attempt, last_event='1', **headers):
+        """Take up a stream at the other entry host."""
+        return self.stream(
+            front='front-1',
+            Last_Event_Id=last_event,
+            Resumes=attempt,
+            **headers,
+        )
+
+    def runs_at(self, attempt):
+        """Return the versions of the servers that ran an attempt."""
+        return [
+            version
+            for instance, version in VERSIONS.items()
+            if self.hosts.backends[instance].runs[attempt]
+        ]
+
+
+class VersionTest(StreamCase):
+    """Streams that break off while two versions serve."""
+
+    def test_one_answer_holds_events_of_one_version(self):
+        """A host sends a broken stream on to a server of the same version."""
+        self.break_streams(1)
+        for _ in range(STREAMS):
+            attempt, _answer = self.stream()
+            self.assertEqual(len(set(self.runs_at(attempt))), 1)
+            self.assertEqual(len(self.runs_at(attempt)), 2)
+
+    def assert_resumed(self, **headers):
+        """Check that streams taken up go on at their version."""
+        self.break_streams(1)
+        begun = [self.stream(**headers) for _ in range(STREAMS)]
+        self.break_streams(None)
+        for attempt, first in begun:
+            _attempt, rest = self.resume(attempt, **headers)
+            self.assertTrue(rest.is_whole)
+            self.assertEqual(rest.status, 200)
+            self.assertEqual(len(versions_of(first, rest)), 1)
+
+    def test_another_host_resumes_at_the_same_version(self):
+        """A stream outside a program is taken up at another host."""
+        self.assert_resumed()
+
+    def test_another_host_resumes_a_turn_at_the_same_version(self):
+        """The stream is a turn that is charged to a budget."""
+        self.assert_resumed(
+            X_Program_Id='p',
+            X_Session_Id='p',
+            X_Token_Budget='5000',
+            X_Token_Count='100,40',
+        )
+
+    def test_a_restart_of_all_hosts_forgets_no_version(self):
+        """Entry and store hosts are all killed before it is taken up."""
+        self.break_streams(1)
+        begun = [self.stream() for _ in range(STREAMS)]
+        self.break_streams(None)
+        for name in list(self.hosts.fronts):
+            self.hosts.stop_front(name)
+        for name in list(self.hosts.keepers):
+            self.hosts.keepers.pop(name).__exit__(None, None, None)
+        for name in ('store-0', 'store-1', 'store-2'):
+            self.hosts.start_keeper(name)
+        for name in ('front-0', 'front-1'):
+            self.hosts.start_front(name)
+        self.wait_for_servers(VERSIONS)
+        for attempt, first in begun:
+            _attempt, rest = self.resume(attempt)
+            self.assertEqual(rest.status, 200)
+            self.assertEqual(len(versions_of(first, rest)), 1)
+
+    def test_no_server_of_the_version_is_left(self):
+        """The stream is refused at once and runs nowhere."""
+        self.break_streams(1)
+        begun = [self.stream() for _ in range(STREAMS)]
+        self.break_streams(None)
+        for instance in ('e0', 'e1'):
+            self.hosts.store.remove('servers', instance)
+        self.wait_for_servers(('e2', 'e3'))
+        for attempt, first in begun:
+            resumed, rest = self.resume(attempt)
+            is_old = versions_of(first) == {b'v1'}
+            self.assertEqual(rest.status, 503 if is_old else 200)
+            self.assertEqual(bool(self.runs_at(resumed)), not is_old)
+
+    def test_an_attempt_that_nobody_knows(self):
+        """It can't be decided which servers may go on; it runs nowhere."""
+        attempt, answer = self.resume('0' * 16)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self.runs_at(attempt), [])
+
+    def test_a_stream_is_taken_up_twice(self):
+        """Each attempt names the one that brought the first event."""
+        self.break_streams(1)
+        begun = [self.stream() for _ in range(STREAMS)]
+        for attempt, first in begun:
+            self.break_streams(2)
+            _attempt, second = self.resume(attempt)
+            self.break_streams(None)
+            _attempt, third = self.resume(attempt, '2')
+            self.assertTrue(third.is_whole)
+            self.assertEqual(len(versions_of(first, second, third)), 1)
