--- a/src/carobfork/gateway/admissions.py
+++ b/src/carobfork/gateway/admissions.py
@@ -160,5 +160,10 @@
     ) -> queued_calls.QueuedCall:
         left_ms = context.deadline_at_ms - self._timer.now_ms()
         return queued_calls.QueuedCall(
-            context.call, context.route, left_ms, resolve, context.avoided
+            context.call,
+            context.route,
+            left_ms,
+            resolve,
+            context.avoided,
+            context.required_version,
         )
--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -56,6 +56,8 @@
     :param avoided: workers that have failed or refused it.
     :param worker: the worker of the latest attempt.
     :param server_version: the version of that worker's software.
+    :param required_version: the only version whose workers may go on with the
+        stream, once the caller has an event of it; ``None`` before.
     :param queued_ms: total time that it has waited for slots.
     :param was_reused: whether the last failed attempt used a kept connection.
     :param failure: the error that the caller gets, if there is one.
@@ -77,6 +79,7 @@
     avoided: frozenset[str] = frozenset()
     worker: str = ''
     server_version: str = ''
+    required_version: str | None = None
     queued_ms: float = 0
     was_reused: bool = False
     failure: exceptions.CarobforkError | None = None
@@ -88,6 +91,11 @@
             and self.failed_attempts + 1 < self.route.max_attempts
         )
 
+    def require_version(self, version: str) -> None:
+        """Let only workers of a version go on, unless one is required."""
+        if self.required_version is None:
+            self.required_version = version
+
     def deadline_error(self, left_ms: float = 0) -> exceptions.CarobforkError:
         """Return the error for a call whose time has run out.
 
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -341,6 +341,7 @@
                 if new_bytes:
                     watch.record_progress()
                     context.has_output = True
+                    context.require_version(context.server_version)
                     response.send(new_bytes)
                     watch.expect_next()
             watch.pause()
--- a/src/carobfork/gateway/queued_calls.py
+++ b/src/carobfork/gateway/queued_calls.py
@@ -23,6 +23,8 @@
     :param resolve: called once with the granted worker, or with ``None`` if
         the call is refused.
     :param avoided: workers that have failed or refused this call.
+    :param version: the software version that the worker must have, ``None``
+        if any will do.
     :param arrived_ms: when the call was submitted, set by the queue.
     """
 
@@ -31,6 +33,7 @@
     left_ms: float
     resolve: Callable[[workers.Worker | None], None]
     avoided: frozenset[str] = frozenset()
+    version: str | None = None
     arrived_ms: float = 0
 
     @property
--- a/src/carobfork/gateway/queues.py
+++ b/src/carobfork/gateway/queues.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Callable
 
+import attrs
+
 from carobfork import clock
 from carobfork.gateway import (
     limiters,
@@ -119,7 +121,8 @@
         """Estimate how long a call waits, in ms.
 
         Counts the calls with the same or a higher priority in this queue, and
-        those with the same or a higher rank at other hosts.
+        those with the same or a higher rank at other hosts. They share all
+        workers, also where this call may run on some of them only.
         """
         ahead = sum(
             other.priority_key() <= queued.priority_key()
@@ -129,9 +132,12 @@
         ahead -= self._table.remote_waiting(
             self._service, behind=queued.route.rank
         )
-        return (ahead + 1) / self._selector.calls_per_ms(
-            self._selector.candidates(queued), self._mean_hold_ms
-        )
+        own = self._selector.candidates(queued)
+        shared = self._selector.candidates(attrs.evolve(queued, version=None))
+        hold_ms = self._mean_hold_ms
+        return ahead / self._selector.calls_per_ms(
+            shared, hold_ms
+        ) + 1 / self._selector.calls_per_ms(own, hold_ms)
 
     def retry_after_ms(self, left_ms: float, jitter: float) -> float:
         """Return the delay after which a refused call should be retried.
--- a/src/carobfork/gateway/selections.py
+++ b/src/carobfork/gateway/selections.py
@@ -38,7 +38,7 @@
         self, queued: queued_calls.QueuedCall
     ) -> list[workers.Worker]:
         """Return the workers that a call may run on, full or not."""
-        usable = self._table.usable(self._service)
+        usable = self._table.usable(self._service, queued.version)
         untried = [
             worker for worker in usable if worker.instance not in queued.avoided
         ]
--- a/src/carobfork/gateway/worker_tables.py
+++ b/src/carobfork/gateway/worker_tables.py
@@ -192,18 +192,25 @@
             if worker.in_flight
         }
 
-    def usable(self, service: str) -> list[workers.Worker]:
+    def usable(
+        self, service: str, version: str | None = None
+    ) -> list[workers.Worker]:
         """Return the workers that may get a new call of a service.
 
         Avoided workers are returned only if all workers with an entry are
         avoided. Workers without an entry are returned only if no worker has
         one, because all entries may have expired in an outage of the registry.
+
+        :param version: the software version that they must have, ``None`` if
+            any will do. No worker has an unknown version.
         """
         now_ms = self._timer.now_ms()
         found = [
             worker
             for worker in self._workers.values()
-            if worker.entry.service == service and not worker.entry.is_draining
+            if worker.entry.service == service
+            and not worker.entry.is_draining
+            and worker.has_version(version)
         ]
         listed = [
             worker for worker in found if worker.unlisted_since_ms is None
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -109,6 +109,12 @@
         """The server's identifier."""
         return self.entry.instance
 
+    def has_version(self, version: str | None) -> bool:
+        """Return whether its software has a version; ``None`` means any."""
+        return (
+            version is None or bool(version) and self.entry.version == version
+        )
+
     def load(self, now_ms: float) -> int:
         """Return the estimated number of calls that it runs."""
         if now_ms - self.remote_updated_ms > REMOTE_LOAD_TTL_MS:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -5,11 +5,14 @@
 """
 
 import re
+import types
 import unittest
 
-from tests import configurations, platform_hosts, plain_calls
+from tests import configurations, plain_calls, platform_hosts
 
-VERSIONS = {'e0': 'v1', 'e1': 'v1', 'e2': 'v2', 'e3': 'v2'}
+VERSIONS = types.MappingProxyType(
+    {'e0': 'v1', 'e1': 'v1', 'e2': 'v2', 'e3': 'v2'}
+)
 STREAMS = 8
 """Streams of each case: with servers chosen at random, all of them at the right
 version would be a rare chance."""
@@ -53,7 +56,8 @@
     def break_streams(self, events):
         """Let the streams of all servers break off after some events."""
         for instance in VERSIONS:
-            self.hosts.backends[instance].faults.break_after = events
+            backend = self.hosts.backends[instance]
+            backend.faults.break_after = events
 
     def stream(self, front='front-0', **headers):
         """Send a stream outside a program and return attempt and answer."""
@@ -81,9 +85,9 @@
     def runs_at(self, attempt):
         """Return the versions of the servers that ran an attempt."""
         return [
-            version
-            for instance, version in VERSIONS.items()
-            if self.hosts.backends[instance].runs[attempt]
+            backend.version
+            for backend in self.hosts.backends.values()
+            if backend.runs[attempt]
         ]
 
 
@@ -104,7 +108,7 @@
         begun = [self.stream(**headers) for _ in range(STREAMS)]
         self.break_streams(None)
         for attempt, first in begun:
-            _attempt, rest = self.resume(attempt, **headers)
+            rest = self.resume(attempt, **headers)[1]
             self.assertTrue(rest.is_whole)
             self.assertEqual(rest.status, 200)
             self.assertEqual(len(versions_of(first, rest)), 1)
@@ -137,7 +141,7 @@
             self.hosts.start_front(name)
         self.wait_for_servers(VERSIONS)
         for attempt, first in begun:
-            _attempt, rest = self.resume(attempt)
+            rest = self.resume(attempt)[1]
             self.assertEqual(rest.status, 200)
             self.assertEqual(len(versions_of(first, rest)), 1)
 
@@ -167,8 +171,8 @@
         begun = [self.stream() for _ in range(STREAMS)]
         for attempt, first in begun:
             self.break_streams(2)
-            _attempt, second = self.resume(attempt)
+            second = self.resume(attempt)[1]
             self.break_streams(None)
-            _attempt, third = self.resume(attempt, '2')
+            third = self.resume(attempt, '2')[1]
             self.assertTrue(third.is_whole)
             self.assertEqual(len(versions_of(first, second, third)), 1)
