--- a/src/carobfork/gateway/admissions.py
+++ b/src/carobfork/gateway/admissions.py
@@ -90,8 +90,10 @@
                 self._has_waiting.clear()
             gevent.sleep(clock.to_seconds(PROCESS_INTERVAL_MS))
 
-    def preview(self, context: contexts.RequestContext) -> str:
-        """Return the worker that a call would get now, or an empty string.
+    def preview(
+        self, context: contexts.RequestContext
+    ) -> workers.Worker | None:
+        """Return the worker that a call would get now, if there is one.
 
         :param context: the request that the call belongs to.
         """
--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -45,9 +45,9 @@
     :param route: the route that it matched.
     :param service: the service that runs it.
     :param deadline_at_ms: when the deadline expires.
-    :param event_log: the events that the caller received.
     :param body: the body that backend servers get.
     :param keys: identify the request whichever attempt carries it.
+    :param event_log: the events that the caller received.
     :param turn: the turn, if it is part of a program's conversation.
     :param has_output: whether the latest attempt got a part of an answer.
     :param is_sent: whether a backend server may have run the call.
@@ -68,9 +68,14 @@
     route: routes.Route
     service: str
     deadline_at_ms: float
-    event_log: events.EventLog
     body: bytes
     keys: fingerprints.Fingerprints = fingerprints.Fingerprints()
+    event_log: events.EventLog = attrs.Factory(
+        lambda context: events.EventLog(
+            context.call.last_event if context.resumes_stream else ''
+        ),
+        takes_self=True,
+    )
     turn: turns.Turn | None = None
     has_output: bool = False
     is_sent: bool = False
@@ -84,6 +89,11 @@
     was_reused: bool = False
     failure: exceptions.CarobforkError | None = None
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller already has events of the stream."""
+        return self.route.is_resumable and bool(self.call.last_event)
+
     def can_retry(self) -> bool:
         """Return whether it may be sent again after a failed attempt."""
         return (
--- a/src/carobfork/gateway/queues.py
+++ b/src/carobfork/gateway/queues.py
@@ -80,10 +80,9 @@
         else:
             queued.resolve(None)
 
-    def preview(self, queued: queued_calls.QueuedCall) -> str:
-        """Return the worker that a call would get now, or an empty string."""
-        worker = self._choose(queued)
-        return worker.instance if worker else ''
+    def preview(self, queued: queued_calls.QueuedCall) -> workers.Worker | None:
+        """Return the worker that a call would get now, if there is one."""
+        return self._choose(queued)
 
     def cancel(self, queued: queued_calls.QueuedCall) -> None:
         """Remove a call whose caller no longer waits."""
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -12,13 +12,13 @@
     admissions,
     contexts,
     crash_detectors,
-    events,
     exchanges,
     fingerprints,
     metrics,
     ports,
     request_guards,
     routes,
+    stream_versions,
     turns,
     worker_tables,
 )
@@ -132,7 +132,6 @@
             route,
             route.choose_service(),
             request.arrived_ms + wait_ms,
-            events.EventLog(call.last_event if route.is_resumable else ''),
             request.body,
             fingerprints.compute_fingerprints(head, call, request.body),
         )
@@ -161,7 +160,9 @@
         response: ports.ResponseWriter,
     ) -> None:
         self.guard.check(context)
-        if context.route.kind == routes.Kind.stream and context.call.program:
+        if context.route.kind == routes.Kind.stream and (
+            context.call.program or context.route.is_resumable
+        ):
             self._open_turn(context)
             self.guard.check(context)
         while not self._try_once(context, response):
@@ -179,15 +180,20 @@
 
     def _open_turn(self, context: contexts.RequestContext) -> None:
         """Reserve a turn and apply the count of other hosts' turns."""
-        service = self.routes.services.get(context.service)
+        worker = self.admission.preview(context)
+        likely = worker or next(iter(self.table.usable(context.service)), None)
         context.turn = self._turns.open(
             context.call,
             context.route,
-            service.event_tokens if service else 1,
+            self._event_tokens(context),
             context.request.body,
-            self.admission.preview(context),
+            worker.instance if worker else '',
             context.keys,
+            stream_versions.choose_version(context, likely),
         )
+        if context.resumes_stream:
+            stream_versions.require_origin(context, self.table)
+            context.turn.event_tokens = self._event_tokens(context)
         self.guard.learn(context.turn.crash_weights)
         context.body = context.turn.history + context.request.body
         if context.turn.open_turns is not None:
@@ -195,6 +201,10 @@
                 context.turn.open_turns, context.turn.worker
             )
 
+    def _event_tokens(self, context: contexts.RequestContext) -> int:
+        service = self.routes.services.get(context.service)
+        return service.event_tokens if service else 1
+
     def _close(self, context: contexts.RequestContext) -> None:
         if context.turn is not None:
             self._turns.close(context.turn, context.event_log.count)
@@ -233,7 +243,7 @@
             context.worker = worker.instance
             context.server_version = worker.entry.version
             if context.turn is not None:
-                self._turns.update_worker(context.turn, context.worker)
+                self._turns.update_worker(context.turn, worker)
             try:
                 self.exchanger.exchange(context, worker, response)
             except exchanges.ServerRefusedError as error:
--- a/src/carobfork/gateway/routes.py
+++ b/src/carobfork/gateway/routes.py
@@ -82,6 +82,13 @@
             return self.is_resumable
         return self.kind == Kind.safe
 
+    def may_use(self, service: str) -> bool:
+        """Return whether a service receives a share of the requests."""
+        return any(
+            backend.service == service and backend.weight > 0
+            for backend in self.backends
+        )
+
     def choose_service(self) -> str:
         """Return the name of a service drawn at random by weight."""
         if len(self.backends) == 1:
--- a/src/carobfork/gateway/turns.py
+++ b/src/carobfork/gateway/turns.py
@@ -11,7 +11,14 @@
 import structlog
 
 from carobfork import exceptions
-from carobfork.gateway import budgets, calls, events, fingerprints, routes
+from carobfork.gateway import (
+    budgets,
+    calls,
+    events,
+    fingerprints,
+    routes,
+    workers,
+)
 from carobfork.storage import messages
 
 logger = structlog.get_logger(part='turns')
@@ -29,6 +36,9 @@
     def settle(self, message: messages.Finish) -> None:
         """Settle the charge of an attempt; retry a few times."""
 
+    def change_version(self, message: messages.Begin) -> None:
+        """Record that another version writes an attempt's stream."""
+
     def place(self, attempt: str, worker: str) -> None:
         """Report the worker that a turn runs on."""
 
@@ -37,11 +47,16 @@
 class Turn:
     """A turn for which tokens are reserved, if it has a budget.
 
+    Each stream that can be resumed is a turn, also outside a program.
+
     :param call: the caller's metadata.
     :param route: the route that the request matched.
     :param event_tokens: number of tokens charged for one event.
     :param request: body of the caller's request.
     :param worker: the worker that was reported to the store hosts.
+    :param stream: the version that was reported to write its stream, if it
+        begins one that can be resumed.
+    :param origin: the version that began the stream that it resumes, if known.
     :param history: the bytes of the previous turns, sent before the new input.
     :param open_turns: open turns of all hosts by worker, including this one,
         if the store hosts returned them.
@@ -55,6 +70,8 @@
     event_tokens: int
     request: bytes
     worker: str = ''
+    stream: messages.StreamVersion | None = None
+    origin: messages.StreamVersion | None = None
     history: bytes = b''
     open_turns: Mapping[str, int] | None = None
     crash_weights: Mapping[str, int] = attrs.Factory(dict)
@@ -65,6 +82,18 @@
         """Whether the turn is charged to a budget."""
         return bool(self.call.program) and self.call.budget_tokens is not None
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller already has events of the stream."""
+        return self.route.is_resumable and bool(self.call.last_event)
+
+    @property
+    def retain_ms(self) -> float:
+        """How long the charge and the stream's version are kept."""
+        if self.stream is None:
+            return self.route.retain_ms
+        return max(self.route.retain_ms, self.route.timeout_ms)
+
     def make_charge(
         self, tokens: int, is_settled: bool
     ) -> messages.Charge | None:
@@ -80,7 +109,25 @@
             self.call.attempt,
             tokens,
             is_settled,
-            self.route.retain_ms,
+            self.retain_ms,
+            self.stream,
+        )
+
+    def make_reservation(self) -> messages.Charge | None:
+        """Return the charge to begin with, ``None`` if nothing is recorded.
+
+        A stream without a budget is charged to itself, with no tokens.
+        """
+        if self.is_charged or self.stream is None:
+            return self.make_charge(self.call.output_tokens, is_settled=False)
+        attempt = self.call.attempt
+        return messages.Charge(
+            attempt,
+            attempt,
+            tokens=0,
+            is_settled=True,
+            retain_ms=self.retain_ms,
+            stream=self.stream,
         )
 
 
@@ -102,6 +149,7 @@
         request: bytes,
         worker: str = '',
         keys: fingerprints.Fingerprints | None = None,
+        stream: messages.StreamVersion | None = None,
     ) -> Turn:
         """Reserve the turn's tokens and read its history.
 
@@ -111,15 +159,19 @@
         :param request: body of the caller's request.
         :param worker: the worker that the turn will probably run on.
         :param keys: identify the request whichever attempt carries it.
+        :param stream: the version that will probably write its stream, if it
+            begins one that can be resumed.
         :raises BudgetExceededError: if the budget does not cover the turn.
         :raises UnknownProgramError: if the previous turn does not exist.
         :raises NotRunError: if the store can't be reached.
         """
-        turn = Turn(call, route, event_tokens, request, worker)
+        turn = Turn(call, route, event_tokens, request, worker, stream)
         previous = call.previous_turn if route.is_retained else ''
-        if not turn.is_charged and not previous:
+        if not (turn.is_charged or previous or turn.resumes_stream):
+            self._record_stream(turn)
             return turn
         begun = self._begin(turn, previous, keys)
+        turn.origin = begun.stream if turn.resumes_stream else None
         turn.crash_weights = begun.crash_weights
         turn.history = begun.chain
         turn.open_turns = begun.open_turns
@@ -134,11 +186,21 @@
             )
         return turn
 
-    def update_worker(self, turn: Turn, worker: str) -> None:
-        """Report the worker of a turn to other hosts if it has changed."""
-        if turn.is_charged and worker != turn.worker:
-            turn.worker = worker
-            self._store.place(turn.call.attempt, worker)
+    def update_worker(self, turn: Turn, worker: workers.Worker) -> None:
+        """Report the worker of a turn to other hosts if it has changed.
+
+        Waits until another version than reported before is recorded, since
+        the stream could otherwise be resumed at the wrong one.
+
+        :raises NotRunError: if that can't be recorded.
+        """
+        is_other = worker.instance != turn.worker
+        turn.worker = worker.instance
+        version = worker.entry.version
+        if turn.stream is not None and turn.stream.version != version:
+            self._change_version(turn, version)
+        elif turn.is_charged and is_other:
+            self._store.place(turn.call.attempt, turn.worker)
 
     def store(self, turn: Turn, event_log: events.EventLog) -> None:
         """Store a complete turn before its caller gets the end of the answer.
@@ -176,6 +238,32 @@
             turn.is_open = False
             gevent.spawn(self._store.settle, messages.Finish(charge))
 
+    def _record_stream(self, turn: Turn) -> None:
+        """Record the version of a stream in the background.
+
+        A stream without a record is not resumed, so there is no need to wait.
+        """
+        charge = turn.make_reservation()
+        if charge is not None:
+            gevent.spawn(self._store.settle, messages.Finish(charge))
+
+    def _change_version(self, turn: Turn, version: str) -> None:
+        turn.stream = attrs.evolve(
+            turn.stream, version=version, number=turn.stream.number + 1
+        )
+        logger.info(
+            'stream version changed',
+            request=turn.call.attempt,
+            server_version=version,
+            number=turn.stream.number,
+        )
+        self._store.change_version(
+            messages.Begin(
+                turn.make_reservation(),
+                worker=turn.worker if turn.is_charged else '',
+            )
+        )
+
     def _begin(
         self,
         turn: Turn,
@@ -189,6 +277,7 @@
             turn.route.retain_ms,
             worker=turn.worker,
             fingerprints=[keys.request, keys.path] if keys else [],
+            resumes=turn.call.resumes if turn.resumes_stream else '',
         )
         try:
             return self._store.begin(message)
--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -14,7 +14,13 @@
 import structlog
 
 from carobfork import clock, exceptions
-from carobfork.storage import groups, links, messages, operations
+from carobfork.storage import (
+    groups,
+    links,
+    messages,
+    operations,
+    stream_indexes,
+)
 
 OPERATION_TIMEOUT_MS = 1200
 """Bound on one operation; exceeds the silence that marks a link as lost."""
@@ -104,7 +110,7 @@
         """Reserve tokens and read a program's state.
 
         The charges of all replies are merged; a settled charge wins over a
-        reservation.
+        reservation. Of the versions of a stream, the last choice is returned.
 
         :raises NotRunError: if too few members reply.
         :raises UnknownProgramError: if no member of the quorum knows the
@@ -129,6 +135,28 @@
         older = self.read_chain(merged.missing)
         return attrs.evolve(merged, chain=older + merged.chain)
 
+    def change_version(self, message: messages.Begin) -> None:
+        """Record that servers of another version write an attempt's stream.
+
+        :raises NotRunError: if too few members reply, or one does not keep
+            the versions of streams: a record of the version before would hold.
+        """
+        operation = self._run_operation(
+            lambda: dict.fromkeys(self.group.all_members(), message),
+            is_read=False,
+            until_ms=self._timer.now_ms() + OPERATION_TIMEOUT_MS,
+        )
+        unaware = [
+            disk
+            for disk, begun in operation.replies.items()
+            if begun.stream != message.charge.stream
+        ]
+        if unaware:
+            raise exceptions.NotRunError(
+                f'store hosts {unaware} do not keep {message.charge.stream}',
+                step=_STEP,
+            )
+
     def finish(self, message: messages.Finish) -> None:
         """Store a turn and settle its attempt.
 
@@ -314,10 +342,13 @@
     knows_previous = False
     open_turns = None
     crash_weights: dict[str, int] = {}
+    streams = []
     longest = messages.Begun({})
     for begun in replies:
         open_turns = open_turns or begun.open_turns
         _raise_weights(crash_weights, begun.crash_weights)
+        if begun.stream is not None:
+            streams.append(begun.stream)
         knows_previous = knows_previous or begun.knows_previous
         if len(begun.chain) >= len(longest.chain):
             longest = begun
@@ -334,6 +365,7 @@
         knows_previous=knows_previous,
         open_turns=open_turns,
         crash_weights=crash_weights,
+        stream=max(streams, key=stream_indexes.number_of, default=None),
     )
 
 
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -49,13 +49,32 @@
     events: bytes
 
 
+@attrs.frozen
+class StreamVersion:
+    """The software version of the backend servers that write a stream.
+
+    :param service: the servers' service.
+    :param version: empty if it is unknown.
+    :param number: number of the choice within the attempt, from 1; the highest
+        one holds.
+    """
+
+    service: str
+    version: str
+    number: int = 1
+
+
 @register
 @attrs.frozen
 class Charge:
     """The tokens that one attempt takes from its program's budget.
 
+    A stream without a budget is a program of its own that takes no tokens.
+
     :param is_settled: whether the attempt has ended; before that, the tokens
         are the most that it can generate.
+    :param stream: the version that writes the attempt's stream, if it is one
+        that can be resumed.
     """
 
     program: str
@@ -63,6 +82,7 @@
     tokens: int
     is_settled: bool
     retain_ms: float
+    stream: StreamVersion | None = None
 
 
 @register
@@ -75,6 +95,7 @@
         and the open turns.
     :param worker: the backend server that it will probably run on.
     :param fingerprints: identify the request whichever attempt carries it.
+    :param resumes: the attempt that began the stream that it resumes, if any.
     """
 
     charge: Charge | None
@@ -83,6 +104,7 @@
     wants_details: bool = False
     worker: str = ''
     fingerprints: list[str] = attrs.Factory(list)
+    resumes: str = ''
 
 
 @register
@@ -107,6 +129,8 @@
     :param open_turns: open turns by backend server, if details were requested.
     :param crash_weights: weights of the crashes of servers under the request,
         by its fingerprints.
+    :param stream: the version of the stream that is resumed or charged, if
+        the member knows it.
     """
 
     charges: dict[str, tuple[int, bool]]
@@ -115,6 +139,7 @@
     missing: str = ''
     open_turns: dict[str, int] | None = None
     crash_weights: dict[str, int] = attrs.Factory(dict)
+    stream: StreamVersion | None = None
 
 
 @register
--- a/src/carobfork/storage/record_indexes.py
+++ b/src/carobfork/storage/record_indexes.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from carobfork import clock
-from carobfork.storage import messages, segments
+from carobfork.storage import messages, segments, stream_indexes
 
 RETENTION_MARGIN_MS = 20_000
 """Extra time for which records are kept: it covers steps of the wall clock and
@@ -52,6 +52,7 @@
 class RecordIndex:
     """An index of all turns and charges that a disk holds.
 
+    :ivar streams: the versions that write the streams of charged attempts.
     :param files: the disk's record files.
     :param timer: the wall clock.
     """
@@ -62,6 +63,7 @@
         self._timer = timer
         self._turns: dict[str, _TurnEntry] = {}
         self._programs: dict[str, _ProgramCharges] = {}
+        self.streams = stream_indexes.StreamIndex()
         self._segment_expiry_ms: dict[int, float] = {}
         for location, record in files.replay():
             self.apply(decode_record(record), location)
@@ -91,7 +93,9 @@
         return dict(program_charges.charges) if program_charges else {}
 
     def has_charge(self, charge: messages.Charge) -> bool:
-        """Return whether the index already covers a charge."""
+        """Return whether the index already covers a charge and its stream."""
+        if not self.streams.covers(charge):
+            return False
         known = self.charges(charge.program).get(charge.attempt)
         return known is not None and (known[1] or not charge.is_settled)
 
@@ -143,7 +147,12 @@
             retain_ms = program.expires_ms - RETENTION_MARGIN_MS - now_ms
             for attempt, (tokens, is_settled) in program.charges.items():
                 charge = messages.Charge(
-                    name, attempt, tokens, is_settled, retain_ms
+                    name,
+                    attempt,
+                    tokens,
+                    is_settled,
+                    retain_ms,
+                    self.streams.get(attempt),
                 )
                 yield Record(now_ms, retain_ms, charge)
 
@@ -165,6 +174,7 @@
         for name, program in list(self._programs.items()):
             if program.expires_ms < now_ms:
                 self._programs.pop(name)
+        self.streams.expire(now_ms)
         unneeded = [
             segment
             for segment, until_ms in self._segment_expiry_ms.items()
@@ -179,6 +189,7 @@
         return {'turns': len(self._turns), 'programs': len(self._programs)}
 
     def _apply_charge(self, charge: messages.Charge, expires_ms: float) -> None:
+        self.streams.apply(charge, expires_ms)
         program = self._programs.setdefault(
             charge.program, _ProgramCharges({}, expires_ms)
         )
--- a/src/carobfork/storage/replicas.py
+++ b/src/carobfork/storage/replicas.py
@@ -198,6 +198,7 @@
             if message.wants_details:
                 chain, missing = self.index.read_chain(message.previous)
         program = message.charge.program if message.charge else ''
+        attempt = message.charge.attempt if message.charge else ''
         return messages.Begun(
             self.index.charges(program),
             knows_previous,
@@ -205,6 +206,7 @@
             missing,
             self.open_turns.counts() if message.wants_details else None,
             self.blocks.weights(message.fingerprints),
+            self.index.streams.get(message.resumes or attempt),
         )
 
     def _refusal(self, reason: str) -> messages.Refused:
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -9,7 +9,7 @@
 from unittest import mock
 
 from carobfork import clock
-from carobfork.gateway import calls, contexts, events, routes, stalls, workers
+from carobfork.gateway import calls, contexts, routes, stalls, workers
 from tests import plain_calls, platform_hosts
 
 SERVICE = 'tools'
@@ -38,7 +38,6 @@
             route,
             SERVICE,
             self.timer.now_ms() + left_ms,
-            events.EventLog(),
             b'',
         )
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -152,7 +152,15 @@
         self.break_streams(None)
         for instance in ('e0', 'e1'):
             self.hosts.store.remove('servers', instance)
-        self.wait_for_servers(('e2', 'e3'))
+        platform_hosts.wait_until(
+            lambda: (
+                not any(
+                    front.table.usable(configurations.ENGINES, 'v1')
+                    for front in self.hosts.fronts.values()
+                )
+            ),
+            'the end of the old servers',
+        )
         for attempt, first in begun:
             resumed, rest = self.resume(attempt)
             is_old = versions_of(first) == {b'v1'}
