--- a/src/carobfork/exceptions.py
+++ b/src/carobfork/exceptions.py
@@ -141,6 +141,12 @@
     code = 'stopping'
 
 
+class ServerRefusedError(NotRunError):
+    """The backend server declared that it did not run the call."""
+
+    code = 'server_refused'
+
+
 class LeavingError(NotRunError):
     """The backend server refused the call because it is leaving."""
 
--- a/src/carobfork/gateway/connection_pools.py
+++ b/src/carobfork/gateway/connection_pools.py
@@ -178,7 +178,13 @@
 
 def _key(worker: workers.Worker) -> tuple:
     entry = worker.entry
-    return entry.instance, entry.started_ms, entry.ip, entry.port
+    return (
+        entry.instance,
+        entry.started_ms,
+        entry.version,
+        entry.ip,
+        entry.port,
+    )
 
 
 def max_idle_ms(route: routes.Route) -> float:
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -16,12 +16,13 @@
     calls,
     connection_pools,
     contexts,
-    events,
+    failures,
     framing,
     limiters,
     ports,
     routes,
     stalls,
+    stream_relays,
     turns,
     workers,
 )
@@ -45,12 +46,6 @@
 logger = structlog.get_logger(part='exchange')
 
 
-class ServerRefusedError(exceptions.NotRunError):
-    """The backend server declared that it did not run the call."""
-
-    code = 'server_refused'
-
-
 @attrs.frozen
 class _Answer:
     """A response head.
@@ -174,6 +169,7 @@
         connection: connection_pools.Connection,
     ) -> _Answer:
         left_ms = self._left_ms(context)
+        stream_relays.check_process(context, connection, sent=False)
         head = self._codec.encode_request(
             context.request.head,
             worker.instance,
@@ -184,7 +180,7 @@
         context.is_sent = True
         context.has_output = False
         self._log_limited(context, worker)
-        with _raise_as_failure(worker.instance):
+        with failures.raise_as_failure(worker.instance):
             connection.sock.settimeout(None)
             with _sending(connection, head + context.body):
                 answer = self._read_matching_answer(context, connection)
@@ -224,13 +220,13 @@
         connection: connection_pools.Connection,
         answer: _Answer,
     ) -> None:
-        with _raise_as_refusal(worker.instance):
+        with failures.raise_as_refusal(worker.instance):
             connection.reader.read_body(answer.shape, MAX_ANSWER_BYTES)
         # The connection is not kept: a late copy of a refusal that names no
         # attempt would be taken for the answer to the next request on it.
         if answer.told.is_elsewhere:
             worker.record_failure(self._timer.now_ms())
-        raise ServerRefusedError(
+        raise exceptions.ServerRefusedError(
             f'the server refused the call with status {answer.told.status}',
             step=_STEP,
             peer=worker.instance,
@@ -307,7 +303,7 @@
         ):
             self._relay_stream(context, connection, answer, response, watch)
             return
-        with _raise_as_failure(context.worker):
+        with failures.raise_as_failure(context.worker):
             body = connection.reader.read_body(answer.shape, MAX_ANSWER_BYTES)
         watch.record_progress()
         # Some statuses tell the caller that the call did not run. They are
@@ -334,71 +330,14 @@
     ) -> None:
         if not response.has_begun:
             response.begin(answer.told.status, answer.head.end_to_end())
-        splitter = events.EventSplitter()
-        with _raise_as_failure(context.worker):
-            for piece in connection.reader.iter_body(answer.shape):
-                new_bytes = _accept_new_events(context, splitter.feed(piece))
-                if new_bytes:
-                    watch.record_progress()
-                    context.has_output = True
-                    context.require_version(context.server_version)
-                    response.send(new_bytes)
-                    watch.expect_next()
-            watch.pause()
-            if splitter.remainder:
-                raise EOFError('the stream ended inside an event')
+        stream_relays.StreamRelay(context, connection, response, watch).run(
+            answer.shape
+        )
         if context.turn is not None:
             self._turns.store(context.turn, context.event_log)
         response.end()
 
 
-def _accept_new_events(
-    context: contexts.RequestContext,
-    received: list[events.Event],
-) -> bytes:
-    """Return the bytes of the events that are new to the caller.
-
-    :raises ConnectionFailedError: if an event is missing in the stream.
-    """
-    try:
-        return b''.join(
-            event.raw for event in received if context.event_log.accept(event)
-        )
-    except events.EventOrderError as error:
-        raise exceptions.ConnectionFailedError(
-            error.message, sent=True, step=_STEP, peer=context.worker
-        ) from error
-
-
-@contextlib.contextmanager
-def _raise_as_failure(peer: str) -> Iterator[None]:
-    """Convert errors of an exchange to failures of a call that may have run."""
-    try:
-        yield
-    except exceptions.ConnectionFailedError:
-        raise
-    except (OSError, EOFError, exceptions.BadRequestError) as error:
-        raise exceptions.ConnectionFailedError(
-            str(error), sent=True, step=_STEP, peer=peer
-        ) from error
-
-
-@contextlib.contextmanager
-def _raise_as_refusal(peer: str) -> Iterator[None]:
-    """Convert errors while a refusal's body is read to the refusal itself.
-
-    The head has already declared that the call did not run.
-    """
-    try:
-        yield
-    except (OSError, EOFError, exceptions.BadRequestError) as error:
-        raise ServerRefusedError(
-            f'the server refused the call, then failed: {error}',
-            step=_STEP,
-            peer=peer,
-        ) from error
-
-
 @contextlib.contextmanager
 def _sending(
     connection: connection_pools.Connection, payload: bytes
--- /dev/null
+++ b/src/carobfork/gateway/failures.py
@@ -0,0 +1,37 @@
+"""Convert errors of an exchange to what they tell about the call."""
+
+import contextlib
+from collections.abc import Iterator
+
+from carobfork import exceptions
+
+_STEP = 'relay'
+
+
+@contextlib.contextmanager
+def raise_as_failure(peer: str) -> Iterator[None]:
+    """Convert errors of an exchange to failures of a call that may have run."""
+    try:
+        yield
+    except exceptions.ConnectionFailedError:
+        raise
+    except (OSError, EOFError, exceptions.BadRequestError) as error:
+        raise exceptions.ConnectionFailedError(
+            str(error), sent=True, step=_STEP, peer=peer
+        ) from error
+
+
+@contextlib.contextmanager
+def raise_as_refusal(peer: str) -> Iterator[None]:
+    """Convert errors while a refusal's body is read to the refusal itself.
+
+    The head has already declared that the call did not run.
+    """
+    try:
+        yield
+    except (OSError, EOFError, exceptions.BadRequestError) as error:
+        raise exceptions.ServerRefusedError(
+            f'the server refused the call, then failed: {error}',
+            step=_STEP,
+            peer=peer,
+        ) from error
--- a/src/carobfork/gateway/queues.py
+++ b/src/carobfork/gateway/queues.py
@@ -103,15 +103,14 @@
         """Grant free slots to waiting calls.
 
         An overdue call goes to a worker's own queue if one is short enough,
-        or is refused.
+        or is refused. So is a stream that no worker may go on with any more.
         """
         for queued in sorted(
             self.waiting, key=queued_calls.QueuedCall.priority_key
         ):
-            waited_ms = self._timer.now_ms() - queued.arrived_ms
             if self._try_grant(queued) or self._overflow_if_urgent(queued):
                 self.waiting.remove(queued)
-            elif waited_ms > queued.max_wait_ms:
+            elif self._selector.is_over(queued):
                 self.waiting.remove(queued)
                 if not self._overflow_if_overdue(queued):
                     queued.resolve(None)
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -246,7 +246,7 @@
                 self._turns.update_worker(context.turn, worker)
             try:
                 self.exchanger.exchange(context, worker, response)
-            except exchanges.ServerRefusedError as error:
+            except exceptions.ServerRefusedError as error:
                 self._count_refusal(context, error)
             except exceptions.ConnectionFailedError as error:
                 worker.record_failure(self._timer.now_ms())
--- a/src/carobfork/gateway/selections.py
+++ b/src/carobfork/gateway/selections.py
@@ -46,6 +46,17 @@
             return untried
         return usable
 
+    def is_over(self, queued: queued_calls.QueuedCall) -> bool:
+        """Return whether a call should not wait any longer.
+
+        It has waited as long as it may, or it goes on with a stream and no
+        worker of the version is left.
+        """
+        waited_ms = self._timer.now_ms() - queued.arrived_ms
+        if waited_ms > queued.max_wait_ms:
+            return True
+        return queued.version is not None and not self.candidates(queued)
+
     def choose(
         self, queued: queued_calls.QueuedCall, max_permit_wait_ms: float
     ) -> workers.Worker | None:
--- a/src/carobfork/gateway/worker_tables.py
+++ b/src/carobfork/gateway/worker_tables.py
@@ -229,7 +229,7 @@
 
     def _apply_entry(self, entry: workers.Entry) -> None:
         known = self._workers.get(entry.instance)
-        if known is None or known.entry.started_ms != entry.started_ms:
+        if known is None or not known.is_same_process(entry):
             logger.info(
                 'worker registered',
                 worker=entry.instance,
@@ -240,6 +240,8 @@
             )
             # Calls on the previous process release their slots on the
             # previous object, which is no longer used.
+            if known is not None:
+                known.is_replaced = True
             self._workers[entry.instance] = workers.Worker(
                 entry, is_local=entry.failure_domain == self._failure_domain
             )
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -78,6 +78,7 @@
         other host suspected it.
     :param mean_duration_ms: moving mean of the durations of its calls.
     :param is_local: whether it is in the preferred failure domain.
+    :param is_replaced: whether another process has taken its name.
     :param limit_per_s: requests a second that it takes from all hosts
         together, if it names a limit.
     :param limit_heard_ms: when an answer last named a limit or none.
@@ -99,6 +100,7 @@
     last_failure_ms: float = NEVER_MS
     mean_duration_ms: float = 0
     is_local: bool = False
+    is_replaced: bool = False
     limit_per_s: float | None = None
     limit_heard_ms: float = NEVER_MS
     permit_stock: permits.PermitStock = attrs.Factory(permits.PermitStock)
@@ -109,6 +111,13 @@
         """The server's identifier."""
         return self.entry.instance
 
+    def is_same_process(self, entry: Entry) -> bool:
+        """Return whether an entry is of the process that this one describes."""
+        return (
+            self.entry.started_ms == entry.started_ms
+            and self.entry.version == entry.version
+        )
+
     def has_version(self, version: str | None) -> bool:
         """Return whether its software has a version; ``None`` means any."""
         return (
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -97,6 +97,35 @@
         after = self.table.get('a')
         self.assertEqual((after.consecutive_failures, after.in_flight), (0, 0))
 
+    def test_another_version_under_the_same_name(self):
+        """A worker with another version is a new one, whatever its start."""
+        known = self.table.get('a')
+        self.table.apply([entry('a', version='v2')], was_unreachable=False)
+        self.assertTrue(known.is_replaced)
+        self.assertEqual(self.table.get('a').entry.version, 'v2')
+        self.assertFalse(self.table.get('a').is_replaced)
+
+    def test_streams_go_on_at_one_version(self):
+        """Workers of another or an unknown version don't go on with them."""
+        self.table.apply(
+            [entry('a', version='v1'), entry('b', version='v2'), entry('c')],
+            was_unreachable=False,
+        )
+        for version, expected in (('v1', ['a']), ('v3', []), ('', [])):
+            found = self.table.usable(SERVICE, version)
+            names = [worker.instance for worker in found]
+            self.assertEqual(names, expected)
+
+    def test_a_version_that_is_avoided_is_still_the_only_one(self):
+        """A failing worker of the version goes before sound ones of others."""
+        self.table.apply(
+            [entry('a', version='v1'), entry('b', version='v2')],
+            was_unreachable=False,
+        )
+        self.table.get('a').record_failure(self.timer.now_ms())
+        found = self.table.usable(SERVICE, 'v1')
+        self.assertEqual([worker.instance for worker in found], ['a'])
+
     def test_failures_keep_calls_away(self):
         """The avoidance doubles; the only listed worker still gets calls."""
         failing = self.table.get('a')
@@ -312,7 +341,7 @@
         self.granted = []
         self.refused = []
 
-    def submit(self, name, rank=0, finish_ms=None):
+    def submit(self, name, rank=0, finish_ms=None, version=None):
         """Submit a call and record how it is resolved."""
 
         def resolve(worker):
@@ -320,7 +349,9 @@
             chosen.append((name, worker))
 
         call = calls.Call(name, program_deadline_ms=finish_ms)
-        queued = queued_calls.QueuedCall(call, make_route(rank), 3000, resolve)
+        queued = queued_calls.QueuedCall(
+            call, make_route(rank), 3000, resolve, version=version
+        )
         self.queue.submit(queued)
         return queued
 
@@ -452,6 +483,35 @@
         self.queue.release(self.table.get('a'), 100)
         self.assertEqual(self.names(), [])
 
+    def test_calls_that_any_server_may_run_share_all(self):
+        """A stream that goes on at one worker waits for that one only.
+
+        The calls before it are spread over both workers. Counted at its own
+        one, they would have it refused although it gets a slot in time.
+        """
+        self.table.apply(
+            [entry('a', 2, version='v1'), entry('b', 2, version='v2')], False
+        )
+        self.fill()
+        for number in range(3):
+            self.submit(f'any-{number}')
+        bound = self.submit('bound', version='v1')
+        hold_ms = queues.INITIAL_HOLD_MS
+        self.assertAlmostEqual(
+            self.queue.expected_wait_ms(bound), 4 * hold_ms / 4 + hold_ms / 2
+        )
+
+    def test_the_last_server_of_a_version_leaves(self):
+        """A stream that waits for it is refused at once."""
+        self.table.apply(
+            [entry('a', 2, version='v1'), entry('b', 2, version='v2')], False
+        )
+        self.fill()
+        self.submit('bound', version='v1')
+        self.table.apply([entry('a', 2, version='v1', is_draining=True)], False)
+        self.queue.process_waiting()
+        self.assertEqual(self.refused, [('bound', None)])
+
     def test_no_servers(self):
         """A call is refused at once if there is no worker."""
         self.table.apply([], False)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -7,6 +7,9 @@
 import re
 import types
 import unittest
+from unittest import mock
+
+import gevent
 
 from tests import configurations, plain_calls, platform_hosts
 
@@ -184,3 +187,62 @@
             third = self.resume(attempt, '2')[1]
             self.assertTrue(third.is_whole)
             self.assertEqual(len(versions_of(first, second, third)), 1)
+
+
+class ReplacedServerTest(StreamCase):
+    """A server starts again under its name with another version."""
+
+    def setUp(self):
+        """Leave one server to the streams."""
+        super().setUp()
+        for instance in ('e1', 'e2', 'e3'):
+            self.hosts.store.remove('servers', instance)
+        self.wait_for_servers(['e0'])
+        self.backend = self.hosts.backends['e0']
+
+    def replace(self):
+        """Start the server again and wait until all hosts know it."""
+        self.backend.version = 'v2'
+        self.hosts.register('e0', configurations.ENGINES, born=2)
+        platform_hosts.wait_until(
+            lambda: all(
+                front.table.usable(configurations.ENGINES, 'v2')
+                for front in self.hosts.fronts.values()
+            ),
+            'the new version',
+        )
+
+    def assert_recorded(self, attempt, first):
+        """Check that the stream can be taken up at the version it began."""
+        self.backend.faults.break_after = None
+        rest = self.resume(attempt)[1]
+        self.assertEqual(rest.status, 200)
+        self.assertEqual(versions_of(first, rest), {b'v2'})
+
+    def test_between_the_choice_and_the_connection(self):
+        """The stream is on record with the version that wrote it."""
+        relay = self.hosts.fronts['front-0'].relay
+        pool = relay.exchanger.pool
+        acquire = pool.acquire
+        self.backend.faults.break_after = 1
+
+        def acquire_late(*arguments):
+            if self.backend.version == 'v1':
+                self.replace()
+            return acquire(*arguments)
+
+        with mock.patch.object(pool, 'acquire', acquire_late):
+            attempt, first = self.stream()
+        self.assert_recorded(attempt, first)
+
+    def test_before_the_first_event(self):
+        """The registry tells of the new process while the host waits."""
+        faults = self.backend.faults
+        self.backend.version = 'v2'
+        faults.break_after = 1
+        faults.delay_ms = 500
+        begun = gevent.spawn(self.stream)
+        platform_hosts.wait_until(lambda: self.backend.runs, 'the request')
+        self.replace()
+        faults.delay_ms = 0
+        self.assert_recorded(*begun.get())
