--- a/src/carobfork/gateway/calls.py
+++ b/src/carobfork/gateway/calls.py
@@ -95,13 +95,16 @@
         """Whether the final response is yet to come, and there is no body."""
         return self.status < _MIN_FINAL_STATUS
 
-    def is_for(self, attempt: str) -> bool:
+    def is_for(self, attempt: str, *, is_first: bool) -> bool:
         """Return whether the response answers an attempt.
 
-        A server that did not run the call may omit the attempt.
+        A server that did not run the call may omit the attempt. On a
+        connection that has carried other answers, that may as well be a copy
+        of an earlier refusal.
 
         :param attempt: identifier of the expected attempt.
+        :param is_first: whether it is the first response on its connection.
         """
         if self.not_run and not self.attempt:
-            return True
+            return is_first
         return self.attempt == attempt
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -238,17 +238,19 @@
         connection: connection_pools.Connection,
     ) -> _Answer:
         """Return the answer to this request; skip late answers to others."""
+        is_first = not connection.is_reused
         for _ in range(MAX_STRAY_ANSWERS + 1):
             answer = self._read_answer(context, connection)
-            if answer.told.is_for(context.call.attempt):
+            if answer.told.is_for(context.call.attempt, is_first=is_first):
                 return answer
+            is_first = False
             logger.warning(
                 'stray answer',
                 request=context.call.attempt,
                 other=answer.told.attempt,
                 worker=context.worker,
             )
-            if not answer.told.attempt:
+            if not (answer.told.attempt or answer.told.not_run):
                 # It names no attempt, so it is not a late answer and no other
                 # answer will follow.
                 break
