--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -94,6 +94,11 @@
         """Whether the caller already has events of the stream."""
         return self.route.is_resumable and bool(self.call.last_event)
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the caller has events of the stream, of any attempt."""
+        return self.resumes_stream or self.event_log.count > 0
+
     def can_retry(self) -> bool:
         """Return whether it may be sent again after a failed attempt."""
         return (
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -330,6 +330,7 @@
         response: ports.ResponseWriter,
         watch: stalls.Watch,
     ) -> None:
+        stream_relays.check_is_stream(context, answer.head)
         if not response.has_begun:
             response.begin(answer.told.status, answer.head.end_to_end())
         stream_relays.StreamRelay(context, connection, response, watch).run(
--- a/src/carobfork/gateway/stream_relays.py
+++ b/src/carobfork/gateway/stream_relays.py
@@ -12,6 +12,9 @@
 )
 
 _STEP = 'relay'
+_EVENT_STREAM = 'text/event-stream'
+_SHOWN_BYTES = 80
+"""Length of the part of a malformed event that an error shows."""
 
 
 class StreamRelay:
@@ -35,6 +38,7 @@
         self._connection = connection
         self._response = response
         self._watch = watch
+        self._goes_on = context.has_events
 
     def run(self, shape: framing.BodyShape) -> None:
         """Pass on complete events as they arrive, until the stream ends.
@@ -52,31 +56,41 @@
                 raise EOFError('the stream ended inside an event')
 
     def _pass_on(self, received: list[events.Event]) -> None:
-        new_bytes = self._accept_new(received)
-        if not new_bytes:
-            return
-        self._watch.record_progress()
-        if not self._context.has_output:
+        if received and not self._context.has_output:
             check_process(self._context, self._connection, sent=True)
-        self._context.has_output = True
-        self._context.require_version(self._context.server_version)
-        self._response.send(new_bytes)
-        self._watch.expect_next()
-
-    def _accept_new(self, received: list[events.Event]) -> bytes:
-        """Return the bytes of the events that are new to the caller.
-
-        :raises ConnectionFailedError: if an event is missing in the stream.
-        """
-        event_log = self._context.event_log
+        accepted: list[bytes] = []
         try:
-            return b''.join(
-                event.raw for event in received if event_log.accept(event)
-            )
+            for event in received:
+                if self._is_new(event):
+                    accepted.append(event.raw)
         except events.EventOrderError as error:
             raise exceptions.ConnectionFailedError(
                 error.message, sent=True, step=_STEP, peer=self._context.worker
             ) from error
+        finally:
+            # The next server goes on after the last event that was accepted.
+            self._send(b''.join(accepted))
+
+    def _is_new(self, event: events.Event) -> bool:
+        """Record an event and tell whether it is new to the caller.
+
+        :raises EventOrderError: if an event before it is missing, or its place
+            in a stream that another server began is unknown.
+        """
+        if self._goes_on and event.number is None and event.payload:
+            raise events.EventOrderError(
+                f'an event without a number: {event.raw[:_SHOWN_BYTES]!r}',
+                step=_STEP,
+            )
+        return self._context.event_log.accept(event)
+
+    def _send(self, new_bytes: bytes) -> None:
+        if new_bytes:
+            self._watch.record_progress()
+            self._context.has_output = True
+            self._context.require_version(self._context.server_version)
+            self._response.send(new_bytes)
+            self._watch.expect_next()
 
 
 def check_process(
@@ -102,3 +116,25 @@
             step=_STEP,
             peer=worker.instance,
         )
+
+
+def check_is_stream(
+    context: contexts.RequestContext, head: framing.Head
+) -> None:
+    """Refuse an answer that would not go on with the caller's stream.
+
+    The caller adds the body to the events that it already has.
+
+    :param head: the head of a successful answer.
+    :raises ConnectionFailedError: if the caller has events of the stream, and
+        the body holds none.
+    """
+    kind = head.get('content-type').partition(';')[0].strip().lower()
+    if context.has_events and (head.first[1] != '200' or kind != _EVENT_STREAM):
+        raise exceptions.ConnectionFailedError(
+            'the server went on with a stream by an answer with status'
+            f' {head.first[1]} and content type {kind!r}',
+            sent=True,
+            step=_STEP,
+            peer=context.worker,
+        )
