--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -86,6 +86,8 @@
         self.latencies = metrics.Histogram()
         self.queue_times = metrics.Histogram()
         self.crashes_seen = 0
+        self.streams_resumed = 0
+        self.streams_continued = 0
 
     def handle(
         self, request: contexts.Request, response: ports.ResponseWriter
@@ -192,7 +194,9 @@
             stream_versions.choose_version(context, likely),
         )
         if context.resumes_stream:
+            self.streams_resumed += 1
             stream_versions.require_origin(context, self.table)
+            self.streams_continued += 1
             context.turn.event_tokens = self._event_tokens(context)
         self.guard.learn(context.turn.crash_weights)
         context.body = context.turn.history + context.request.body
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -177,6 +177,8 @@
             'responses_broken': counts.broken,
             'server_connections_opened': self.relay.exchanger.pool.opened,
             'server_crashes_seen': self.relay.crashes_seen,
+            'streams_resumed': self.relay.streams_resumed,
+            'streams_continued': self.relay.streams_continued,
             'requests_sent_to_limited': self.relay.exchanger.sent_to_limited,
             'platform_calls': self.store.calls,
             'log_lines_lost': host_logs.lost_lines(),
