--- a/tests/plain_calls.py
+++ b/tests/plain_calls.py
@@ -42,22 +42,27 @@
     return head + body
 
 
-def ask(address, path, **options):
-    """Send a request on a connection of its own."""
+def ask(address, path, most_events=None, **options):
+    """Send a request on a connection of its own.
+
+    :param most_events: leave after so many events of a stream.
+    """
     with contextlib.closing(socket.create_connection(address)) as sock:
         sock.settimeout(WAIT_SECONDS)
         sock.sendall(encode(path, **options))
-        return read_answer(sock)
+        return read_answer(sock, most_events)
 
 
-def read_answer(sock):
-    """Read a response, whole or broken off."""
+def read_answer(sock, most_events=None):
+    """Read a response, whole or broken off, or leave after some events."""
     reader = message_readers.Reader(sock)
     head = reader.read_head(framing.MAX_HEAD_BYTES)
     body = bytearray()
     try:
         for piece in reader.iter_body(framing.response_shape(head, 'GET')):
             body.extend(piece)
+            if most_events and body.count(b'\n\n') >= most_events:
+                raise EOFError
     except EOFError:
         return Answer(int(head.first[1]), head, bytes(body), is_whole=False)
     return Answer(int(head.first[1]), head, bytes(body))
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,6 +23,7 @@
         whole = sum(seen.is_whole for seen in found.seen)
         sys.stdout.write(
             f'seed {seed}: {len(found.seen)} requests, {whole} answered whole,'
+            f' {found.resumed} streams resumed to their end,'
             f' {len(found.broken)} promises broken\n'
         )
         for line in found.broken:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,8 @@
 PAUSE_SECONDS = 0.05
 DEADLINE_SECONDS = 5
 """Beyond the longest time of a route."""
+HALF = 0.5
+TRIES = 4
 _NO_ANSWER = (OSError, EOFError, AttributeError, gevent.Timeout)
 _OK = 200
 _NOT_FOUND = 404
@@ -49,6 +51,7 @@
         for _ in range(self.dice.randrange(2, 8)):
             self._turn(program)
             self._call()
+            self._stream(name)
             gevent.sleep(PAUSE_SECONDS * self.dice.random())
         self.found.check_budget(program, MOST_TOKENS)
 
@@ -76,15 +79,42 @@
             program.turns.append((attempt, chain + text + _EVENTS))
         if seen.status == _NOT_FOUND and previous:
             self.found.fail('history', f'{previous} was forgotten')
-        served = list(self.fleet.backends.values())
-        self.found.check_chain(attempt, chain + text, served)
+        self.found.check_chain(attempt, chain + text, self.fleet.served())
+
+    def _stream(self, program: str) -> None:
+        """Send a stream that can be resumed; take it up where it breaks off."""
+        headers = {'Accept': 'text/event-stream'}
+        if self.dice.random() < HALF:
+            headers['X-Program-Id'] = f'{program}-s'
+            headers['X-Token-Budget'] = str(MOST_TOKENS * MOST_TOKENS)
+            headers['X-Token-Count'] = f'100,{MOST_TOKENS}'
+        stream = records.Stream()
+        for _ in range(TRIES):
+            attempt = plain_calls.new_attempt()
+            fields = {**headers, **stream.resume_headers()}
+            leaves = self.dice.randrange(backends.EVENTS)
+            seen, piece = self._send(
+                '/ask/1', attempt, fields, b'question', most_events=leaves
+            )
+            if seen.status == _OK:
+                stream.add(attempt, piece)
+                self.found.check_stream(seen, stream.body)
+                self.found.check_versions(seen, stream.body)
+            if seen.is_whole and seen.status == _OK:
+                self.found.resumed += bool(fields.get('Resumes'))
+                return
 
     def _call(self) -> None:
         path = self.dice.choice(('/look/1', '/order/1'))
         self._send(path, plain_calls.new_attempt(), {}, b'{}')
 
     def _send(
-        self, path: str, attempt: str, headers: dict[str, str], body: bytes
+        self,
+        path: str,
+        attempt: str,
+        headers: dict[str, str],
+        body: bytes,
+        most_events: int = 0,
     ) -> tuple[records.Seen, bytes]:
         name = self.only or self.dice.choice(sorted(self.fleet.fronts))
         address = self.fleet.address(name)
@@ -98,6 +128,7 @@
                     headers=headers,
                     body=body,
                     attempt=attempt,
+                    most_events=most_events,
                 )
         except _NO_ANSWER:
             # The host was killed, paused, or is starting.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,6 +19,7 @@
 HostFault = Callable[[Hosts, random.Random, float], None]
 FAULTS: dict[str, Fault] = {}  # noqa: WPS407
 SETTLE_SECONDS = 10
+VERSIONS = ('v1', 'v2', 'v3')
 
 
 def register(fault: Fault) -> Fault:
@@ -230,7 +231,35 @@
     instance = dice.choice(sorted(fleet.backends))
     fleet.register(instance, State='draining')
     gevent.sleep(span)
-    fleet.register(instance, born=fleet.version + 1)
+    if instance in fleet.backends:
+        fleet.register(instance, born=fleet.version + 1)
+
+
+@register
+def release(fleet, dice, span):
+    """Replace a model engine by one of any version, also an earlier one."""
+    engines = sorted(name for name in fleet.backends if name.startswith('e'))
+    replaced = dice.choice(engines)
+    fleet.add_release(dice.choice(VERSIONS))
+    fleet.register(replaced, State='draining')
+    gevent.sleep(span)
+    if replaced in fleet.backends:
+        fleet.retire(replaced)
+
+
+@register
+def streams_break(fleet, dice, span):
+    """Let the streams of all model engines break off after an event or two."""
+    engines = [
+        backend
+        for name, backend in fleet.backends.items()
+        if name.startswith('e')
+    ]
+    for backend in engines:
+        backend.faults.break_after = dice.randrange(1, 3)
+    gevent.sleep(span)
+    for backend in engines:
+        backend.faults.break_after = None
 
 
 @register
--- a/tests/soak/fleets.py
+++ b/tests/soak/fleets.py
@@ -72,6 +72,8 @@
         self.backends: dict[str, backends.BackendApplication] = {}
         self.links: dict[str, proxies.Proxy] = {}
         self.version = 1
+        self.releases = 0
+        self.retired: list[backends.BackendApplication] = []
         self._folder = folder
         self._stack = contextlib.ExitStack()
         self._addresses: dict[str, tuple[str, int]] = {}
@@ -140,8 +142,29 @@
         group = stored['Spec']
         return len(group['members']) == STORES and not group['following']
 
-    def _add_backend(self, instance: str, service: str) -> None:
-        application = backends.BackendApplication(instance)
+    def served(self) -> list[backends.BackendApplication]:
+        """Return all backend servers that there are and were."""
+        return [*self.backends.values(), *self.retired]
+
+    def add_release(self, version: str) -> str:
+        """Start a model engine of a software version and return its name."""
+        instance = f'e{BACKENDS + self.releases}'
+        self.releases += 1
+        self._add_backend(instance, configurations.ENGINES, version)
+        return instance
+
+    def retire(self, instance: str) -> None:
+        """Remove a backend server that has drained, and cut it off."""
+        self.store.remove('servers', instance)
+        self.retired.append(self.backends.pop(instance))
+        link = self.links.pop(instance)
+        link.faults.is_cut = True
+        link.reset()
+
+    def _add_backend(
+        self, instance: str, service: str, version: str = 'v1'
+    ) -> None:
+        application = backends.BackendApplication(instance, version)
         address = (IP, configurations.free_port())
         server = backends.serve(application, address)
         self._stack.callback(server.stop, 0)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -36,6 +36,32 @@
     tokens: int = 0
 
 
+@attrs.define
+class Stream:
+    """A stream that can be resumed, over all attempts of its caller.
+
+    :param body: the whole events that came.
+    :param begun: the attempt that brought the first of them.
+    """
+
+    body: bytes = b''
+    begun: str = ''
+
+    def add(self, attempt: str, piece: bytes) -> None:
+        """Add the whole events of what an attempt brought."""
+        whole = piece[: piece.rfind(b'\n\n') + 2] if b'\n\n' in piece else b''
+        if whole and not self.begun:
+            self.begun = attempt
+        self.body += whole
+
+    def resume_headers(self) -> dict[str, str]:
+        """Return the headers of the next attempt."""
+        if not self.begun:
+            return {}
+        last_event = str(self.body.count(b'id:'))
+        return {'Resumes': self.begun, 'Last-Event-Id': last_event}
+
+
 class Records:
     """Everything that was seen in one soak."""
 
@@ -43,6 +69,7 @@
         """Start with nothing seen."""
         self.broken: list[str] = []
         self.seen: list[Seen] = []
+        self.resumed = 0
 
     def note(self, seen: Seen) -> None:
         """Note what a caller saw."""
@@ -79,6 +106,14 @@
             self.fail('whole', f'{seen} ended after {len(numbers)} events')
         return len(numbers)
 
+    def check_versions(self, seen: Seen, body: bytes) -> None:
+        """Check that a stream's events are of one software version."""
+        versions = {
+            line for line in body.split(b'\n') if line.startswith(b': ')
+        }
+        if len(versions) > 1:
+            self.fail('one version', f'{seen} has events of {versions}')
+
     def check_chain(
         self,
         attempt: str,
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -48,7 +48,7 @@
         with fleets.Fleet(pathlib.Path(name)) as fleet:
             _wait(fleet.is_settled, 'the storage group')
             _disturb(fleet, found, seed, seconds)
-            found.check_runs(list(fleet.backends.values()))
+            found.check_runs(fleet.served())
     return found
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -110,6 +110,12 @@
         self.found.check_stream(seen, b'id: 1\n\nid: 3\n\n')
         self.assertEqual(self.broken(), ['order', 'whole'])
 
+    def test_versions(self):
+        """Events of two software versions in one stream."""
+        seen = records.Seen('a', '/ask/1', 200, is_whole=True)
+        self.found.check_versions(seen, b': v1\nid: 1\n\n: v2\nid: 2\n\n')
+        self.assertEqual(self.broken(), ['one version'])
+
     def test_chains(self):
         """Another history than the caller's."""
         self.backend.bodies['a'] = b'other'
