--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -27,6 +27,11 @@
     return messages.Charge('p', 'a', 40, is_settled, RETAIN_MS, stream)
 
 
+def first_argument(method):
+    """Return the first argument of a method's last call."""
+    return method.call_args[0][0]
+
+
 class IndexTest(unittest.TestCase):
     """The index of one store host's disk."""
 
@@ -159,7 +164,7 @@
         """Nothing beyond the reservation and the settlement."""
         sent = self.run_stream('v1', budget_tokens=100)
         self.assertEqual(sent, ['begin', 'settle'])
-        (message,), _fields = self.store.begin.call_args
+        message = first_argument(self.store.begin)
         self.assertEqual(message.charge.stream, FIRST)
 
     def test_a_stream_without_a_budget(self):
@@ -170,6 +175,6 @@
         """One more record, confirmed before the request is sent."""
         sent = self.run_stream('v2', 'v2', budget_tokens=100)
         self.assertEqual(sent, ['begin', 'change_version', 'settle'])
-        (message,), _fields = self.store.change_version.call_args
+        message = first_argument(self.store.change_version)
         self.assertEqual(message.charge.stream, SECOND)
         self.assertFalse(message.charge.is_settled)
