--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -167,6 +167,25 @@
         ):
             self._open_turn(context)
             self.guard.check(context)
+        try:
+            self._try_workers(context, response)
+        except exceptions.NotRunError as error:
+            if not context.failed_attempts:
+                raise
+            # The last refusal does not tell that no earlier attempt has run.
+            raise BrokenAnswerError(
+                f'{context.failed_attempts} attempts failed, then:'
+                f' {error.message}',
+                step=error.step,
+                peer=error.peer,
+            ) from error
+
+    def _try_workers(
+        self,
+        context: contexts.RequestContext,
+        response: ports.ResponseWriter,
+    ) -> None:
+        """Send the request to one worker after the other until one answers."""
         while not self._try_once(context, response):
             logger.info(
                 'trying another worker',
--- a/tests/test_broken_servers.py
+++ b/tests/test_broken_servers.py
@@ -13,7 +13,7 @@
 
 from carobfork.gateway import events, framing
 from tests import plain_calls, platform_hosts, scripted_servers
-from tests.scripted_servers import EVENT, STREAM, WHOLE
+from tests.scripted_servers import EVENT, REFUSAL, STREAM, WHOLE
 
 
 class LateAnswersTest(scripted_servers.ScriptedCase):
@@ -129,6 +129,21 @@
         self.answer_and_close(WHOLE.replace(b'whole', b'wh'))
         self.assertEqual(self.ask().status, 502)
 
+    def test_a_refusal_after_a_run(self):
+        """A call that has run is not told as not run, whoever refuses next."""
+        begun = []
+
+        def script(sock, _attempt):
+            if begun:
+                sock.sendall(REFUSAL)
+            begun.append(sock)
+            sock.shutdown(socket.SHUT_RDWR)
+
+        for path in ('/look/1', '/ask/1'):
+            begun.clear()
+            self.scripted.script = script
+            self.assertEqual(self.ask(path).status, 502)
+
     def test_a_stream_that_breaks_off(self):
         """Its end is missing at the caller, too."""
         self.answer_and_close(STREAM + framing.encode_chunk(EVENT))
