--- a/tests/platform_hosts.py
+++ b/tests/platform_hosts.py
@@ -130,6 +130,18 @@
         wait_until(self.is_group_known, 'the group at all entry hosts')
         self.keepers.pop(name).__exit__(None, None, None)
 
+    def restart_all(self):
+        """End all hosts at once and start them again, with their disks."""
+        fronts, keepers = list(self.fronts), list(self.keepers)
+        for name in fronts:
+            self.stop_front(name)
+        for name in keepers:
+            self.keepers.pop(name).__exit__(None, None, None)
+        for name in keepers:
+            self.start_keeper(name)
+        for name in fronts:
+            self.start_front(name)
+
     def address(self, front):
         """Return where callers reach an entry host."""
         return self.fronts[front].settings.front
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -112,14 +112,7 @@
         """Store hosts keep blocked requests on their disks."""
         self.repeat('/look/7')
         before = len(self.crashes())
-        for name in list(self.hosts.fronts):
-            self.hosts.stop_front(name)
-        for name in list(self.hosts.keepers):
-            self.hosts.keepers.pop(name).__exit__(None, None, None)
-        for name in ('store-0', 'store-1', 'store-2'):
-            self.hosts.start_keeper(name)
-        for number in range(FRONTS):
-            self.hosts.start_front(f'front-{number}')
+        self.hosts.restart_all()
         platform_hosts.wait_until(self.knows_servers, 'the servers')
         gevent.sleep(LEARNING_SECONDS)
         self.repeat('/look/7')
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -134,14 +134,7 @@
         self.break_streams(1)
         begun = [self.stream() for _ in range(STREAMS)]
         self.break_streams(None)
-        for name in list(self.hosts.fronts):
-            self.hosts.stop_front(name)
-        for name in list(self.hosts.keepers):
-            self.hosts.keepers.pop(name).__exit__(None, None, None)
-        for name in ('store-0', 'store-1', 'store-2'):
-            self.hosts.start_keeper(name)
-        for name in ('front-0', 'front-1'):
-            self.hosts.start_front(name)
+        self.hosts.restart_all()
         self.wait_for_servers(VERSIONS)
         for attempt, first in begun:
             rest = self.resume(attempt)[1]
