--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -182,6 +182,34 @@
             self.assertEqual(len(versions_of(first, second, third)), 1)
 
 
+class UnknownVersionTest(StreamCase):
+    """A server whose entry has no usable version."""
+
+    def test_its_streams_begin_and_go_on_nowhere(self):
+        """It serves, but its streams are not taken up, also not by itself."""
+        for instance in ('e1', 'e2', 'e3'):
+            self.hosts.store.remove('servers', instance)
+        self.hosts.register('e0', configurations.ENGINES, Version=7)
+        platform_hosts.wait_until(
+            lambda: (
+                not any(
+                    front.table.usable(configurations.ENGINES, 'v1')
+                    or front.table.usable(configurations.ENGINES, 'v2')
+                    for front in self.hosts.fronts.values()
+                )
+            ),
+            'the end of the known versions',
+        )
+        self.assertTrue(self.stream()[1].is_whole)
+        self.break_streams(1)
+        attempt, first = self.stream()
+        self.break_streams(None)
+        self.assertEqual(versions_of(first), {b'v1'})
+        resumed, rest = self.resume(attempt)
+        self.assertEqual(rest.status, 503)
+        self.assertEqual(self.runs_at(resumed), [])
+
+
 class ReplacedServerTest(StreamCase):
     """A server starts again under its name with another version."""
 
