--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -606,7 +606,8 @@
             self.handle = subprocess.Popen(
                 ['python3', '-m', 'carobfork.roles', self.role], cwd=ROOT,
                 env={'PATH': os.environ['PATH'], 'HOME': str(self.folder),
-                     'LANG': 'C.UTF-8', 'PYTHONPATH': str(ROOT / 'target/deps'),
+                     'LANG': 'C.UTF-8', 'PYTHONPATH': os.environ.get(
+                         'DEPS', str(ROOT / 'target/deps')),
                      'PYTHONDONTWRITEBYTECODE': '1',
                      'CAROBFORK_SETTINGS': str(self.path)},
                 stdout=log, stderr=log)
