Let links check which disk answers, and end changes that need a lost one

Cause: links are kept by disk but lead to an address. The host with the next disk answered heartbeats in the name of the lost one, so the driver of the change never counted as silent, and the group stayed in the change for good. A mere connection also counted as a sign of life, so a frozen peer was never silent for longer than a reconnection.

Change: a reply to a heartbeat names the disk; a link carries requests only after such a reply, and ends a connection on which another disk answers. A host that has lost a disk which the change needs cancels it and joins in one write. Connection is split out of Link.

The disk is the identity that quorums count, so a check of it, not of the address, makes silence and acknowledgements true.

--- /dev/null
+++ b/src/carobfork/storage/connections.py
@@ -0,0 +1,128 @@
+"""Send requests to one store host on a connection, and match the replies."""
+
+import collections
+import itertools
+import socket as sockets
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any
+
+import gevent
+from gevent import event, socket
+
+from carobfork import clock
+from carobfork.storage import messages
+
+TCP_USER_TIMEOUT_MS = 1000
+"""Kernel timeout for unacknowledged bytes, for the case that no heartbeat is
+pending."""
+READ_BYTES = 262_144
+
+ReplyCallback = Callable[[Any], None]
+
+
+def configure_socket(sock: socket.socket) -> None:
+    """Set the options of every connection between hosts."""
+    sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+    sock.setsockopt(
+        sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+    )
+
+
+class Connection:
+    """A connection with requests that wait for replies, as a context manager.
+
+    :param sock: a connected socket, which the connection closes.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Create a connection without requests; entering it starts to write."""
+        self._sock = sock
+        self._request_numbers = itertools.count(1)
+        self._reply_callbacks: dict[int, ReplyCallback] = {}
+        self._outgoing: collections.deque[bytes] = collections.deque()
+        self._has_outgoing = event.Event()
+        self._writer: gevent.Greenlet | None = None
+
+    def __enter__(self) -> 'Connection':
+        """Start writing requests in the background."""
+        configure_socket(self._sock)
+        self._writer = gevent.spawn(self._write)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the connection; pending requests get no reply."""
+        self._writer.kill(block=False)
+        self.close()
+        reply_callbacks = list(self._reply_callbacks.values())
+        self._reply_callbacks.clear()
+        for on_reply in reply_callbacks:
+            on_reply(None)
+
+    @property
+    def pending_count(self) -> int:
+        """The number of requests without a reply."""
+        return len(self._reply_callbacks)
+
+    def send(self, epoch: int, message: Any, on_reply: ReplyCallback) -> None:
+        """Send a request without waiting for the reply.
+
+        :param epoch: the epoch of the storage group that this host knows.
+        :param on_reply: called once, with the reply, or with ``None`` if the
+            connection ends before.
+        """
+        number = next(self._request_numbers)
+        self._reply_callbacks[number] = on_reply
+        envelope = messages.Envelope(number, epoch, message)
+        self._outgoing.append(messages.encode(envelope))
+        self._has_outgoing.set()
+
+    def read(
+        self,
+        max_silence_ms: Callable[[], float],
+        on_received: Callable[[], None],
+    ) -> None:
+        """Read replies until the peer closes the connection.
+
+        :param max_silence_ms: returns the longest time without any bytes.
+        :param on_received: called when bytes have arrived.
+        :raises OSError: if the connection fails or is silent for too long.
+        :raises BadRequestError: if the peer sends something else than replies.
+        """
+        buffered = bytearray()
+        while True:
+            self._sock.settimeout(clock.to_seconds(max_silence_ms()))
+            received = self._sock.recv(READ_BYTES)
+            if not received:
+                return
+            on_received()
+            buffered.extend(received)
+            for frame in messages.pop_frames(buffered):
+                self._dispatch_reply(messages.decode(frame))
+
+    def close(self) -> None:
+        """Close the socket, on which reading then fails."""
+        self._sock.close()
+
+    def _dispatch_reply(self, envelope: messages.Envelope) -> None:
+        on_reply = self._reply_callbacks.pop(envelope.number, None)
+        if on_reply is not None:
+            on_reply(envelope.message)
+
+    def _write(self) -> None:
+        while True:
+            self._has_outgoing.wait()
+            self._has_outgoing.clear()
+            batch = b''.join(self._outgoing)
+            self._outgoing.clear()
+            try:
+                self._sock.sendall(batch)
+            except OSError:
+                # The reader fails, too, and reports it.
+                self.close()
+                return
--- a/src/carobfork/storage/groups.py
+++ b/src/carobfork/storage/groups.py
@@ -103,6 +103,23 @@
             self, epoch=self.epoch + 1, leaving=(*self.leaving, node)
         )
 
+    def needs_lost_disk(self, own_member: Member) -> bool:
+        """Return whether the change can't end as a host has lost its disk.
+
+        A change needs its driver. A host that leaves also needs all members
+        that stay, which get its records.
+
+        :param own_member: the host with the disk that it has now.
+        """
+        needed = {self.driver}
+        if self.has_member_disk(self.driver):
+            needed.update(member.disk for member in self.following)
+        return any(
+            member.node == own_member.node and member.disk != own_member.disk
+            for disk, member in self.all_members().items()
+            if disk in needed
+        )
+
     def has_member_disk(self, disk: str) -> bool:
         """Return whether a disk belongs to a current member."""
         return any(member.disk == disk for member in self.members)
--- a/src/carobfork/storage/links.py
+++ b/src/carobfork/storage/links.py
@@ -3,12 +3,14 @@
 A link sends a heartbeat a few times a second. A peer that answers none for a
 while is considered lost and its connection is closed: after a partition, an
 old connection may stay silent for good while new ones work.
+
+A connection only shows that something listens at the address: the kernel
+accepts connections for a frozen process, and a host that has lost its disk is
+back at the same address with another one. So a link carries requests only once
+a reply has confirmed which disk answers.
 """
 
-import collections
 import functools
-import itertools
-import socket as sockets
 from collections.abc import Callable
 from types import TracebackType
 from typing import Any
@@ -19,7 +21,7 @@
 from gevent import event, queue, socket
 
 from carobfork import clock, exceptions
-from carobfork.storage import groups, messages
+from carobfork.storage import connections, groups, messages
 
 CONNECT_TIMEOUT_MS = 200
 """Covers many round trips between failure domains. A new connection replaces a
@@ -41,14 +43,13 @@
 round trips."""
 RECONNECT_INTERVAL_MS = 150
 OPENING_POLL_INTERVAL_MS = 5
-TCP_USER_TIMEOUT_MS = 1000
-"""Kernel timeout for unacknowledged bytes, for the case that no heartbeat is
-pending."""
-READ_BYTES = 262_144
+CONFIRM_WAIT_MS = 200
+"""How long operations wait for the first reply on a new connection; like the
+timeout of connecting, it covers many round trips."""
 
 logger = structlog.get_logger(part='links')
 
-ReplyCallback = Callable[[Any], None]
+ReplyCallback = connections.ReplyCallback
 
 
 def _default_interval_ms(_member: groups.Member) -> float:
@@ -68,19 +69,24 @@
     on_reply: Callable[[groups.Member, Any], None]
     interval_ms: Callable[[groups.Member], float] = _default_interval_ms
 
-    def handle_reply(self, member: groups.Member, reply: Any) -> None:
-        """Pass a reply on, unless the connection failed."""
-        if reply is not None:
-            self.on_reply(member, reply)
+    def max_silence_ms(self, member: groups.Member) -> float:
+        """Return how long a connection to a member may be silent."""
+        return self.interval_ms(member) + SILENCE_TIMEOUT_MS
 
 
 class Link:
     """A reconnecting connection to one store host, as a context manager.
 
+    :ivar is_connected: whether the member's disk has answered on the current
+        connection.
+    :ivar is_opening: whether the first attempt to connect is still under way.
+    :ivar last_received_ms: when the member last sent anything, initially the
+        time of creation.
     :param member: the store host.
     :param timer: measures silence.
     :param heartbeats: sent while the connection is open.
-    :param on_disconnect: called each time that an open connection has ended.
+    :param on_disconnect: called each time that the member was connected and
+        the connection has ended.
     """
 
     def __init__(
@@ -99,11 +105,10 @@
         self._timer = timer
         self._heartbeats = heartbeats
         self._on_disconnect = on_disconnect
-        self._probe_requested = event.Event()
-        self._request_numbers = itertools.count(1)
-        self._reply_callbacks: dict[int, ReplyCallback] = {}
-        self._outgoing: collections.deque[bytes] = collections.deque()
-        self._has_outgoing = event.Event()
+        self._heartbeat_requested = event.Event()
+        self._is_probing = False
+        self._other_disk = ''
+        self._connection: connections.Connection | None = None
         self._runner: gevent.Greenlet | None = None
 
     def __enter__(self) -> 'Link':
@@ -122,7 +127,7 @@
             self._runner.kill(block=False)
 
     def silent_ms(self) -> float:
-        """Return how long ago the last bytes were received."""
+        """Return how long ago the member last sent anything."""
         return self._timer.now_ms() - self.last_received_ms
 
     def send_request(self, message: Any, on_reply: ReplyCallback) -> None:
@@ -131,19 +136,16 @@
         :param on_reply: called once, with the reply, or with ``None`` if the
             connection is closed or fails.
         """
-        if not self.is_connected:
+        if self.is_connected:
+            self._connection.send(self.epoch, message, on_reply)
+        else:
             on_reply(None)
-            return
-        number = next(self._request_numbers)
-        self._reply_callbacks[number] = on_reply
-        envelope = messages.Envelope(number, self.epoch, message)
-        self._outgoing.append(messages.encode(envelope))
-        self._has_outgoing.set()
 
     def probe(self) -> None:
         """Send a heartbeat now and disconnect if nothing answers it."""
         if self.is_connected:
-            self._probe_requested.set()
+            self._is_probing = True
+            self._heartbeat_requested.set()
 
     def request(self, message: Any, timeout_ms: float) -> Any:
         """Send a request and return its reply.
@@ -182,102 +184,96 @@
             (self.member.ip, self.member.port),
             timeout=clock.to_seconds(CONNECT_TIMEOUT_MS),
         )
-        greenlets: list[gevent.Greenlet] = []
-        try:
-            self._handle_connect(sock)
-            greenlets.append(gevent.spawn(self._write, sock))
-            greenlets.append(gevent.spawn(self._send_heartbeats, sock))
-            self._read(sock)
-        finally:
-            gevent.killall(greenlets, block=False)
-            sock.close()
-            self._handle_disconnect()
-
-    def _handle_connect(self, sock: socket.socket) -> None:
-        configure_socket(sock)
-        self._outgoing.clear()
+        with connections.Connection(sock) as connection:
+            self._connection = connection
+            greenlets = [
+                gevent.spawn(self._send_heartbeats, connection),
+                gevent.spawn_later(
+                    clock.to_seconds(CONFIRM_WAIT_MS), self._end_opening
+                ),
+            ]
+            try:
+                connection.read(
+                    functools.partial(
+                        self._heartbeats.max_silence_ms, self.member
+                    ),
+                    self._handle_received,
+                )
+            finally:
+                gevent.killall(greenlets, block=False)
+                self._handle_disconnect(connection)
+
+    def _end_opening(self) -> None:
         self.is_opening = False
-        self.is_connected = True
+
+    def _handle_received(self) -> None:
+        if self.is_connected:
+            self.last_received_ms = self._timer.now_ms()
+
+    def _handle_heartbeat_reply(
+        self, connection: connections.Connection, reply: Any
+    ) -> None:
+        """Confirm the connection with its first reply and pass the reply on."""
+        if reply is None:
+            return
+        disk = messages.answering_disk(reply)
+        if disk not in {self.member.disk, ''}:
+            self._log_other_disk(disk)
+            connection.close()
+            return
         self.last_received_ms = self._timer.now_ms()
-        logger.info('link is up', peer=self.member.node)
+        if not self.is_connected:
+            self.is_opening = False
+            self.is_connected = True
+            logger.info('link is up', peer=self.member.node)
+            # Status reports are sent on links that are up only.
+            self._heartbeat_requested.set()
+        self._heartbeats.on_reply(self.member, reply)
+
+    def _log_other_disk(self, disk: str) -> None:
+        if disk != self._other_disk:
+            self._other_disk = disk
+            logger.warning(
+                'another disk answers at the address',
+                peer=self.member.node,
+                address=f'{self.member.ip}:{self.member.port}',
+                expected=self.member.disk,
+                found=disk,
+            )
 
-    def _handle_disconnect(self) -> None:
+    def _handle_disconnect(self, connection: connections.Connection) -> None:
         if self.is_connected:
             logger.info(
                 'link is down',
                 peer=self.member.node,
                 silent_ms=round(self.silent_ms()),
-                waiting=len(self._reply_callbacks),
+                waiting=connection.pending_count,
             )
-        self.is_connected = False
-        reply_callbacks = list(self._reply_callbacks.values())
-        self._reply_callbacks.clear()
-        for on_reply in reply_callbacks:
-            on_reply(None)
-        self._on_disconnect()
+            self.is_connected = False
+            self._on_disconnect()
 
-    def _read(self, sock: socket.socket) -> None:
-        buffered = bytearray()
+    def _send_heartbeats(self, connection: connections.Connection) -> None:
         while True:
-            silence_ms = (
-                self._heartbeats.interval_ms(self.member) + SILENCE_TIMEOUT_MS
-            )
-            sock.settimeout(clock.to_seconds(silence_ms))
-            received = sock.recv(READ_BYTES)
-            if not received:
-                return
-            self.last_received_ms = self._timer.now_ms()
-            buffered.extend(received)
-            for frame in messages.pop_frames(buffered):
-                self._dispatch_reply(messages.decode(frame))
-
-    def _dispatch_reply(self, envelope: messages.Envelope) -> None:
-        on_reply = self._reply_callbacks.pop(envelope.number, None)
-        if on_reply is not None:
-            on_reply(envelope.message)
-
-    def _write(self, sock: socket.socket) -> None:
-        while True:
-            self._has_outgoing.wait()
-            self._has_outgoing.clear()
-            batch = b''.join(self._outgoing)
-            self._outgoing.clear()
-            try:
-                sock.sendall(batch)
-            except OSError:
-                # The reader reports the failure and disconnects.
-                sock.close()
-                return
-
-    def _send_heartbeats(self, sock: socket.socket) -> None:
-        while True:
-            self.send_request(
+            connection.send(
+                self.epoch,
                 self._heartbeats.compose(self.member),
-                functools.partial(self._heartbeats.handle_reply, self.member),
+                functools.partial(self._handle_heartbeat_reply, connection),
             )
-            if self._probe_requested.is_set():
-                self._probe_requested.clear()
+            self._heartbeat_requested.clear()
+            if self._is_probing:
+                self._is_probing = False
                 gevent.spawn_later(
                     clock.to_seconds(PROBE_TIMEOUT_MS),
                     self._close_if_silent,
-                    sock,
+                    connection,
                 )
-            self._probe_requested.wait(
+            self._heartbeat_requested.wait(
                 clock.to_seconds(self._heartbeats.interval_ms(self.member))
             )
 
-    def _close_if_silent(self, sock: socket.socket) -> None:
+    def _close_if_silent(self, connection: connections.Connection) -> None:
         if self.silent_ms() >= PROBE_TIMEOUT_MS:
-            # The reader fails on the closed connection and disconnects.
-            sock.close()
-
-
-def configure_socket(sock: socket.socket) -> None:
-    """Set the options of every connection between hosts."""
-    sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
-    sock.setsockopt(
-        sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-    )
+            connection.close()
 
 
 class Links:
--- a/src/carobfork/storage/listeners.py
+++ b/src/carobfork/storage/listeners.py
@@ -8,7 +8,7 @@
 from gevent import server, socket
 
 from carobfork import exceptions
-from carobfork.storage import links, messages, replicas
+from carobfork.storage import connections, messages, replicas
 
 _READ_BYTES = 262_144
 WRITE_TIMEOUT_SECONDS = 5
@@ -44,7 +44,7 @@
                 sock.shutdown(sockets.SHUT_RDWR)
 
     def _serve(self, sock: socket.socket, address: tuple) -> None:
-        links.configure_socket(sock)
+        connections.configure_socket(sock)
         sock.settimeout(None)
         writer = _ReplyWriter(sock)
         self._open_sockets.add(sock)
--- a/src/carobfork/storage/memberships.py
+++ b/src/carobfork/storage/memberships.py
@@ -129,9 +129,10 @@
         logger.info('creating the storage group', node=self._own_member.node)
         self._register.write(groups.Group(1, (self._own_member,)), 0)
 
-    def _try_join(self, group: groups.Group, revision: int) -> None:
+    def _try_join(self, group: groups.Group, revision: int) -> bool:
+        """Announce that this host joins, if it may; return whether it did."""
         if self._is_retiring():
-            return
+            return False
         silent_disks = self._links.silent_disks(MEMBER_TIMEOUT_MS)
         may_join, replaced = groups.plan_join(
             group, self._own_member.node, silent_disks, self._losses
@@ -146,6 +147,7 @@
             self._register.write(
                 group.start_join(self._own_member, replaced), revision
             )
+        return may_join
 
     def _leave_if_retiring(self, group: groups.Group, revision: int) -> None:
         if not self._is_retiring():
@@ -165,6 +167,9 @@
             self._register.write(group.start_shrink(self._own_member), revision)
 
     def _advance_change(self, group: groups.Group, revision: int) -> None:
+        if group.needs_lost_disk(self._own_member):
+            self._replace_change(group, revision)
+            return
         if group.driver != self._own_member.disk:
             driver = self._links.get(group.driver)
             if driver is None or driver.silent_ms() > DRIVER_TIMEOUT_MS:
@@ -178,6 +183,17 @@
         if is_done:
             self._register.write(group.complete_change(), revision)
 
+    def _replace_change(self, group: groups.Group, revision: int) -> None:
+        """Cancel a change that needs the disk that this host has lost.
+
+        In the same write this host joins if it may, so that the change does
+        not start again before.
+        """
+        logger.info('cancelling a change for a lost disk', epoch=group.epoch)
+        restored = group.cancel_change()
+        if not self._try_join(restored, revision):
+            self._register.write(restored, revision)
+
     def _copy_records(self, group: groups.Group) -> bool:
         """Copy all records here; return whether a read quorum sent them."""
         sources = self._announce_change(group)
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -249,6 +249,7 @@
     :param is_fresh: whether it currently follows the platform.
     :param grants_permits: whether it answers ``PermitRequest``.
     :param keeps_crashes: whether it answers ``Crash``.
+    :param disk: identifies its disk; empty if it does not tell.
     """
 
     group: groups.Group | None
@@ -256,6 +257,7 @@
     is_fresh: bool
     grants_permits: bool = False
     keeps_crashes: bool = False
+    disk: str = ''
 
 
 @register
@@ -376,6 +378,11 @@
     blocked: dict[str, float] | None = None
 
 
+def answering_disk(reply: News | Hosts) -> str:
+    """Return which disk the reply to a heartbeat names, or an empty string."""
+    return reply.news.disk if isinstance(reply, Hosts) else reply.disk
+
+
 @register
 @attrs.frozen
 class Report:
--- a/src/carobfork/storage/single_requests.py
+++ b/src/carobfork/storage/single_requests.py
@@ -6,7 +6,7 @@
 from gevent import socket
 
 from carobfork import clock, time_limits
-from carobfork.storage import links, messages
+from carobfork.storage import connections, links, messages
 
 REPLY_TIMEOUT_MS = 500
 """For a request on a connection of its own; a host that has just started may
@@ -33,7 +33,7 @@
         buffered = bytearray()
         frames: list[bytes] = []
         while not frames:
-            received = sock.recv(links.READ_BYTES)
+            received = sock.recv(connections.READ_BYTES)
             if not received:
                 raise ConnectionResetError(
                     f'{address} closed the connection before its reply'
--- a/src/carobfork/storage/status_exchanges.py
+++ b/src/carobfork/storage/status_exchanges.py
@@ -143,13 +143,15 @@
         reply(self._build_news(message.group.epoch, self.is_following()))
 
     def _build_news(self, epoch: int, is_fresh: bool) -> messages.News:
-        group = self._disk.identity.group
+        identity = self._disk.identity
+        group = identity.group
         return messages.News(
             group if epoch < group.epoch else None,
             self._disk.snapshots.revisions(),
             is_fresh,
             grants_permits=True,
             keeps_crashes=True,
+            disk=identity.disk,
         )
 
 
