Refuse requests that a server could read as more than one

Cause: the first line of a head was split at spaces and passed on unchecked. A server that takes a bare line feed for the end of a line finds another request there. On related paths: control characters in targets and header values, foreign versions, repeated headers of which host and server take different values, an attempt dropped through Connection, numbers too long to store, and status codes that are no ASCII digits.

Change: heads with control characters are malformed; start_lines checks method, target, version and status; the adapter refuses repeated headers that it reads, passes the attempt on always and sends its own version.

What is sent on has one reading under RFC 9112 and under readers that end lines at LF or CR.

--- a/src/carobfork/gateway/framing.py
+++ b/src/carobfork/gateway/framing.py
@@ -17,11 +17,14 @@
     b"!#$%&'*+-.^_`|~0123456789"
     b'ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz'
 )
+_CONTROL_CHARACTERS = frozenset((*map(chr, range(ord(' '))), '\x7f'))
+SHOWN_LENGTH = 80
+"""Length of the part of a malformed line that an error shows."""
 _MAX_LENGTH_DIGITS = 18
 """Most digits of a content length, so that it is a number that can be used."""
 _CONTENT_LENGTH = 'content-length'
 _TRANSFER_ENCODING = 'transfer-encoding'
-_BODILESS_STATUSES = frozenset((204, 304))
+_BODILESS_STATUSES = frozenset(('204', '304'))
 _HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -86,7 +89,7 @@
 
         Hop-by-hop headers and those that Connection names are left out.
         """
-        named = self.get('connection').lower().split(',')
+        named = ','.join(self.get_all('connection')).lower().split(',')
         dropped = _HOP_BY_HOP.union(name.strip() for name in named)
         return [
             (spelled, text)
@@ -97,7 +100,7 @@
     @property
     def keeps_open(self) -> bool:
         """Whether the sender keeps the connection open after the message."""
-        options = self.get('connection').lower()
+        options = ','.join(self.get_all('connection')).lower()
         if 'close' in options:
             return False
         return 'HTTP/1.1' in self.first or 'keep-alive' in options
@@ -106,29 +109,46 @@
 def parse_head(raw: bytes) -> Head:
     """Parse a head.
 
+    Control characters are refused in all lines. Some servers take a single
+    line feed or carriage return for the end of a line, and would find another
+    message inside this one. Source: RFC 9112, sections 2.2 and 3; RFC 9110,
+    section 5.5.
+
     :param raw: its bytes without the empty line that ends it.
     :raises FramingError: if it is malformed.
     """
-    text = raw.decode('latin-1')
-    if '\0' in text:
-        raise FramingError('the head has a NUL byte', step='parse head')
-    lines = text.split('\r\n')
+    lines = raw.decode('latin-1').split('\r\n')
     first = lines[0].split(' ', 2)
     if len(first) != 3:
         raise FramingError(
             'the first line does not have three parts', step='parse head'
         )
+    if not _CONTROL_CHARACTERS.isdisjoint(lines[0]):
+        raise FramingError(
+            'a control character in the first line'
+            f' {lines[0][:SHOWN_LENGTH]!r}',
+            step='parse head',
+        )
     return Head(tuple(first), tuple(_parse_field(line) for line in lines[1:]))
 
 
 def _parse_field(line: str) -> tuple[str, str, str]:
     name, colon, content = line.partition(':')
-    is_valid = bool(colon and name) and _NAME_BYTES.issuperset(
-        name.encode('latin-1')
-    )
-    if not is_valid or '\n' in content or '\r' in content:
-        raise FramingError('a header line is malformed', step='parse head')
-    return name.lower(), content.strip(' \t'), name
+    text = content.strip(' \t')
+    is_valid = bool(colon) and is_token(name)
+    if not is_valid or not _CONTROL_CHARACTERS.isdisjoint(
+        text.replace('\t', ' ')
+    ):
+        raise FramingError(
+            f'the header line {line[:SHOWN_LENGTH]!r} is malformed',
+            step='parse head',
+        )
+    return name.lower(), text, name
+
+
+def is_token(text: str) -> bool:
+    """Return whether a text can be the name of a header or a method."""
+    return bool(text) and _NAME_BYTES.issuperset(text.encode('latin-1'))
 
 
 @attrs.frozen
@@ -165,7 +185,7 @@
     :param method: the request's method.
     :raises FramingError: if its length is ambiguous.
     """
-    if method == 'HEAD' or int(head.first[1]) in _BODILESS_STATUSES:
+    if method == 'HEAD' or head.first[1] in _BODILESS_STATUSES:
         return BodyShape(length=0)
     return _declared_shape(head)
 
--- a/src/carobfork/gateway/servers.py
+++ b/src/carobfork/gateway/servers.py
@@ -14,7 +14,14 @@
 from gevent import server, socket
 
 from carobfork import clock, exceptions, time_limits
-from carobfork.gateway import contexts, framing, message_readers, relays, routes
+from carobfork.gateway import (
+    contexts,
+    framing,
+    message_readers,
+    relays,
+    routes,
+    start_lines,
+)
 
 LINGER_TIMEOUT_MS = 500
 """How long unread input is drained after a request was refused unread.
@@ -289,6 +296,7 @@
             head = reader.read_head(limits.head_bytes)
         if head is None:
             return None
+        start_lines.check_request(head)
         shape = framing.request_shape(head)
         if (shape.length or 0) > limits.body_bytes:
             raise exceptions.TooLargeError(
--- a/src/carobfork/platform/endpoints.py
+++ b/src/carobfork/platform/endpoints.py
@@ -9,7 +9,7 @@
 from gevent import server, socket
 
 from carobfork import exceptions
-from carobfork.gateway import framing, message_readers, servers
+from carobfork.gateway import framing, message_readers, servers, start_lines
 
 CONNECTION_TIMEOUT_SECONDS = 30
 """Longest life of a connection."""
@@ -64,6 +64,7 @@
         head = reader.read_head(_HEAD_BYTES)
         if head is None:
             return False
+        start_lines.check_request(head)
         url = urlsplit(head.first[1])
         endpoint = self._endpoints.get(url.path)
         if endpoint is None:
--- a/src/carobfork/platform/heads.py
+++ b/src/carobfork/platform/heads.py
@@ -5,10 +5,14 @@
 from collections.abc import Sequence
 
 from carobfork import clock, exceptions
-from carobfork.gateway import calls, framing
+from carobfork.gateway import calls, framing, start_lines
 from carobfork.platform import names
 
 _MISDIRECTED = 421
+_SET_HERE = frozenset((names.ATTEMPT, names.LAST_EVENT))
+"""Headers of callers that are passed on apart from the others."""
+_MAX_DIGITS = 15
+"""Most digits of a whole number; larger ones can't be stored."""
 _LOAD_COUNTS = 3
 """Running calls, waiting calls and slots; a percentage may follow."""
 
@@ -18,8 +22,15 @@
 
     Malformed numbers are treated as absent.
 
-    :raises BadRequestError: if the attempt's identifier is missing.
+    :raises BadRequestError: if the attempt's identifier is missing, or a
+        header that must be unique is repeated: the backend server might read
+        another one of its values.
     """
+    for name in names.UNIQUE:
+        if len(head.get_all(name)) > 1:
+            raise exceptions.BadRequestError(
+                f'the request has several {name} headers', step='decode'
+            )
     attempt = head.get(names.ATTEMPT)
     if not attempt:
         raise exceptions.BadRequestError(
@@ -59,11 +70,14 @@
     :param last_event: identifier of the event after which a stream is to
         continue; empty for its start.
     """
-    method, path, version = head.first
-    fields = [('Host', head.get('host'))]
+    method, path, _version = head.first
+    fields = [
+        ('Host', head.get('host')),
+        (names.ATTEMPT_FIELD, head.get(names.ATTEMPT)),
+    ]
     for name, text in head.end_to_end():
         known = name.lower()
-        if known in names.SET_BY_SYSTEM or known == names.LAST_EVENT:
+        if known in names.SET_BY_SYSTEM or known in _SET_HERE:
             continue
         fields.append((name, text))
     if last_event:
@@ -72,7 +86,7 @@
     fields.append((names.EXPECT_INSTANCE, instance))
     if body_bytes or method not in {'GET', 'HEAD', 'DELETE'}:
         fields.append(('Content-Length', str(body_bytes)))
-    return framing.encode_head(f'{method} {path} {version}', fields)
+    return framing.encode_head(f'{method} {path} HTTP/1.1', fields)
 
 
 def decode_answer(head: framing.Head) -> calls.ServerAnswer:
@@ -80,12 +94,7 @@
 
     :raises FramingError: if the first line is not that of a response.
     """
-    code = head.first[1]
-    if not (head.first[0].startswith('HTTP/1.') and code.isdigit()):
-        raise framing.FramingError(
-            'the first line is not that of an HTTP/1 response', step='decode'
-        )
-    status = int(code)
+    status = start_lines.response_status(head)
     return calls.ServerAnswer(
         status=status,
         attempt=head.get(names.ATTEMPT),
@@ -100,13 +109,15 @@
 
 def _number(text: str) -> float | None:
     with contextlib.suppress(ValueError):
-        return max(float(text), 0)
+        number = float(text)
+        return max(number, 0) if math.isfinite(number) else None
     return None
 
 
 def _whole(text: str) -> int | None:
     stripped = text.strip()
-    if stripped.isascii() and stripped.isdigit():
+    is_number = stripped.isascii() and stripped.isdigit()
+    if is_number and len(stripped) <= _MAX_DIGITS:
         return int(stripped)
     return None
 
@@ -145,6 +156,6 @@
 def _idle_ms(text: str) -> float | None:
     for option in text.split(','):
         name, _equals, seconds = option.strip().partition('=')
-        if name.lower() == 'timeout' and seconds.isdigit():
-            return int(seconds) * clock.MS_PER_SECOND
+        if name.lower() == 'timeout' and _whole(seconds) is not None:
+            return _whole(seconds) * clock.MS_PER_SECOND
     return None
--- a/src/carobfork/platform/names.py
+++ b/src/carobfork/platform/names.py
@@ -22,6 +22,7 @@
 LOAD = 'x-server-load'
 LIMIT = 'server-limit'
 """Requests a second that a worker takes from all hosts together."""
+ATTEMPT_FIELD = 'X-Attempt-Id'
 EXPECT_INSTANCE = 'X-Expect-Instance'
 DEADLINE_FIELD = 'X-Deadline-Ms'
 AFFINITY_COOKIE = 'X-Affinity-Key'
@@ -40,6 +41,21 @@
 )
 """Headers of callers that are not passed on, as only this system sets them."""
 
+UNIQUE = (
+    ATTEMPT,
+    DEADLINE,
+    PROGRAM,
+    SESSION,
+    PROGRAM_DEADLINE,
+    BUDGET,
+    TOKENS,
+    PREVIOUS_TURN,
+    LAST_EVENT,
+    RESUMES,
+    PROMPT_PREFIX,
+)
+"""Headers of callers that may occur once."""
+
 KIND_CONFIG = 'config'
 CONFIG_NAME = 'main'
 KIND_SERVERS = 'servers'
--- a/src/carobfork/platform/objects.py
+++ b/src/carobfork/platform/objects.py
@@ -11,7 +11,7 @@
 from gevent import socket
 
 from carobfork import clock, exceptions, time_limits
-from carobfork.gateway import framing, message_readers
+from carobfork.gateway import framing, message_readers, start_lines
 from carobfork.platform import decoding
 
 CONNECT_TIMEOUT_MS = 1000
@@ -197,7 +197,7 @@
                 raise EOFError('the connection ended before an answer')
             shape = framing.response_shape(answer, method)
             content = reader.read_body(shape, MAX_ANSWER_BYTES)
-        status = int(answer.first[1])
+        status = start_lines.response_status(answer)
         if status >= _REDIRECT_STATUS or not content:
             return status, None
         return status, msgspec.json.decode(content)
--- a/tests/test_gateway_framing.py
+++ b/tests/test_gateway_framing.py
@@ -9,7 +9,7 @@
 from gevent import socket
 
 from carobfork import exceptions
-from carobfork.gateway import events, framing, message_readers
+from carobfork.gateway import events, framing, message_readers, start_lines
 
 
 def parse(text):
@@ -48,6 +48,69 @@
             with self.subTest(text), self.assertRaises(framing.FramingError):
                 parse(text)
 
+    def test_control_characters_in_a_first_line(self):
+        """A server can't find the end of a line inside the first line.
+
+        Some take a single line feed or carriage return for one, and would
+        run a request that stands behind it.
+        """
+        for character in '\n\r\t\v\x7f\0':
+            for line in (
+                f'GET /a{character}b HTTP/1.1',
+                f'GE{character}T /a HTTP/1.1',
+                f'GET /a HTTP/1.1{character}',
+                f'HTTP/1.1 200 O{character}K',
+            ):
+                with (
+                    self.subTest(line),
+                    self.assertRaises(framing.FramingError),
+                ):
+                    framing.parse_head(line.encode('latin-1'))
+
+    def test_request_lines(self):
+        """Methods, targets and versions that servers read differently fail."""
+        for line in (
+            'GE(T / HTTP/1.1',
+            ' / HTTP/1.1',
+            'GET  HTTP/1.1',
+            'GET /a b HTTP/1.1',
+            'GET /\xe9 HTTP/1.1',
+            'GET / HTTP/9.9',
+            'GET / HTTP/1.1 ',
+            'GET / http/1.1',
+            'GET / HTTP/1.1\r\nHost: a\r\nHost: b',
+        ):
+            head = framing.parse_head(line.encode('latin-1'))
+            with self.subTest(line), self.assertRaises(framing.FramingError):
+                start_lines.check_request(head)
+
+    def test_status_lines(self):
+        """Status codes that are no three digits, and other versions, fail."""
+        for line in (
+            'HTTP/1.1 2\xb20 OK',
+            'HTTP/1.1 20 OK',
+            'HTTP/1.1 2000 OK',
+            'HTTP/1.1 +20 OK',
+            'HTTP/9.9 200 OK',
+            'ICY 200 OK',
+        ):
+            head = framing.parse_head(line.encode('latin-1'))
+            with self.subTest(line), self.assertRaises(framing.FramingError):
+                start_lines.response_status(head)
+
+    def test_control_characters_in_a_header(self):
+        """Only tabs and spaces are white space in a header."""
+        for text in ('A: b\x0bc', 'A: b\x7f', 'A: b\rc', 'A: \x01'):
+            with self.subTest(text), self.assertRaises(framing.FramingError):
+                parse(text)
+        self.assertEqual(parse('A: \tb\tc ').get('a'), 'b\tc')
+
+    def test_several_connection_headers(self):
+        """All headers that any Connection header names are dropped."""
+        head = parse('Connection: X-Mine\r\nConnection: close\r\nX-Mine: 1')
+        self.assertEqual(head.end_to_end(), [])
+        self.assertFalse(head.keeps_open)
+
     def test_headers_of_one_connection(self):
         """Hop-by-hop headers and those that Connection names are dropped."""
         head = parse('Connection: keep-alive, X-Mine\r\nX-Mine: 1\r\nA: b')
