Read the platform's objects although one of them can't be read

Callers saw: after another writer had left one odd entry among those of the servers, entry hosts did not learn of servers that joined or drained; with some entries no entry host was ready any more.

Cause: one object made a whole listing unusable. A page was decoded as one JSON value; a number beyond 64 bits, a State that is a list and deep nesting raised errors that ended followers and links; ports out of range failed in the calls.

Change: a page that can't be read whole is decoded part by part; content that messages between hosts can't hold counts as None when it is read; entries are decoded field by field in platform/entries.py; malformed groups, configurations and retirements are logged and ignored; names are encoded in paths.

No value of one writer is decoded together with those of the others any more, so it can't hide them.

--- a/src/carobfork/platform/decoding.py
+++ b/src/carobfork/platform/decoding.py
@@ -1,6 +1,7 @@
 """Decode stored objects of the platform into this package's types."""
 
-from collections.abc import Mapping, Sequence
+import sys
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -8,15 +9,16 @@
 import structlog
 
 from carobfork import clock, exceptions
-from carobfork.gateway import routes, workers
-from carobfork.platform import names
+from carobfork.gateway import routes
 from carobfork.storage import snapshots
 
 logger = structlog.get_logger(part='platform')
 
 _STEP = 'decode'
-_MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
-_STATES = frozenset((names.STATE_READY, names.STATE_DRAINING))
+MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
+_MAX_LEVELS = 32
+"""Most levels of maps and lists in an object: far more than any kind has, and
+few enough for decoders that call themselves for each level."""
 
 
 def decode_table(spec: Mapping[str, Any]) -> routes.RouteTable:
@@ -37,7 +39,7 @@
     for entry in spec.get('Routes') or ():
         try:
             known.append(_route(entry))
-        except (KeyError, TypeError, ValueError) as error:
+        except MALFORMED as error:
             logger.warning(
                 'route skipped', config_version=version, reason=repr(error)
             )
@@ -116,19 +118,61 @@
     def decode(cls, fields: Mapping[str, Any]) -> 'StoredObject':
         """Decode an object.
 
+        Content that hosts can't send each other is replaced by ``None``.
+
         :param fields: the object as the store sends it.
+        :raises AttributeError: if it is not a map.
         :raises KeyError: if it has no name or revision.
-        :raises TypeError: if it or its metadata is not a map.
+        :raises TypeError: if its metadata is not a map, or its name or
+            revision has another type.
         """
         meta = fields['Metadata']
+        name, revision = meta['Name'], meta['Rev']
+        if not isinstance(name, str) or not is_whole(revision):
+            raise TypeError(f'the name {name!r} or revision {revision!r}')
         return cls(
-            meta['Name'],
-            meta['Rev'],
-            fields.get('Spec'),
-            fields.get('Status'),
+            name,
+            revision,
+            _storable(name, fields.get('Spec')),
+            _storable(name, fields.get('Status')),
         )
 
 
+def is_whole(found: Any) -> bool:
+    """Return whether a value is a whole number that messages can hold."""
+    is_number = isinstance(found, int) and not isinstance(found, bool)
+    return is_number and 0 <= found <= sys.maxsize
+
+
+def _storable(name: str, content: Any) -> Any:
+    """Return an object's content, or None if messages can't hold it."""
+    try:
+        if _is_flat(content):
+            msgspec.msgpack.encode(content)
+            return content
+        reason = f'more than {_MAX_LEVELS} levels'
+    except (OverflowError, ValueError) as error:
+        reason = repr(error)
+    logger.warning('content not readable', name=name, reason=reason)
+    return None
+
+
+def _is_flat(content: Any) -> bool:
+    """Return whether a value has no more levels than ``_MAX_LEVELS``."""
+    level = [content]
+    for _ in range(_MAX_LEVELS):
+        level = [part for outer in level for part in _parts(outer)]
+        if not level:
+            return True
+    return False
+
+
+def _parts(outer: Any) -> Iterable[Any]:
+    if isinstance(outer, dict):
+        return outer.values()
+    return outer if isinstance(outer, list) else ()
+
+
 def encode_snapshot(
     found: Sequence[StoredObject], revision: int
 ) -> snapshots.Snapshot:
@@ -149,53 +193,12 @@
 def decode_snapshot(snapshot: snapshots.Snapshot) -> list[StoredObject]:
     """Return the objects of a snapshot that another host has kept.
 
-    :raises BadRequestError: if an object is malformed.
+    Malformed ones are logged and left out.
     """
-    try:
-        return [
-            msgspec.msgpack.decode(content, type=StoredObject)
-            for _revision, content in snapshot.entries.values()
-        ]
-    except msgspec.MsgspecError as error:
-        raise exceptions.BadRequestError(
-            f'an object of a snapshot is malformed: {error}', step=_STEP
-        ) from error
-
-
-def decode_worker(stored: StoredObject) -> workers.Entry | None:
-    """Return a backend server's entry, or None if it is malformed."""
-    spec = stored.spec
-    try:
-        ip, _colon, port = spec['Address'].rpartition(':')
-        entry = workers.Entry(
-            instance=stored.name,
-            service=spec['Service'],
-            ip=ip,
-            port=int(port),
-            failure_domain=spec['Zone'],
-            slots=spec['Slots'],
-            is_draining=spec['State'] == names.STATE_DRAINING,
-            # Unix time at which the process started; the instance may be
-            # older.
-            started_ms=spec.get('born') or 0,
-            version=_version(spec.get('Version')),
-        )
-    except _MALFORMED as error:
-        logger.warning('malformed entry', name=stored.name, reason=repr(error))
-        return None
-    if spec['State'] not in _STATES or not _is_valid(entry):
-        logger.warning('invalid entry', name=stored.name)
-        return None
-    return entry
-
-
-def _version(version: Any) -> str:
-    """Return a software version, or an empty string if it is unusable."""
-    return version if isinstance(version, str) else ''
-
-
-def _is_valid(entry: workers.Entry) -> bool:
-    texts = (entry.service, entry.failure_domain, entry.ip)
-    if not all(isinstance(text, str) and text for text in texts):
-        return False
-    return type(entry.slots) is int and entry.slots > 0  # noqa: WPS516
+    found = []
+    for name, (_revision, content) in snapshot.entries.items():
+        try:
+            found.append(msgspec.msgpack.decode(content, type=StoredObject))
+        except (msgspec.MsgspecError, RecursionError) as error:
+            logger.warning('malformed object', name=name, reason=str(error))
+    return found
--- a/src/carobfork/platform/objects.py
+++ b/src/carobfork/platform/objects.py
@@ -2,8 +2,9 @@
 
 import contextlib
 import socket as sockets
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
+from urllib.parse import quote
 
 import attrs
 import msgspec
@@ -12,7 +13,7 @@
 
 from carobfork import clock, exceptions, time_limits
 from carobfork.gateway import framing, message_readers, start_lines
-from carobfork.platform import decoding
+from carobfork.platform import decoding, pages
 
 CONNECT_TIMEOUT_MS = 1000
 CALL_TIMEOUT_MS = 2500
@@ -33,6 +34,11 @@
 _CONFLICT = 409
 _GONE = 410
 _STEP = 'platform call'
+_LISTING_LEVELS = 3
+"""The page, the list and the objects are decoded part by part if necessary, so
+that one unreadable object hides no other."""
+_WATCH_LEVELS = 4
+"""In a watch, each object is inside an event."""
 _CALL_ERRORS = (OSError, EOFError, ValueError, exceptions.BadRequestError)
 
 logger = structlog.get_logger(part='platform')
@@ -90,34 +96,50 @@
         first_revision = None
         query = ''
         while True:
-            page = self._call('GET', f'/objects/{kind}{query}')
+            page = self._call(
+                'GET', f'/objects/{kind}{query}', levels=_LISTING_LEVELS
+            )
             # Pages are read at different revisions, so changes have to be
             # watched from the revision of the first page.
             if first_revision is None:
-                first_revision = page['CurrentRev']
-            found.extend(_decode_all(page['items']))
-            if not page.get('MorePages') or not page['items']:
+                first_revision = self._revision(page)
+            items = self._decode_all(page.get('items'))
+            found.extend(items)
+            if not page.get('MorePages'):
                 return Listing(found, first_revision)
-            last = page['items'][-1]['Metadata']['Name']
-            query = f'?after={last}'
+            if not items:
+                raise self._failure(
+                    f'no object of a page of {kind} is readable'
+                )
+            last = max(stored.name for stored in items)
+            query = f'?after={quote(last, safe="")}'
 
     def watch(self, kind: str, revision: int) -> Changes:
         """Wait for changes of a kind after a revision.
 
-        :raises HistoryGoneError: if the store has dropped these changes.
+        :raises HistoryGoneError: if the store has dropped these changes, or
+            one of them can't be read.
         :raises PlatformError: if the store did not answer or refused.
         """
         page = self._call(
             'GET',
             f'/objects/{kind}?Watch={revision}&WaitMs={WATCH_TIMEOUT_MS}',
             timeout_ms=WATCH_TIMEOUT_MS + WATCH_SLACK_MS,
+            levels=_WATCH_LEVELS,
         )
+        next_revision = self._revision(page)
         events = []
         for event in page.get('events') or ():
-            with contextlib.suppress(KeyError, TypeError):
+            try:
                 stored = decoding.StoredObject.decode(event['Object'])
-                events.append((stored, bool(event.get('Removed'))))
-        return Changes(events, page['CurrentRev'])
+            except decoding.MALFORMED as error:
+                raise HistoryGoneError(
+                    f'a change of {kind} can not be read: {error!r}',
+                    step=_STEP,
+                    peer=self.address,
+                ) from error
+            events.append((stored, bool(event.get('Removed'))))
+        return Changes(events, next_revision)
 
     def create(self, kind: str, name: str, spec: Any) -> None:
         """Create an object.
@@ -156,16 +178,20 @@
         path: str,
         body: Mapping[str, Any] | None = None,
         timeout_ms: float = CALL_TIMEOUT_MS,
+        levels: int = 0,
     ) -> Any:
         self.calls += 1
         call = f'{method} {path}'
         try:
-            status, answer = self._exchange(method, path, body, timeout_ms)
+            status, content = self._exchange(method, path, body, timeout_ms)
         except _CALL_ERRORS as error:
             raise self._failure(f'{call}: {error}') from error
         if status >= _REDIRECT_STATUS:
             raise self._refusal(call, status)
-        return answer
+        try:
+            return pages.decode_page(content, levels) if content else None
+        except ValueError as error:
+            raise self._failure(f'{call}: {error}') from error
 
     def _exchange(
         self,
@@ -173,7 +199,7 @@
         path: str,
         body: Mapping[str, Any] | None,
         timeout_ms: float,
-    ) -> tuple[int, Any]:
+    ) -> tuple[int, bytes]:
         payload = b'' if body is None else msgspec.json.encode(body)
         fields = [
             ('Host', self.address),
@@ -197,10 +223,7 @@
                 raise EOFError('the connection ended before an answer')
             shape = framing.response_shape(answer, method)
             content = reader.read_body(shape, MAX_ANSWER_BYTES)
-        status = start_lines.response_status(answer)
-        if status >= _REDIRECT_STATUS or not content:
-            return status, None
-        return status, msgspec.json.decode(content)
+        return start_lines.response_status(answer), content
 
     def _connect(self) -> socket.socket:
         ip, _colon, port = self.address.rpartition(':')
@@ -238,12 +261,29 @@
     def _failure(self, message: str) -> exceptions.PlatformError:
         return exceptions.PlatformError(message, step=_STEP, peer=self.address)
 
+    def _revision(self, page: Any) -> int:
+        """Return the revision of a page.
 
-def _decode_all(entries: list) -> list[decoding.StoredObject]:
-    found = []
-    for entry in entries:
-        try:
-            found.append(decoding.StoredObject.decode(entry))
-        except (KeyError, TypeError) as error:
-            logger.warning('malformed object', reason=repr(error))
-    return found
+        :raises PlatformError: if the answer is not a page.
+        """
+        revision = page.get('CurrentRev') if isinstance(page, dict) else None
+        if not decoding.is_whole(revision):
+            raise self._failure(
+                f'the revision {revision!r} of a page is no number'
+            )
+        return revision
+
+    def _decode_all(self, entries: Any) -> Sequence[decoding.StoredObject]:
+        """Return the objects of a page, without those that have no name.
+
+        :raises PlatformError: if the answer is not a page.
+        """
+        if not isinstance(entries, list):
+            raise self._failure('a page has no list of objects')
+        found = []
+        for entry in entries:
+            try:
+                found.append(decoding.StoredObject.decode(entry))
+            except decoding.MALFORMED as error:
+                logger.warning('malformed object', reason=repr(error))
+        return found
--- a/src/carobfork/platform/registers.py
+++ b/src/carobfork/platform/registers.py
@@ -52,13 +52,12 @@
     def update(self, seen: followers.Snapshot) -> None:
         """Read the group from a snapshot of its kind.
 
-        :raises SettingsError: if the group is malformed.
+        A malformed group is logged and ignored.
         """
         self._was_read = True
         for stored in seen.stored_objects:
             if stored.name == GROUP_NAME:
-                self._group = decode_group(stored)
-                self._revision = stored.revision
+                self._read_group(stored)
 
     def write(self, group: groups.Group, revision: int) -> None:
         """Write the group if its revision has not changed.
@@ -72,6 +71,14 @@
         else:
             self._store.create(names.KIND_STORAGE, GROUP_NAME, spec)
 
+    def _read_group(self, stored: decoding.StoredObject) -> None:
+        try:
+            self._group = decode_group(stored)
+        except exceptions.SettingsError as error:
+            logger.warning('storage group rejected', reason=error.message)
+            return
+        self._revision = stored.revision
+
 
 class Retirement:
     """Request of the platform to empty a store host, and its progress.
@@ -110,8 +117,9 @@
         if request is None:
             return
         state = 'completed' if is_done else 'running'
-        written = (request.status or {}).get('State')
-        if written in {state, 'completed'}:
+        status = request.status
+        written = status.get('State') if isinstance(status, dict) else None
+        if written in (state, 'completed'):
             return
         logger.info('retirement', state=state)
         self._store.replace_status(
--- a/src/carobfork/roles/updates.py
+++ b/src/carobfork/roles/updates.py
@@ -12,13 +12,15 @@
 
 from carobfork import clock, exceptions
 from carobfork.gateway import relays, worker_tables
-from carobfork.platform import decoding, followers, names, registers
+from carobfork.platform import decoding, entries, followers, names, registers
 from carobfork.storage import clients, links, messages, snapshots
 
 NEWS_TIMEOUT_MS = 1100
 """An entry host without news for this long follows the platform itself; it is
 a little more than four heartbeats."""
 
+_REJECTED = (exceptions.SettingsError, *decoding.MALFORMED)
+
 logger = structlog.get_logger(part='updates')
 
 
@@ -131,8 +133,8 @@
         known = self._targets.relay.routes
         try:
             table = decoding.decode_table(stored.spec)
-        except (exceptions.SettingsError, AttributeError) as error:
-            logger.warning('configuration rejected', reason=str(error))
+        except _REJECTED as error:
+            logger.warning('configuration rejected', reason=repr(error))
             return
         if known is None or table.version > known.version:
             logger.info(
@@ -146,13 +148,21 @@
     def _apply_workers(
         self, found: list[decoding.StoredObject], was_unreachable: bool
     ) -> None:
-        entries = [decoding.decode_worker(stored) for stored in found]
+        decoded = [entries.decode_worker(stored) for stored in found]
         self._targets.table.apply(
-            [entry for entry in entries if entry], was_unreachable
+            [entry for entry in decoded if entry], was_unreachable
         )
         self._targets.relay.admission.process_waiting()
 
     def _apply_group(self, seen: followers.Snapshot) -> None:
         for stored in seen.stored_objects:
             if stored.name == registers.GROUP_NAME:
-                self._targets.storage.apply(registers.decode_group(stored))
+                self._apply_stored_group(stored)
+
+    def _apply_stored_group(self, stored: decoding.StoredObject) -> None:
+        try:
+            group = registers.decode_group(stored)
+        except exceptions.SettingsError as error:
+            logger.warning('storage group rejected', reason=error.message)
+            return
+        self._targets.storage.apply(group)
--- a/tests/object_store.py
+++ b/tests/object_store.py
@@ -69,6 +69,7 @@
         self._oldest = 0
         self._revision = 7
         self._changed = event.Event()
+        self._encoded: dict[str, str] = {}
 
     def answer(self, request: Request) -> Response:
         """Apply the faults, then answer."""
@@ -79,6 +80,12 @@
         if request.method != 'GET' and self.faults.lost_answers:
             self.faults.lost_answers -= 1
             raise http_exceptions.GatewayTimeout
+        for marker, text in self._encoded.items():
+            response.set_data(
+                response.get_data().replace(
+                    json.dumps(marker).encode(), text.encode('latin-1')
+                )
+            )
         return response
 
     def put(self, kind: str, name: str, spec: object) -> None:
@@ -86,6 +93,15 @@
         known = self._stored.get((kind, name))
         self._store(kind, name, spec, known['Status'] if known else None)
 
+    def put_encoded(self, kind: str, name: str, text: str) -> None:
+        """Write an object whose content no encoder of this stand-in makes.
+
+        :param text: the encoded content.
+        """
+        marker = f'@encoded {len(self._encoded)}@'
+        self._encoded[marker] = text
+        self.put(kind, name, marker)
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         removed = self._stored.pop((kind, name))
