--- a/tests/test_broken_servers.py
+++ b/tests/test_broken_servers.py
@@ -129,6 +129,20 @@
         self.answer_and_close(WHOLE.replace(b'whole', b'wh'))
         self.assertEqual(self.ask().status, 502)
 
+    def test_a_head_that_breaks_off(self):
+        """It is never taken for the head of a whole answer, wherever it ends.
+
+        A head without its last lines may lack the length of the body.
+        """
+        for path, whole in (('/order/1', WHOLE), ('/chat/1', STREAM)):
+            head = whole[: whole.index(b'\r\n\r\n') + 3]
+            ends = [head[:end] for end, _byte in enumerate(head)]
+            for cut in (*ends[::7], *ends[-6:], head):
+                self.answer_and_close(cut)
+                with self.subTest(path, cut=cut):
+                    answer = self.ask(path)
+                    self.assertEqual(answer.status, 502)
+
     def test_a_refusal_after_a_run(self):
         """A call that has run is not told as not run, whoever refuses next."""
         begun = []
