Ask which process answers before a resumable stream

Cause: a server's version is known from its registry entry only. A server that starts again under its name and at its address with other software is taken for the process before it until its next entry arrives, which may be long after on a host that is out of contact.

Change: before the first resumable stream on a connection, the host reads the server's report there and compares the start of the process with that of the entry; if they differ, nothing is sent. The fixtures serve reports as the platform says; ReplacedServerTest waits for the entry of its own server, which is stricter than a wait that two removed servers satisfied.

A connection leads to one process, so its start tells whether the version of the entry is the one that answers.

--- a/src/carobfork/gateway/connection_pools.py
+++ b/src/carobfork/gateway/connection_pools.py
@@ -45,6 +45,7 @@
     :param is_reused: whether it was idle in the pool before.
     :param idle_since_ms: time at which it was last returned to the pool.
     :param max_idle_ms: how long it may be idle before it is closed.
+    :param is_confirmed: whether it leads to the process of the worker's entry.
     :param has_partial_request: whether a request on it was not sent whole,
         so that the server may wait for the rest.
     """
@@ -56,6 +57,7 @@
     idle_since_ms: float = 0
     max_idle_ms: float = DEFAULT_MAX_IDLE_MS
     has_partial_request: bool = False
+    is_confirmed: bool = False
 
     def close(self) -> None:
         """Close the connection, which cancels a call that runs on it."""
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -43,6 +43,10 @@
 _NOT_RUN_STATUSES = frozenset((402, 408, 421, 429, 503))
 """HTTP statuses by which callers conclude that a call has not run."""
 
+CheckProcess = Callable[
+    [contexts.RequestContext, connection_pools.Connection], None
+]
+
 logger = structlog.get_logger(part='exchange')
 
 
@@ -72,6 +76,7 @@
     :param turn_manager: stores complete turns.
     :param timer: the clock for deadlines and durations.
     :param limiter: learns the request limits that servers name.
+    :param check_process: checks which process a connection leads to.
     """
 
     def __init__(
@@ -80,8 +85,10 @@
         turn_manager: turns.TurnManager,
         timer: clock.Clock,
         limiter: limiters.Limiter,
+        check_process: CheckProcess,
     ) -> None:
         """Create an exchanger with an empty connection pool."""
+        self._check_process = check_process
         self.pool = connection_pools.ConnectionPool(timer)
         self.sent_to_limited = 0
         self._stalls = stalls.StallDetector(timer)
@@ -113,6 +120,7 @@
             worker, connection_pools.max_idle_ms(context.route)
         )
         try:
+            self._check_process(context, connection)
             with self._watch(context, worker) as watch:
                 answer = self._send(context, worker, connection)
                 self._relay_answer(context, connection, answer, response, watch)
--- a/src/carobfork/gateway/failures.py
+++ b/src/carobfork/gateway/failures.py
@@ -9,15 +9,18 @@
 
 
 @contextlib.contextmanager
-def raise_as_failure(peer: str) -> Iterator[None]:
-    """Convert errors of an exchange to failures of a call that may have run."""
+def raise_as_failure(peer: str, *, sent: bool = True) -> Iterator[None]:
+    """Convert errors of an exchange to failures of a call.
+
+    :param sent: whether the call was sent, so that it may have run.
+    """
     try:
         yield
     except exceptions.ConnectionFailedError:
         raise
     except (OSError, EOFError, exceptions.BadRequestError) as error:
         raise exceptions.ConnectionFailedError(
-            str(error), sent=True, step=_STEP, peer=peer
+            str(error), sent=sent, step=_STEP, peer=peer
         ) from error
 
 
--- a/src/carobfork/gateway/ports.py
+++ b/src/carobfork/gateway/ports.py
@@ -32,6 +32,12 @@
     def decode_answer(self, head: framing.Head) -> calls.ServerAnswer:
         """Return the metadata of a response head."""
 
+    def encode_report_request(self, instance: str) -> bytes:
+        """Return a request for what a backend server tells of itself."""
+
+    def decode_report(self, body: bytes) -> float | None:
+        """Return the Unix time in ms of a server's start, if it tells."""
+
 
 class ResponseWriter(Protocol):
     """Write the response to a caller.
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -60,6 +60,8 @@
     :param timer: the clock for deadlines and durations.
     :param policy: registered name of the placement policy.
     :param guard: refuses requests that crash servers.
+    :param check_process: checks which process a connection to a server leads
+        to; by default all are trusted.
     """
 
     def __init__(
@@ -70,12 +72,17 @@
         timer: clock.Clock,
         policy: str = 'home',
         guard: request_guards.RequestGuard | None = None,
+        check_process: exchanges.CheckProcess | None = None,
     ) -> None:
         """Create a relay without a configuration."""
         self.guard = guard or request_guards.RequestGuard(timer, _ignore_report)
         self.routes: routes.RouteTable | None = None
         self.exchanger = exchanges.Exchanger(
-            codec, turn_manager, timer, table.limiter
+            codec,
+            turn_manager,
+            timer,
+            table.limiter,
+            check_process or _trust_process,
         )
         self._codec = codec
         self.table = table
@@ -317,5 +324,9 @@
         context.failed_attempts += 1
 
 
+def _trust_process(*_connection) -> None:
+    """Trust the process at the other end of a connection."""
+
+
 def _ignore_report(_report: messages.Crash | messages.CrashCleared) -> None:
     """Discard a report where there are no store hosts."""
--- a/src/carobfork/platform/heads.py
+++ b/src/carobfork/platform/heads.py
@@ -4,10 +4,15 @@
 import math
 from collections.abc import Sequence
 
+import msgspec
+import structlog
+
 from carobfork import clock, exceptions
 from carobfork.gateway import calls, framing, start_lines
 from carobfork.platform import names
 
+logger = structlog.get_logger(part='platform')
+
 _MISDIRECTED = 421
 _SET_HERE = frozenset((names.ATTEMPT, names.LAST_EVENT))
 """Headers of callers that are passed on apart from the others."""
@@ -107,6 +112,31 @@
     )
 
 
+def encode_report_request(instance: str) -> bytes:
+    """Encode a request for what a backend server tells of itself.
+
+    :param instance: the server's identifier.
+    """
+    return framing.encode_head(
+        f'GET {names.REPORT_PATH} HTTP/1.1', [('Host', instance)]
+    )
+
+
+def decode_report(body: bytes) -> float | None:
+    """Return when a backend server started, if it tells.
+
+    :param body: the body of its report.
+    :return: Unix time in ms.
+    """
+    try:
+        report = msgspec.json.decode(body)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        logger.info('report not readable', reason=str(error))
+        return None
+    started_ms = report.get('born') if isinstance(report, dict) else None
+    return started_ms if isinstance(started_ms, int) else None
+
+
 def _number(text: str) -> float | None:
     with contextlib.suppress(ValueError):
         number = float(text)
--- a/src/carobfork/platform/names.py
+++ b/src/carobfork/platform/names.py
@@ -56,6 +56,8 @@
 )
 """Headers of callers that may occur once."""
 
+REPORT_PATH = '/report'
+
 KIND_CONFIG = 'config'
 CONFIG_NAME = 'main'
 KIND_SERVERS = 'servers'
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -11,6 +11,7 @@
     directories,
     limiters,
     metrics,
+    process_checks,
     relays,
     request_guards,
     servers,
@@ -87,6 +88,7 @@
                 self.directory.count_hosts,
             ),
         )
+        self.processes = process_checks.ProcessChecker(heads)
         self.relay = relays.Relay(
             heads,
             self.table,
@@ -95,6 +97,7 @@
             guard=request_guards.RequestGuard(
                 self.timer, self.crash_reporter.report
             ),
+            check_process=self.processes.check,
         )
         self.server = servers.Server(
             host_settings.front, self.relay, self.timer, self.is_ready
@@ -178,6 +181,7 @@
             'server_connections_opened': self.relay.exchanger.pool.opened,
             'server_crashes_seen': self.relay.crashes_seen,
             'streams_resumed': self.relay.streams_resumed,
+            'server_reports_read': self.processes.reports,
             'streams_continued': self.relay.streams_continued,
             'requests_sent_to_limited': self.relay.exchanger.sent_to_limited,
             'platform_calls': self.store.calls,
--- a/tests/backends.py
+++ b/tests/backends.py
@@ -63,7 +63,13 @@
 
     def __init__(self, instance: str, version: str = 'v1') -> None:
         """Start without calls."""
-        super().__init__([Rule('/<path:path>', endpoint=self._run)])
+        super().__init__(
+            [
+                Rule('/report', endpoint=self._report),
+                Rule('/<path:path>', endpoint=self._run),
+            ]
+        )
+        self.started_ms = 1
         self.instance = instance
         self.version = version
         self.faults = BackendFaults()
@@ -75,6 +81,9 @@
         self.crashes: list[float] = []
         self.on_crash = _do_nothing
 
+    def _report(self, request: Request) -> Response:
+        return web.json_response({'Busy': False, 'born': self.started_ms})
+
     def _run(self, request: Request, path: str) -> Response:
         attempt = request.headers['X-Attempt-Id']
         expected = request.headers.get('X-Expect-Instance')
--- a/tests/platform_hosts.py
+++ b/tests/platform_hosts.py
@@ -200,6 +200,15 @@
         }
         self.store.put('servers', instance, entry)
 
+    def replace_backend(self, instance, version):
+        """Start a backend server again with other software, unregistered."""
+        application = self.backends[instance]
+        self._servers[instance].stop(0)
+        application.version = version
+        application.started_ms += 1
+        ip, _colon, port = application.address.rpartition(':')
+        self._servers[instance] = backends.serve(application, (ip, int(port)))
+
     def runs(self, attempt):
         """Return how often an attempt ran."""
         return sum(backend.runs[attempt] for backend in self.backends.values())
@@ -231,8 +240,9 @@
         application = self.backends[instance]
         self._servers[instance].stop(0)
         gevent.sleep(CRASH_SECONDS)
+        application.started_ms = len(application.crashes) + 1
         self._servers[instance] = backends.serve(application, address)
-        self.register(instance, service, born=len(application.crashes) + 1)
+        self.register(instance, service, born=application.started_ms)
 
 
 class DeploymentCase(unittest.TestCase):
--- a/tests/scripted_servers.py
+++ b/tests/scripted_servers.py
@@ -18,6 +18,7 @@
     b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
 )
 REFUSAL = b'HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
+REPORT = b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{"born":1}'
 EVENT = b'id: 1\ndata: a\n\n'
 
 
@@ -59,8 +60,11 @@
             head = reader.read_head(framing.MAX_HEAD_BYTES)
             while head is not None:
                 reader.read_body(framing.request_shape(head), 10_000)
-                self.runs += 1
-                self.script(sock, head.get('x-attempt-id').encode())
+                if head.first[1] == '/report':
+                    sock.sendall(REPORT)
+                else:
+                    self.runs += 1
+                    self.script(sock, head.get('x-attempt-id').encode())
                 head = reader.read_head(framing.MAX_HEAD_BYTES)
 
 
--- a/tests/soak/fleets.py
+++ b/tests/soak/fleets.py
@@ -115,6 +115,7 @@
         """Write a backend server's entry."""
         is_engine = instance.startswith('e')
         ip, port = self._addresses[instance]
+        self.backends[instance].started_ms = born
         entry = {
             'Service': configurations.ENGINES
             if is_engine
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -224,10 +224,11 @@
     def replace(self):
         """Start the server again and wait until all hosts know it."""
         self.backend.version = 'v2'
+        self.backend.started_ms = 2
         self.hosts.register('e0', configurations.ENGINES, born=2)
         platform_hosts.wait_until(
             lambda: all(
-                front.table.usable(configurations.ENGINES, 'v2')
+                front.table.get('e0').entry.version == 'v2'
                 for front in self.hosts.fronts.values()
             ),
             'the new version',
@@ -267,3 +268,59 @@
         self.replace()
         faults.delay_ms = 0
         self.assert_recorded(*begun.get())
+
+
+class OutdatedEntriesTest(StreamCase):
+    """A host takes a server for the process that had its name before."""
+
+    def assert_apart(self):
+        """Check that streams neither begin nor go on at the new process.
+
+        The registry does not tell of it, so its version is unknown.
+        """
+        self.hosts.replace_backend('e0', 'v2')
+        for _ in range(STREAMS):
+            self.break_streams(1)
+            first, begun = self.stream()
+            self.break_streams(None)
+            second, rest = self.resume(first)
+            self.assertEqual(rest.status, 200)
+            self.assertEqual(versions_of(begun, rest), {b'v1'})
+            self.assertNotIn('v2', self.runs_at(first) + self.runs_at(second))
+
+    def setUp(self):
+        """Leave two servers of one version."""
+        super().setUp()
+        for instance in ('e2', 'e3'):
+            self.hosts.store.remove('servers', instance)
+        self.wait_for_servers(['e0', 'e1'])
+
+    def test_a_server_replaced_in_an_outage_of_the_registry(self):
+        """The outage ends much later than the first streams arrive."""
+        self.hosts.store.faults.down = True
+        self.assert_apart()
+
+    def test_a_server_replaced_a_moment_ago(self):
+        """All hosts are in contact, but the new entry has not arrived yet."""
+        self.assert_apart()
+
+    def test_a_host_that_is_out_of_step(self):
+        """A host without news goes on with streams at their version only."""
+        behind = self.hosts.fronts['front-1'].updates
+        in_step = self.hosts.fronts['front-0'].table
+        with (
+            mock.patch.object(behind, 'apply_news'),
+            mock.patch.object(behind, 'check'),
+        ):
+            self.hosts.replace_backend('e0', 'v2')
+            self.hosts.register('e0', configurations.ENGINES, born=2)
+            platform_hosts.wait_until(
+                lambda: in_step.get('e0').entry.version == 'v2',
+                'the new version',
+            )
+            for _ in range(STREAMS):
+                self.break_streams(1)
+                attempt, first = self.stream()
+                self.break_streams(None)
+                rest = self.resume(attempt)[1]
+                self.assertEqual(len(versions_of(first, rest)), 1)
