Let the soak lose joining disks, replace engines in place and leave odd entries

Cause: the soak lost one disk at a time, started engines again under new names only, and wrote sound entries, so it could not show the review's faults. Change: three faults, and entries and reports that name the same start of a process.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,6 +19,15 @@
 HostFault = Callable[[Hosts, random.Random, float], None]
 FAULTS: dict[str, Fault] = {}  # noqa: WPS407
 SETTLE_SECONDS = 10
+TWICE_SHARE = 0.5
+"""Of the disks that are lost, those that are lost again while they join."""
+JOIN_POLL_SECONDS = 0.005
+ODD_ENTRIES = (
+    '{"State": {}}',
+    '{"Seq": NaN}',
+    '{"Seq": 1000000000000000000000000000000}',
+    '{"Service": "\xff"}',
+)
 VERSIONS = ('v1', 'v2', 'v3')
 
 
@@ -115,6 +124,8 @@
         host.wipe()
         gevent.sleep(span)
         host.process.start()
+        if dice.random() < TWICE_SHARE:
+            _lose_again(fleet, host, span)
         # Another disk may be lost only once this one is whole again.
         with gevent.Timeout(SETTLE_SECONDS, exception=False):
             gevent.sleep(1)
@@ -122,6 +133,17 @@
                 gevent.sleep(0.1)
 
 
+def _lose_again(fleet, host, span):
+    """Empty a disk once more while the host copies the records."""
+    with gevent.Timeout(SETTLE_SECONDS, exception=False):
+        while not fleet.is_changing():
+            gevent.sleep(JOIN_POLL_SECONDS)
+        host.kill()
+        host.wipe()
+        gevent.sleep(span)
+        host.process.start()
+
+
 @register
 def kill_all(fleet, dice, span):
     """Kill all processes at the same moment."""
@@ -232,7 +254,34 @@
     fleet.register(instance, State='draining')
     gevent.sleep(span)
     if instance in fleet.backends:
-        fleet.register(instance, born=fleet.version + 1)
+        fleet.backends[instance].started_ms += 1
+        fleet.register(instance)
+
+
+@register
+def backend_replaced(fleet, dice, span):
+    """Start a model engine again under its name, with any version.
+
+    The registry tells of it some time later.
+    """
+    engines = sorted(name for name in fleet.backends if name.startswith('e'))
+    instance = dice.choice(engines)
+    backend = fleet.backends[instance]
+    fleet.links[instance].reset()
+    backend.version = dice.choice(VERSIONS)
+    backend.started_ms += 1
+    gevent.sleep(span)
+    if instance in fleet.backends:
+        fleet.register(instance)
+
+
+@register
+def odd_entry(fleet, dice, span):
+    """Let another writer leave an entry that can't be read."""
+    fleet.store.put_encoded('servers', 'odd', dice.choice(ODD_ENTRIES))
+    gevent.sleep(span)
+    with contextlib.suppress(KeyError):
+        fleet.store.remove('servers', 'odd')
 
 
 @register
--- a/tests/soak/fleets.py
+++ b/tests/soak/fleets.py
@@ -111,11 +111,10 @@
         spec = configurations.configuration(self.version, **fields)
         self.store.put('config', 'main', spec)
 
-    def register(self, instance: str, born: int = 1, **fields) -> None:
+    def register(self, instance: str, **fields) -> None:
         """Write a backend server's entry."""
         is_engine = instance.startswith('e')
         ip, port = self._addresses[instance]
-        self.backends[instance].started_ms = born
         entry = {
             'Service': configurations.ENGINES
             if is_engine
@@ -124,7 +123,7 @@
             'Zone': 'a',
             'Slots': 8,
             'State': 'ready',
-            'born': born,
+            'born': self.backends[instance].started_ms,
             'Version': self.backends[instance].version,
             **fields,
         }
@@ -143,6 +142,11 @@
         group = stored['Spec']
         return len(group['members']) == STORES and not group['following']
 
+    def is_changing(self) -> bool:
+        """Tell whether the storage group is in a change."""
+        stored = self.store.get('carobfork-storage', 'main')
+        return stored is not None and bool(stored['Spec']['following'])
+
     def served(self) -> list[backends.BackendApplication]:
         """Return all backend servers that there are and were."""
         return [*self.backends.values(), *self.retired]
