Report a host as emptied only once the group has replaced its disk

Callers would see: turns refused for good after the next lost disk.

Cause: a retiring store host compared only its present disk with the group. If it had lost the disk that was a member, it was "outside" at once, reported completed, and would have been removed while the group still counted on it.

Change: it counts as outside when no disk of its node is in the group; while one is, it joins in its place although it retires, and leaves with a hand-over. Also a place of the soak that mended an engine which was no longer there.

Evidence: test_a_leaving_host_that_loses_its_disk failed before (the lost disk was among the members when the retirement was completed) and passes.

--- a/src/carobfork/storage/memberships.py
+++ b/src/carobfork/storage/memberships.py
@@ -86,11 +86,15 @@
 
     @property
     def is_outside(self) -> bool:
-        """Whether the group is known and does not include this host."""
+        """Whether the group is known and has no disk of this host.
+
+        A disk that this host has lost counts as well, as long as the group
+        has not replaced it.
+        """
         group, _revision = self._register.current()
-        return (
-            group is not None
-            and self._own_member.disk not in group.all_members()
+        return group is not None and not any(
+            member.node == self._own_member.node
+            for member in group.all_members().values()
         )
 
     def run(self) -> None:
@@ -130,8 +134,13 @@
         self._register.write(groups.Group(1, (self._own_member,)), 0)
 
     def _try_join(self, group: groups.Group, revision: int) -> bool:
-        """Announce that this host joins, if it may; return whether it did."""
-        if self._is_retiring():
+        """Announce that this host joins, if it may; return whether it did.
+
+        A host that is retiring joins only in place of a disk that it has lost,
+        and then hands over the records.
+        """
+        has_lost = group.member_on_node(self._own_member.node) is not None
+        if self._is_retiring() and not has_lost:
             return False
         silent_disks = self._links.silent_disks(MEMBER_TIMEOUT_MS)
         may_join, replaced = groups.plan_join(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -251,10 +251,11 @@
 def backend_leaves(fleet, dice, span):
     """Let a backend server drain, leave and come back as a new process."""
     instance = dice.choice(sorted(fleet.backends))
+    backend = fleet.backends[instance]
     fleet.register(instance, State='draining')
     gevent.sleep(span)
     if instance in fleet.backends:
-        fleet.backends[instance].started_ms += 1
+        backend.started_ms += 1
         fleet.register(instance)
 
 
--- a/tests/test_replaced_disks.py
+++ b/tests/test_replaced_disks.py
@@ -72,6 +72,38 @@
                     'the new disk',
                 )
 
+    def test_a_leaving_host_that_loses_its_disk(self):
+        """It is emptied only once the group does not count on its disk.
+
+        Otherwise it is removed while it is a member, and the next lost disk
+        leaves too few members to read from.
+        """
+        with platform_hosts.Deployment() as hosts:
+            attempt = plain_calls.new_attempt()
+            self.assertEqual(hosts.turn('p1', attempt=attempt).status, 200)
+            lost = hosts.keepers['store-0'].membership.disk
+            kill(hosts, 'store-0')
+            hosts.store.put('retirements', 'store-0', {'DurationS': 10})
+            hosts.start_keeper('store-0', wiped=True)
+            wait_until(
+                lambda: (
+                    hosts.store.get('retirements', 'store-0')['Status']
+                    == {'State': 'completed'}
+                ),
+                'the end of the retirement',
+            )
+            self.assertNotIn(lost, hosts.members())
+            hosts.stop_keeper('store-0')
+            hosts.stop_keeper('store-1')
+            last = hosts.start_keeper('store-1', wiped=True)
+            wait_until(
+                lambda: last.membership.disk in hosts.members(), 'the new disk'
+            )
+            wait_until(hosts.is_group_known, 'the group at the entry host')
+            wait_until(hosts.fronts['front-0'].is_ready, 'the quorum')
+            answer = hosts.turn('p1', headers={'X-Previous-Turn': attempt})
+            self.assertEqual(answer.status, 200)
+
     def test_a_reply_in_the_name_of_a_lost_disk(self):
         """A host does not acknowledge records for the disk that it had.
 
