Don't let a store host leave while another one is silent

Callers would see: every turn refused while a store host is emptied without a spare and another member is down, until that one is back.

Cause: during the change all members that stay are needed for each record, and the leaving host began it, and kept it, whoever was silent.

Change: it begins only while no member is silent, and cancels its change if one falls silent for MEMBER_TIMEOUT_MS.

Evidence: test_a_host_leaves_while_another_one_is_down failed before (turns were refused) and passes; the other tests of store hosts pass.

--- a/src/carobfork/storage/memberships.py
+++ b/src/carobfork/storage/memberships.py
@@ -171,6 +171,7 @@
         if (
             waited_ms > SHRINK_DELAY_MS
             and len(group.members) > self._losses + 1
+            and not self._links.silent_disks(MEMBER_TIMEOUT_MS)
         ):
             logger.info('shrinking the storage group', epoch=group.epoch)
             self._register.write(group.start_shrink(self._own_member), revision)
@@ -186,6 +187,11 @@
                 self._register.write(group.cancel_change(), revision)
             return
         if group.has_member_disk(self._own_member.disk):
+            if self._links.silent_disks(MEMBER_TIMEOUT_MS):
+                # Each record needs all members that stay until this is over.
+                logger.info('not leaving beside silence', epoch=group.epoch)
+                self._register.write(group.cancel_change(), revision)
+                return
             is_done = self._transfer_records(group)
         else:
             is_done = self._copy_records(group)
--- a/tests/test_storage_hosts.py
+++ b/tests/test_storage_hosts.py
@@ -1,10 +1,13 @@
 """Test that turns and budgets survive losses and changes of store hosts."""
 
 import unittest
+from unittest import mock
 
 import attrs
 import gevent
 
+from carobfork import clock
+from carobfork.storage import memberships
 from tests import configurations, plain_calls, platform_hosts
 from tests.platform_hosts import wait_until
 
@@ -143,6 +146,36 @@
             self.assertEqual(len(hosts.group()['members']), 2)
             self.assertTrue(self.can_continue(hosts, turn))
 
+    def test_a_host_leaves_while_another_one_is_down(self):
+        """Turns are served until the group can shrink.
+
+        All hosts that stay are needed for each record while it shrinks, so
+        it must neither begin nor go on while one of them is silent.
+        """
+        with platform_hosts.Deployment() as hosts:
+            turn = self.run_turn(hosts)
+            hosts.stop_keeper('store-1')
+            hosts.store.put('retirements', 'store-0', {'DurationS': 30})
+            self.serve_for(hosts, turn, memberships.SHRINK_DELAY_MS + 1500)
+            with mock.patch.object(
+                memberships.Membership, '_transfer_records', return_value=False
+            ):
+                hosts.start_keeper('store-1')
+                wait_until(lambda: hosts.group()['following'], 'the change')
+                hosts.keepers.pop('store-1').__exit__(None, None, None)
+                wait_until(lambda: not hosts.group()['following'], 'its end')
+                self.serve_for(hosts, turn, 1000)
+            hosts.start_keeper('store-1')
+            self.wait_for_retirement(hosts, 'store-0')
+
+    def serve_for(self, hosts, turn, span_ms):
+        """Check that turns go on for some time."""
+        timer = clock.SystemClock()
+        until_ms = timer.now_ms() + span_ms
+        while timer.now_ms() < until_ms:
+            self.assertTrue(self.can_continue(hosts, turn))
+            gevent.sleep(0.2)
+
     def test_the_last_tokens_go_to_one(self):
         """Only one of two concurrent turns gets a budget's last tokens.
 
