Treat answers that are no pages or no heartbeats as failures

Cause: a list of events of another type raised TypeError in a follower, and a reply of another kind AttributeError in a link; either ended its greenlet.

Change: both raise the errors that followers and links handle.

Evidence: three checks of AnswersTest failed before (two of them are kept; a page without a list counts as empty); all pass.

--- a/src/carobfork/platform/objects.py
+++ b/src/carobfork/platform/objects.py
@@ -103,7 +103,7 @@
             # watched from the revision of the first page.
             if first_revision is None:
                 first_revision = self._revision(page)
-            items = self._decode_all(page.get('items'))
+            items = _decode_all(self._entries(page, 'items'))
             found.extend(items)
             if not page.get('MorePages'):
                 return Listing(found, first_revision)
@@ -129,7 +129,7 @@
         )
         next_revision = self._revision(page)
         events = []
-        for event in page.get('events') or ():
+        for event in self._entries(page, 'events'):
             try:
                 stored = decoding.StoredObject.decode(event['Object'])
             except decoding.MALFORMED as error:
@@ -273,17 +273,22 @@
             )
         return revision
 
-    def _decode_all(self, entries: Any) -> Sequence[decoding.StoredObject]:
-        """Return the objects of a page, without those that have no name.
+    def _entries(self, page: Mapping[str, Any], name: str) -> Sequence[Any]:
+        """Return the objects or events of a page; a missing list is empty.
 
         :raises PlatformError: if the answer is not a page.
         """
+        entries = page.get(name, [])
         if not isinstance(entries, list):
-            raise self._failure('a page has no list of objects')
-        found = []
-        for entry in entries:
-            try:
-                found.append(decoding.StoredObject.decode(entry))
-            except decoding.MALFORMED as error:
-                logger.warning('malformed object', reason=repr(error))
-        return found
+            raise self._failure(f'{name} of a page are no list')
+        return entries
+
+
+def _decode_all(entries: Sequence[Any]) -> list[decoding.StoredObject]:
+    found = []
+    for entry in entries:
+        try:
+            found.append(decoding.StoredObject.decode(entry))
+        except decoding.MALFORMED as error:
+            logger.warning('malformed object', reason=repr(error))
+    return found
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -378,9 +378,17 @@
     blocked: dict[str, float] | None = None
 
 
-def answering_disk(reply: News | Hosts) -> str:
-    """Return which disk the reply to a heartbeat names, or an empty string."""
-    return reply.news.disk if isinstance(reply, Hosts) else reply.disk
+def answering_disk(reply: Any) -> str:
+    """Return which disk the reply to a heartbeat names, or an empty string.
+
+    :raises BadRequestError: if it is no reply to a heartbeat.
+    """
+    news = reply.news if isinstance(reply, Hosts) else reply
+    if not isinstance(news, News):
+        raise exceptions.BadRequestError(
+            f'{type(reply).__name__} is no reply to a heartbeat', step='confirm'
+        )
+    return news.disk
 
 
 @register
--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -7,7 +7,11 @@
 import json
 import unittest
 
-from carobfork.platform import pages
+from gevent import server
+
+from carobfork import exceptions
+from carobfork.gateway import framing, message_readers
+from carobfork.platform import objects, pages
 from carobfork.roles import front as front_role
 from tests import configurations, platform_hosts
 from tests.platform_hosts import wait_until
@@ -150,6 +154,59 @@
             self.assertIsInstance(front, front_role.FrontRole)
 
 
+class AnswersTest(unittest.TestCase):
+    """Answers of the store that are no pages."""
+
+    def setUp(self):
+        """Start a store that answers with some bytes."""
+        self.content = b''
+        self.listener = server.StreamServer(('127.0.0.1', 0), self.answer)
+        self.listener.start()
+        self.addCleanup(self.listener.stop, 0)
+        self.store = objects.ObjectStore(
+            f'127.0.0.1:{self.listener.server_port}'
+        )
+
+    def answer(self, sock, _peer):
+        """Answer one request."""
+        message_readers.Reader(sock).read_head(framing.MAX_HEAD_BYTES)
+        length = len(self.content)
+        sock.sendall(
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b'
+            % (length, self.content)
+        )
+        sock.close()
+
+    def test_answers_that_are_no_pages(self):
+        """They count as a failure of the store, which followers survive."""
+        for content in (
+            b'',
+            b'3',
+            b'[]',
+            b'{}',
+            b'{"CurrentRev": "3", "items": [], "events": []}',
+            b'{"CurrentRev": 3, "items": {}, "events": {}}',
+            b'{"CurrentRev": 3, "items": 4, "events": 4}',
+            b'{"CurrentRev": 3, "items": [',
+        ):
+            self.content = content
+            with self.subTest(content):
+                with self.assertRaises(exceptions.PlatformError):
+                    self.store.list('servers')
+                with self.assertRaises(exceptions.PlatformError):
+                    self.store.watch('servers', 1)
+
+    def test_events_that_cannot_be_read(self):
+        """The follower lists again, since the object is unknown."""
+        for content in (b'null', b'{}', b'{"Object": 3}', b'[NaN]'):
+            self.content = b'{"CurrentRev": 3, "events": [%b]}' % content
+            with (
+                self.subTest(content),
+                self.assertRaises(objects.HistoryGoneError),
+            ):
+                self.store.watch('servers', 1)
+
+
 class PagesTest(unittest.TestCase):
     """Pages that are decoded part by part."""
 
--- a/tests/test_replaced_disks.py
+++ b/tests/test_replaced_disks.py
@@ -10,7 +10,7 @@
 import gevent
 from gevent import server
 
-from carobfork import clock
+from carobfork import clock, exceptions
 from carobfork.storage import groups, links, memberships, messages
 from tests import configurations, plain_calls, platform_hosts
 from tests.platform_hosts import wait_until
@@ -128,6 +128,13 @@
                     SEVERAL_HEARTBEATS_SECONDS / 2,
                 )
 
+    def test_a_reply_of_another_kind(self):
+        """A peer that confirms a link with another reply is not connected."""
+        with self.assertRaises(exceptions.BadRequestError):
+            messages.answering_disk(messages.Done())
+        news = messages.News(None, {}, is_fresh=True, disk='d')
+        self.assertEqual(messages.answering_disk(news), 'd')
+
     def test_a_peer_that_accepts_but_never_answers(self):
         """A frozen host counts as silent however often it is connected to.
 
