Keep ports of tests apart from those of connections, and logs of broken seeds

Change: ports come from below that range, never twice, from another place in each process; logs and settings of a run that broke a promise are kept in run/soak.

--- a/tests/configurations.py
+++ b/tests/configurations.py
@@ -1,5 +1,8 @@
 """Configurations: what the platform's operator and hosts' settings say."""
 
+import contextlib
+import itertools
+import os
 import socket
 
 HOST = 'shop.example'
@@ -13,11 +16,31 @@
 RETAIN_SECONDS = 60
 
 
+_LOWEST_PORT = 10_240
+_HIGHEST_PORT = 32_000
+"""Below the range from which systems choose the ports of connections, so that
+none takes a host's port while the host restarts."""
+_BLOCK_PORTS = 64
+"""Ports between the first ones of test processes with adjacent identifiers."""
+_FIRST_PORT = _LOWEST_PORT + os.getpid() * _BLOCK_PORTS % (
+    _HIGHEST_PORT - _LOWEST_PORT
+)
+_ports = itertools.cycle(
+    (*range(_FIRST_PORT, _HIGHEST_PORT), *range(_LOWEST_PORT, _FIRST_PORT))
+)
+
+
 def free_port():
-    """Return a loopback port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a loopback port that nobody listens on, another one each time.
+
+    Test processes that run side by side begin at different ones.
+    """
+    for port in _ports:
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind(('127.0.0.1', port))
+            return port
+    raise RuntimeError('no port is free')
 
 
 def route(name, prefix, kind, service, **fields):
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import random
+import shutil
 import tempfile
 
 import attrs
@@ -9,6 +10,7 @@
 
 from tests.soak import callers, faults, fleets, records
 
+KEPT_LOGS = pathlib.Path('run', 'soak')
 CALLERS = 6
 LONGEST_SECONDS = 2.5
 """Of one fault; several overlap."""
@@ -42,16 +44,28 @@
 
 
 def run(seed: int, seconds: float) -> records.Records:
-    """Run a seed's schedule and return what was seen."""
+    """Run a seed's schedule and return what was seen.
+
+    The hosts' logs are kept if a promise was broken.
+    """
     found = records.Records()
     with tempfile.TemporaryDirectory() as name:
         with fleets.Fleet(pathlib.Path(name)) as fleet:
             _wait(fleet.is_settled, 'the storage group')
             _disturb(fleet, found, seed, seconds)
             found.check_runs(fleet.served())
+        if found.broken:
+            keep_logs(pathlib.Path(name), KEPT_LOGS / f'seed-{seed}')
     return found
 
 
+def keep_logs(folder: pathlib.Path, kept: pathlib.Path) -> None:
+    """Copy the logs and settings of a fleet to a folder that stays."""
+    kept.mkdir(parents=True, exist_ok=True)
+    for path in (*folder.glob('*.log'), *folder.glob('*.toml')):
+        shutil.copy(path, kept)
+
+
 def _disturb(
     fleet: fleets.Fleet, found: records.Records, seed: int, seconds: float
 ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,10 @@
 """Soak: its schedule, its proxy, its checks, and one short run."""
 
 import contextlib
+import pathlib
 import subprocess
 import sys
+import tempfile
 import unittest
 
 import gevent
@@ -16,6 +18,39 @@
 LIMIT_SECONDS = 300
 
 
+class PortsTest(unittest.TestCase):
+    """Ports of hosts that restart while other processes use the machine."""
+
+    def test_no_connection_takes_a_port(self):
+        """Ports are below those that the system gives to connections.
+
+        Such a connection, or a host of another fleet, could take the port of
+        a host while it restarts.
+        """
+        ports = [configurations.free_port() for _ in range(50)]
+        self.assertEqual(len(set(ports)), len(ports))
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            self.assertLess(max(ports), probe.getsockname()[1])
+
+
+class KeptLogsTest(unittest.TestCase):
+    """What is left of a run that broke a promise."""
+
+    def test_logs_and_settings_are_kept(self):
+        """A failure that shows once can be traced afterwards."""
+        with tempfile.TemporaryDirectory() as name:
+            folder, kept = pathlib.Path(name, 'a'), pathlib.Path(name, 'b', 'c')
+            folder.mkdir()
+            for known in ('front-0.log', 'front-0.toml', 'other'):
+                folder.joinpath(known).write_text('text')
+            runs.keep_logs(folder, kept)
+            self.assertEqual(
+                sorted(path.name for path in kept.iterdir()),
+                ['front-0.log', 'front-0.toml'],
+            )
+
+
 class ScheduleTest(unittest.TestCase):
     """What a seed leads to."""
 
