Send no stream on a connection that ends after its report

Callers would see 502 for a stream that no server had run.

Cause: sent the stream on a connection although the report's answer announced its end, so the attempt counted as one that may have run.

Change: such a connection counts as failed before anything was sent.

Evidence: test_a_server_that_closes_after_its_report failed before (502) and passes.

--- a/src/carobfork/gateway/process_checks.py
+++ b/src/carobfork/gateway/process_checks.py
@@ -100,6 +100,8 @@
                 raise EOFError('the server closed the connection')
             shape = framing.response_shape(head, 'GET')
             body = connection.reader.read_body(shape, MAX_REPORT_BYTES)
+            if not head.keeps_open:
+                raise EOFError('the server closes the connection')
         if head.first[1] != _OK:
             return None
         return self._codec.decode_report(body)
--- a/tests/scripted_servers.py
+++ b/tests/scripted_servers.py
@@ -33,6 +33,7 @@
     def __init__(self):
         """Create a server that answers whole."""
         self.script = send_whole
+        self.report = REPORT
         self.runs = 0
         self.sent_bytes = 0
         self._server = server.StreamServer(('127.0.0.1', 0), self._serve)
@@ -58,15 +59,19 @@
         reader = message_readers.Reader(sock)
         with contextlib.suppress(OSError), contextlib.closing(sock):
             head = reader.read_head(framing.MAX_HEAD_BYTES)
-            while head is not None:
-                reader.read_body(framing.request_shape(head), 10_000)
-                if head.first[1] == '/report':
-                    sock.sendall(REPORT)
-                else:
-                    self.runs += 1
-                    self.script(sock, head.get('x-attempt-id').encode())
+            while head is not None and self._answer(sock, reader, head):
                 head = reader.read_head(framing.MAX_HEAD_BYTES)
 
+    def _answer(self, sock, reader, head):
+        """Answer a request and return whether the connection stays open."""
+        reader.read_body(framing.request_shape(head), 10_000)
+        if head.first[1] == '/report':
+            sock.sendall(self.report)
+            return b'Connection: close' not in self.report
+        self.runs += 1
+        self.script(sock, head.get('x-attempt-id').encode())
+        return True
+
 
 class ScriptedCase(unittest.TestCase):
     """Cases with one scripted server for each service."""
--- a/tests/test_broken_servers.py
+++ b/tests/test_broken_servers.py
@@ -13,7 +13,7 @@
 
 from carobfork.gateway import events, framing
 from tests import plain_calls, platform_hosts, scripted_servers
-from tests.scripted_servers import EVENT, REFUSAL, STREAM, WHOLE
+from tests.scripted_servers import EVENT, REFUSAL, REPORT, STREAM, WHOLE
 
 
 class LateAnswersTest(scripted_servers.ScriptedCase):
@@ -171,6 +171,35 @@
         self.assertFalse(self.ask('/chat/1').is_whole)
 
 
+class ReportsTest(scripted_servers.ScriptedCase):
+    """Reports that a host asks for before a resumable stream."""
+
+    def assert_not_run(self, report):
+        """Check that a stream is refused and sent nowhere."""
+        self.scripted.report = report
+        before = self.scripted.runs
+        self.assertIn(self.ask('/ask/1').status, {429, 503})
+        self.assertEqual(self.scripted.runs, before)
+
+    def test_a_server_that_closes_after_its_report(self):
+        """The stream is not sent on a connection that is about to end.
+
+        It would count as an attempt that may have run.
+        """
+        self.assert_not_run(
+            REPORT.replace(b'\r\n\r\n', b'\r\nConnection: close\r\n\r\n')
+        )
+
+    def test_reports_that_are_broken(self):
+        """A server that can't tell its process gets no such stream."""
+        for report in (
+            b'failed',
+            b'HTTP/1.1 200 OK\r\nContent-Length: 9' * 9999,
+        ):
+            with self.subTest(report[:40]):
+                self.assert_not_run(report)
+
+
 class SlowStreamsTest(scripted_servers.ScriptedCase):
     """Streams that are slow but sound, and streams that only drip."""
 
