Give each test process a block of ports of its own

Its log says not_started, 26083 in use: ports by process number overlapped with those of processes beside it.

--- a/tests/configurations.py
+++ b/tests/configurations.py
@@ -1,8 +1,8 @@
 """Configurations: what the platform's operator and hosts' settings say."""
 
 import contextlib
+import functools
 import itertools
-import os
 import socket
 
 HOST = 'shop.example'
@@ -16,26 +16,36 @@
 RETAIN_SECONDS = 60
 
 
-_LOWEST_PORT = 10_240
-_HIGHEST_PORT = 32_000
-"""Below the range from which systems choose the ports of connections, so that
-none takes a host's port while the host restarts."""
-_BLOCK_PORTS = 64
-"""Ports between the first ones of test processes with adjacent identifiers."""
-_FIRST_PORT = _LOWEST_PORT + os.getpid() * _BLOCK_PORTS % (
-    _HIGHEST_PORT - _LOWEST_PORT
-)
-_ports = itertools.cycle(
-    (*range(_FIRST_PORT, _HIGHEST_PORT), *range(_LOWEST_PORT, _FIRST_PORT))
-)
+_BLOCKS = range(10_240, 19_840, 600)
+"""First ports of blocks of 600 ports, below the range from which systems choose
+the ports of connections: none takes a host's port while the host restarts."""
+
+
+def _take_block():
+    """Return a block's ports and what keeps other test processes from it."""
+    for first in _BLOCKS:
+        holder = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            holder.bind(('127.0.0.1', first))
+        except OSError:
+            holder.close()
+            continue
+        return itertools.cycle(range(first + 1, first + _BLOCKS.step)), holder
+    raise RuntimeError('all blocks of ports are taken')
+
+
+@functools.cache
+def _block():
+    """Return the block of this process."""
+    return _take_block()
 
 
 def free_port():
     """Return a loopback port that nobody listens on, another one each time.
 
-    Test processes that run side by side begin at different ones.
+    Test processes that run side by side use different ones.
     """
-    for port in _ports:
+    for port in _block()[0]:
         with contextlib.suppress(OSError), socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             probe.bind(('127.0.0.1', port))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,22 @@
             probe.bind(('127.0.0.1', 0))
             self.assertLess(max(ports), probe.getsockname()[1])
 
+    def test_no_other_test_process_takes_a_port(self):
+        """Two processes get different ports while both run."""
+        ports = {configurations.free_port() for _ in range(700)}
+        found = subprocess.run(
+            [
+                sys.executable,
+                '-c',
+                'from tests import configurations;'
+                'print(*[configurations.free_port() for _ in range(700)])',
+            ],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertFalse(ports.intersection(map(int, found.stdout.split())))
+
 
 class KeptLogsTest(unittest.TestCase):
     """What is left of a run that broke a promise."""
