Say plainly in two messages what happened

Cause: a log line and an error were hard to read. Measured: the tests of store hosts and odd objects pass.

--- a/src/carobfork/platform/objects.py
+++ b/src/carobfork/platform/objects.py
@@ -280,7 +280,7 @@
         """
         entries = page.get(name, [])
         if not isinstance(entries, list):
-            raise self._failure(f'{name} of a page are no list')
+            raise self._failure(f'the {name} of a page are not a list')
         return entries
 
 
--- a/src/carobfork/storage/memberships.py
+++ b/src/carobfork/storage/memberships.py
@@ -189,7 +189,9 @@
         if group.has_member_disk(self._own_member.disk):
             if self._links.silent_disks(MEMBER_TIMEOUT_MS):
                 # Each record needs all members that stay until this is over.
-                logger.info('not leaving beside silence', epoch=group.epoch)
+                logger.info(
+                    'leaving cancelled, a member is silent', epoch=group.epoch
+                )
                 self._register.write(group.cancel_change(), revision)
                 return
             is_done = self._transfer_records(group)
