Open another connection where a server closes the one it reported on

Callers would see: resumable streams refused (429) for as long as all servers of the service answer the request for a report with an error and close, or close after each report.

Cause: counted a connection that ends after its report as failed, each time.

Change: the host opens another connection at once and sends the stream there. It leads to the process that answered a moment ago.

--- a/src/carobfork/gateway/connection_pools.py
+++ b/src/carobfork/gateway/connection_pools.py
@@ -105,7 +105,29 @@
                 connection.is_reused = True
                 return connection
             connection.close()
-        return self._open(worker)
+        return self.open(worker)
+
+    def open(self, worker: workers.Worker) -> Connection:
+        """Open a connection to a server.
+
+        :raises ConnectionFailedError: if the server can't be reached; nothing
+            was sent.
+        """
+        self.opened += 1
+        try:
+            sock = socket.create_connection(
+                (worker.entry.ip, worker.entry.port),
+                timeout=clock.to_seconds(CONNECT_TIMEOUT_MS),
+            )
+        except OSError as error:
+            raise exceptions.ConnectionFailedError(
+                str(error), sent=False, step='connect', peer=worker.instance
+            ) from error
+        sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
+        sock.setsockopt(
+            sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+        )
+        return Connection(sock, message_readers.Reader(sock), worker)
 
     def release(
         self,
@@ -160,23 +182,6 @@
         limit_ms = min(connection.max_idle_ms, max_idle_ms)
         return idle_ms < limit_ms and connection.is_clean()
 
-    def _open(self, worker: workers.Worker) -> Connection:
-        self.opened += 1
-        try:
-            sock = socket.create_connection(
-                (worker.entry.ip, worker.entry.port),
-                timeout=clock.to_seconds(CONNECT_TIMEOUT_MS),
-            )
-        except OSError as error:
-            raise exceptions.ConnectionFailedError(
-                str(error), sent=False, step='connect', peer=worker.instance
-            ) from error
-        sock.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
-        sock.setsockopt(
-            sockets.IPPROTO_TCP, sockets.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-        )
-        return Connection(sock, message_readers.Reader(sock), worker)
-
 
 def _key(worker: workers.Worker) -> tuple:
     entry = worker.entry
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -44,8 +44,9 @@
 """HTTP statuses by which callers conclude that a call has not run."""
 
 CheckProcess = Callable[
-    [contexts.RequestContext, connection_pools.Connection], None
+    [contexts.RequestContext, connection_pools.Connection], bool
 ]
+"""Checks which process a connection leads to; returns whether it is open."""
 
 logger = structlog.get_logger(part='exchange')
 
@@ -116,11 +117,8 @@
         """
         started_ms = self._timer.now_ms()
         self._left_ms(context)
-        connection = self.pool.acquire(
-            worker, connection_pools.max_idle_ms(context.route)
-        )
+        connection = self._connect(context, worker)
         try:
-            self._check_process(context, connection)
             with self._watch(context, worker) as watch:
                 answer = self._send(context, worker, connection)
                 self._relay_answer(context, connection, answer, response, watch)
@@ -132,6 +130,31 @@
         worker.record_success(now_ms - started_ms, now_ms)
         self._release_connection(worker, connection, answer)
 
+    def _connect(
+        self, context: contexts.RequestContext, worker: workers.Worker
+    ) -> connection_pools.Connection:
+        """Return a connection to the process of a worker's entry.
+
+        If the server closes the connection on which it was asked for its
+        process, another one is opened at once.
+
+        :raises ConnectionFailedError: if there is none; nothing was sent.
+        """
+        connection = self.pool.acquire(
+            worker, connection_pools.max_idle_ms(context.route)
+        )
+        try:
+            is_open = self._check_process(context, connection)
+        except BaseException:
+            connection.close()
+            raise
+        if is_open:
+            return connection
+        connection.close()
+        successor = self.pool.open(worker)
+        successor.is_confirmed = True
+        return successor
+
     @contextlib.contextmanager
     def _watch(
         self, context: contexts.RequestContext, worker: workers.Worker
--- a/src/carobfork/gateway/process_checks.py
+++ b/src/carobfork/gateway/process_checks.py
@@ -43,25 +43,28 @@
         self,
         context: contexts.RequestContext,
         connection: connection_pools.Connection,
-    ) -> None:
+    ) -> bool:
         """Ask which process a connection leads to, if a stream is resumable.
 
         A server whose entry or report names no start is not checked.
 
+        :return: whether the connection is still open after the answer.
         :raises ConnectionFailedError: if it leads to another process, or the
             server does not answer; the request was not sent.
         """
         if connection.is_confirmed or not context.route.is_resumable:
-            return
+            return True
+        is_open = True
         if connection.worker.entry.started_ms:
-            self._compare(connection)
+            is_open = self._compare(connection)
         connection.is_confirmed = True
+        return is_open
 
-    def _compare(self, connection: connection_pools.Connection) -> None:
+    def _compare(self, connection: connection_pools.Connection) -> bool:
         worker = connection.worker
-        started_ms = self._ask(connection)
+        started_ms, is_open = self._ask(connection)
         if started_ms in {None, worker.entry.started_ms}:
-            return
+            return is_open
         worker.is_replaced = True
         logger.info(
             'another process has taken the name of a worker',
@@ -79,9 +82,13 @@
             peer=worker.instance,
         )
 
-    def _ask(self, connection: connection_pools.Connection) -> float | None:
+    def _ask(
+        self, connection: connection_pools.Connection
+    ) -> tuple[float | None, bool]:
         """Return when the process at the other end started, if it tells.
 
+        Return also whether the connection is still open.
+
         :raises ConnectionFailedError: if it does not answer in time.
         """
         self.reports += 1
@@ -100,8 +107,7 @@
                 raise EOFError('the server closed the connection')
             shape = framing.response_shape(head, 'GET')
             body = connection.reader.read_body(shape, MAX_REPORT_BYTES)
-            if not head.keeps_open:
-                raise EOFError('the server closes the connection')
+        is_open = head.keeps_open and not shape.ends_with_connection
         if head.first[1] != _OK:
-            return None
-        return self._codec.decode_report(body)
+            return None, is_open
+        return self._codec.decode_report(body), is_open
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -324,8 +324,9 @@
         context.failed_attempts += 1
 
 
-def _trust_process(*_connection) -> None:
-    """Trust the process at the other end of a connection."""
+def _trust_process(*_connection) -> bool:
+    """Trust the process at the other end of a connection, which stays open."""
+    return True
 
 
 def _ignore_report(_report: messages.Crash | messages.CrashCleared) -> None:
--- a/tests/scripted_servers.py
+++ b/tests/scripted_servers.py
@@ -27,6 +27,12 @@
     sock.sendall(WHOLE % attempt)
 
 
+def send_stream(sock, attempt):
+    """Send a stream of one event."""
+    sock.sendall(STREAM % attempt)
+    sock.sendall(framing.encode_chunk(EVENT) + framing.LAST_CHUNK)
+
+
 class ScriptedServer:
     """Answer each request with bytes of a script, as a context manager."""
 
