--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -292,6 +292,7 @@
         self.crash_reporter.set_keeper(member.disk, news.keeps_crashes)
         self.permits.set_granter(member.disk, news.grants_permits)
         self.credits.set_granter(member.disk, news.grants_credits)
+        self.storage.chains.set_source(member.disk, news.reads_turns)
         self.updates.apply_news(self.links.get(member.disk), news)
 
     def _health_path(self, service: str) -> str:
--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -15,6 +15,7 @@
 
 from carobfork import clock, exceptions
 from carobfork.storage import (
+    chains,
     groups,
     links,
     messages,
@@ -31,13 +32,6 @@
 RETRY_AFTER_MS = 300
 """Delay suggested to callers: a lost connection is usually open again, or the
 group has changed, within this time."""
-CHAIN_PART_TIMEOUT_MS = 300
-"""Timeout of one chain part. It covers many round trips; a slower member is
-skipped, because another one may hold the part."""
-CHAIN_RETRY_WINDOW_MS = 400
-"""Time in which a part that no member returns is asked for again. A member that
-joins or reconnects takes that long; later the caller is refused, because
-another entry host may reach more members."""
 EPOCH_POLL_INTERVAL_MS = 50
 """How often a pending operation checks whether the group has changed."""
 SLOW_REPLY_MS = 150
@@ -86,6 +80,9 @@
         self._node = node
         self._zone = zone
         self._timer = timer
+        self.chains = chains.ChainReader(
+            member_links, self.nearest_disk, self._align_epochs, timer
+        )
 
     def apply(self, group: groups.Group) -> None:
         """Adopt a group unless one at least as new is known."""
@@ -120,7 +117,11 @@
         def compose() -> dict[str, Any]:  # noqa: WPS430
             nearest = self.nearest_disk()
             return {
-                disk: attrs.evolve(message, wants_details=disk == nearest)
+                disk: attrs.evolve(
+                    message,
+                    wants_details=disk == nearest,
+                    max_chain_bytes=chains.MAX_INLINE_BYTES,
+                )
                 for disk in self.group.all_members()
             }
 
@@ -133,7 +134,8 @@
         if not merged.knows_previous:
             raise exceptions.UnknownProgramError('no such turn', step=_STEP)
         older = self.read_chain(merged.missing)
-        return attrs.evolve(merged, chain=older + merged.chain)
+        listed = b''.join(self.chains.read_pages(merged.turns))
+        return attrs.evolve(merged, chain=older + listed + merged.chain)
 
     def change_version(self, message: messages.Begin) -> None:
         """Record that servers of another version write an attempt's stream.
@@ -215,49 +217,16 @@
     def read_chain(self, turn: str) -> bytes:
         """Return a turn and all turns before it, oldest first.
 
-        They are read from several members if necessary. A member lacks the
-        turns that were written while it was down, so it can be that no single
-        member holds the whole chain.
-
         :param turn: the attempt of the last turn; may be empty.
         :raises NotRunError: if no reachable member holds one of the turns.
         """
-        parts: list[bytes] = []
-        until_ms = self._timer.now_ms() + CHAIN_RETRY_WINDOW_MS
-        while turn:
-            found = self._fetch_chain_part(turn)
-            if found:
-                parts.append(found.chain)
-                turn = found.missing
-            elif self._timer.now_ms() > until_ms:
-                raise exceptions.NotRunError(
-                    f'turn {turn} is out of reach',
-                    step=_STEP,
-                    retry_after_ms=RETRY_AFTER_MS,
-                )
-            else:
-                gevent.sleep(clock.to_seconds(EPOCH_POLL_INTERVAL_MS))
-        return b''.join(reversed(parts))
+        turns, chain = self.chains.list_turns(turn)
+        return b''.join(self.chains.read_pages(turns)) + chain
 
     def _preference(self, disk: str) -> int:
         """Return a disk's position in this host's order of preference."""
         return zlib.crc32(disk.encode(), zlib.crc32(self._node.encode()))
 
-    def _fetch_chain_part(self, turn: str) -> messages.Begun | None:
-        """Return a turn and its predecessors from any member that has it."""
-        request = messages.Begin(None, previous=turn, wants_details=True)
-        for link in self._links.all():
-            reply = None
-            try:
-                reply = link.request(request, CHAIN_PART_TIMEOUT_MS)
-            except exceptions.ConnectionFailedError as error:
-                logger.info('chain not read', turn=turn, reason=str(error))
-            if isinstance(reply, messages.Refused):
-                self._align_epochs(link, reply)
-            elif isinstance(reply, messages.Begun) and reply.knows_previous:
-                return reply
-        return None
-
     def _align_epochs(
         self, link: links.Link, refused: messages.Refused
     ) -> None:
@@ -350,7 +319,7 @@
         if begun.stream is not None:
             streams.append(begun.stream)
         knows_previous = knows_previous or begun.knows_previous
-        if len(begun.chain) >= len(longest.chain):
+        if _chain_bytes(begun) >= _chain_bytes(longest):
             longest = begun
         updates = {
             attempt: charge
@@ -369,6 +338,11 @@
     )
 
 
+def _chain_bytes(begun: messages.Begun) -> int:
+    """Return the length of the chain that a member holds."""
+    return len(begun.chain) + sum(turn.length for turn in begun.turns)
+
+
 def _raise_weights(merged: dict[str, int], weights: Mapping[str, int]) -> None:
     """Keep the larger weight of each fingerprint."""
     for fingerprint, weight in weights.items():
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -85,6 +85,14 @@
     stream: StreamVersion | None = None
 
 
+@attrs.frozen
+class TurnLength:
+    """A stored turn and the length of its request and events in bytes."""
+
+    turn: str
+    length: int
+
+
 @register
 @attrs.frozen
 class Begin:
@@ -96,6 +104,8 @@
     :param worker: the backend server that it will probably run on.
     :param fingerprints: identify the request whichever attempt carries it.
     :param resumes: the attempt that began the stream that it resumes, if any.
+    :param max_chain_bytes: the longest chain that the reply may contain;
+        ``None`` for any, from senders that can't read turns by themselves.
     """
 
     charge: Charge | None
@@ -105,6 +115,7 @@
     worker: str = ''
     fingerprints: list[str] = attrs.Factory(list)
     resumes: str = ''
+    max_chain_bytes: int | None = None
 
 
 @register
@@ -126,6 +137,8 @@
     :param chain: the bytes of the previous turns, oldest first.
     :param missing: the turn before those of the chain, if the member does not
         hold it.
+    :param turns: the turns before those of the chain that the member holds,
+        oldest first, to be read by ``ReadTurns``.
     :param open_turns: open turns by backend server, if details were requested.
     :param crash_weights: weights of the crashes of servers under the request,
         by its fingerprints.
@@ -140,6 +153,7 @@
     open_turns: dict[str, int] | None = None
     crash_weights: dict[str, int] = attrs.Factory(dict)
     stream: StreamVersion | None = None
+    turns: list[TurnLength] = attrs.Factory(list)
 
 
 @register
@@ -253,6 +267,7 @@
     :param grants_credits: whether it answers ``CreditRequest``.
     :param heard_ms: the time that the ``Report`` that this answers was sent
         at, by the sender's clock; 0 if it does not tell.
+    :param reads_turns: whether it answers ``ReadTurns``.
     """
 
     group: groups.Group | None
@@ -263,6 +278,7 @@
     disk: str = ''
     grants_credits: bool = False
     heard_ms: float = 0
+    reads_turns: bool = False
 
 
 @register
--- a/src/carobfork/storage/record_indexes.py
+++ b/src/carobfork/storage/record_indexes.py
@@ -10,13 +10,16 @@
 import msgspec
 
 from carobfork import clock
-from carobfork.storage import messages, segments, stream_indexes
+from carobfork.storage import (
+    messages,
+    segments,
+    stored_turns,
+    stream_indexes,
+)
 
 RETENTION_MARGIN_MS = 20_000
 """Extra time for which records are kept: it covers steps of the wall clock and
 requests in flight."""
-MAX_CHAIN_TURNS = 512
-"""Longest chain that is read; bounds the work of one request."""
 
 
 @attrs.frozen
@@ -32,15 +35,6 @@
     entry: messages.Charge | messages.Turn
 
 
-@attrs.define
-class _TurnEntry:
-    """The location of a turn and the time at which it expires."""
-
-    previous: str
-    location: segments.RecordLocation | None
-    expires_ms: float
-
-
 @attrs.define
 class _ProgramCharges:
     """The charges of a program, by attempt, and when they expire."""
@@ -52,6 +46,7 @@
 class RecordIndex:
     """An index of all turns and charges that a disk holds.
 
+    :ivar turns: the turns, which can be read in parts.
     :ivar streams: the versions that write the streams of charged attempts.
     :param files: the disk's record files.
     :param timer: the wall clock.
@@ -61,7 +56,8 @@
         """Build the index from the records on the disk."""
         self._files = files
         self._timer = timer
-        self._turns: dict[str, _TurnEntry] = {}
+        self.turns = stored_turns.StoredTurns(files)
+        self._turns = self.turns.entries
         self._programs: dict[str, _ProgramCharges] = {}
         self.streams = stream_indexes.StreamIndex()
         self._segment_expiry_ms: dict[int, float] = {}
@@ -76,8 +72,12 @@
         if isinstance(record.entry, messages.Charge):
             self._apply_charge(record.entry, expires_ms)
         else:
-            self._turns[record.entry.attempt] = _TurnEntry(
-                record.entry.previous, location, expires_ms
+            self._turns[record.entry.attempt] = stored_turns.TurnEntry(
+                record.entry.previous,
+                location,
+                expires_ms,
+                len(record.entry.request),
+                len(record.entry.events),
             )
             self._extend_chain_retention(record.entry.previous, expires_ms)
 
@@ -116,23 +116,6 @@
                 unknown_records.append(record)
         return unknown_records
 
-    def read_chain(self, attempt: str) -> tuple[bytes, str]:
-        """Return the bytes of a turn and its predecessors, oldest first.
-
-        :return: the part of the chain that is stored here, and the name of
-            the newest turn that was not read, or an empty string.
-        """
-        pieces: list[bytes] = []
-        name = attempt
-        while name and len(pieces) < MAX_CHAIN_TURNS:
-            entry = self._turns.get(name)
-            if entry is None:
-                break
-            turn = decode_record(self._files.read(entry.location)).entry
-            pieces.append(turn.request + turn.events)
-            name = entry.previous
-        return b''.join(reversed(pieces)), name
-
     def extend_retention(self, attempt: str, retain_ms: float) -> None:
         """Keep a chain for as long as a turn that continues it may run."""
         expires_ms = self._timer.now_ms() + retain_ms + RETENTION_MARGIN_MS
--- a/src/carobfork/storage/replicas.py
+++ b/src/carobfork/storage/replicas.py
@@ -8,6 +8,7 @@
 from carobfork import clock
 from carobfork.storage import (
     adoptions,
+    chain_messages,
     credit_messages,
     credit_tables,
     disks,
@@ -76,6 +77,9 @@
             block_handler(self.blocks, envelope.message)
             reply(messages.Done())
             return
+        if isinstance(envelope.message, chain_messages.ReadTurns):
+            reply(self.index.turns.handle_read(envelope.message))
+            return
         handler = _HANDLERS[kind]
         if handler in _EPOCH_FENCED and envelope.epoch != self.group.epoch:
             self._handle_other_epoch(envelope, reply)
@@ -211,13 +215,16 @@
     def _build_begun(self, message: messages.Begin) -> Any:
         if not self.disk.identity.is_complete:
             return self._refusal('filling')
-        chain, missing = b'', message.previous
+        turns, missing = [], message.previous
         knows_previous = True
         if message.previous:
             knows_previous = self.index.has_turn(message.previous)
             self.index.extend_retention(message.previous, message.retain_ms)
             if message.wants_details:
-                chain, missing = self.index.read_chain(message.previous)
+                turns, missing = self.index.turns.list_chain(message.previous)
+        turns, chain = self.index.turns.read_short(
+            turns, message.max_chain_bytes
+        )
         program = message.charge.program if message.charge else ''
         attempt = message.charge.attempt if message.charge else ''
         return messages.Begun(
@@ -228,6 +235,7 @@
             self.open_turns.counts() if message.wants_details else None,
             self.blocks.weights(message.fingerprints),
             self.index.streams.get(message.resumes or attempt),
+            turns,
         )
 
     def _refusal(self, reason: str) -> messages.Refused:
--- a/src/carobfork/storage/status_exchanges.py
+++ b/src/carobfork/storage/status_exchanges.py
@@ -154,6 +154,7 @@
             keeps_crashes=True,
             disk=identity.disk,
             grants_credits=True,
+            reads_turns=True,
         )
 
 
