Give records away in batches that fit a frame

A host with long turns that was to be emptied never finished: its Give messages held 64 records of any length, the receiver closed the link on a frame of 17,001,197 bytes, and the transfer began again. All records of the host were also read into memory at once.

Change: batches are bounded by bytes as well as by number, and records are read from the disk as they are sent. A single record fits a frame because it came in one.

Evidence: test_host_with_long_turns_is_emptied failed before, with the length above in the log of each try; it passes now, with the tests of store hosts (19 passed).

--- a/src/carobfork/storage/memberships.py
+++ b/src/carobfork/storage/memberships.py
@@ -6,7 +6,7 @@
 change, and only then becomes a member.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
 import gevent
@@ -271,20 +271,10 @@
                     return False
         return True
 
-    def _read_own_records(self) -> list[bytes]:
-        records: list[bytes] = []
-        position = 0
-        listing = 0
-        while True:
-            pages: list[messages.Records] = []
-            self._replica.handle_fetch(
-                messages.Fetch(position, listing), pages.append
-            )
-            records.extend(pages[0].records)
-            position = pages[0].next_place
-            listing = pages[0].listing
-            if not position:
-                return records
+    def _read_own_records(self) -> Iterator[bytes]:
+        """Yield this host's records, each read when it is needed."""
+        for entry in list(self._replica.index.dump()):
+            yield self._replica.disk.read(entry)
 
 
 def _read_pages(link: links.Link) -> Iterator[list[bytes] | None]:
@@ -314,11 +304,25 @@
             return
 
 
-def _send_records(target: links.Link | None, records: list[bytes]) -> bool:
+def batch_records(records: Iterable[bytes]) -> Iterator[list[bytes]]:
+    """Yield records in batches that fit a message each."""
+    batch: list[bytes] = []
+    batch_bytes = 0
+    for record in records:
+        is_long = batch_bytes + len(record) > messages.MAX_GIVE_BYTES
+        if batch and (is_long or len(batch) == messages.MAX_GIVE_RECORDS):
+            yield batch
+            batch, batch_bytes = [], 0
+        batch.append(record)
+        batch_bytes += len(record)
+    if batch:
+        yield batch
+
+
+def _send_records(target: links.Link | None, records: Iterable[bytes]) -> bool:
     if target is None:
         return False
-    for start in range(0, len(records), messages.MAX_GIVE_RECORDS):
-        batch = records[start : start + messages.MAX_GIVE_RECORDS]
+    for batch in batch_records(records):
         try:
             reply = target.request(messages.Give(batch), FETCH_TIMEOUT_MS)
         except exceptions.ConnectionFailedError as error:
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -17,8 +17,9 @@
 """Longest accepted frame: it fits a page of records that includes the largest
 request body."""
 MAX_GIVE_RECORDS = 64
-"""Most records in one ``Give`` message: even with the largest bodies they fit a
-frame."""
+"""Most records in one ``Give`` message; bounds the work of the receiver."""
+MAX_GIVE_BYTES = 1_048_576
+"""Most bytes of several records in one ``Give`` message."""
 _LENGTH_PREFIX = struct.Struct('>I')
 MESSAGE_TYPES: dict[str, type] = {}  # noqa: WPS407
 
--- a/tests/test_long_histories.py
+++ b/tests/test_long_histories.py
@@ -1,7 +1,9 @@
 """Test that conversations go on however long their histories are."""
 
+import itertools
 import unittest
 
+from carobfork.storage import memberships, messages
 from tests import configurations, platform_hosts
 from tests.platform_hosts import wait_until
 
@@ -14,6 +16,19 @@
 LONG_CHAIN_BYTES = 2 * (TURN_BYTES + len(OUTPUT))
 
 
+class BatchesTest(unittest.TestCase):
+    """Batches of records that are given to another host."""
+
+    def test_long_records_go_alone(self):
+        """A batch of several records is bounded, in bytes and in number."""
+        short, long = b'', bytes(messages.MAX_GIVE_BYTES)
+        rest = itertools.repeat(short, messages.MAX_GIVE_RECORDS)
+        records = [short, long, long, *rest]
+        batches = list(memberships.batch_records(records))
+        self.assertEqual([len(batch) for batch in batches], [2, 64, 1])
+        self.assertEqual(list(itertools.chain(*batches)), records)
+
+
 class LongHistoriesTest(unittest.TestCase):
     """Conversations whose turns have long requests."""
 
@@ -86,6 +101,24 @@
         )
         self.assertTrue(self.received(third) == expected)
 
+    def test_host_with_long_turns_is_emptied(self):
+        """A host gives its records away, however long they are together.
+
+        Guards against a retirement that never ended, with all links to the
+        leaving host broken again and again.
+        """
+        previous, history = self.run_long_turns()
+        self.hosts.store.put('retirements', 'store-0', {'DurationS': 10})
+        wait_until(self.is_emptied, 'the retirement')
+        self.hosts.stop_keeper('store-0')
+        attempt = self.run_turn(previous)
+        self.assertTrue(self.received(attempt) == b'%binput' % history)
+
+    def is_emptied(self):
+        """Tell whether the retirement of the first store host is complete."""
+        status = self.hosts.store.get('retirements', 'store-0')['Status']
+        return (status or {}).get('State') == 'completed'
+
     def start_keeper(self, name):
         """Start a store host again and wait until it is connected."""
         self.hosts.start_keeper(name)
