End a message that can't be sent or understood, not its link

A message longer than a frame, or one of a later build, closed the link on which all requests of two hosts wait; each of them got no reply.

Cause: the receiver was the first to notice a long frame, when it could only close the link, and decoding failed without the request's number.

Change: encode refuses a long message with a coded error, a long reply becomes a refusal, and what a build does not know is refused or left without a reply by its number.

--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -317,4 +317,5 @@
         except (OSError, exceptions.BadRequestError) as error:
             logger.info('recall failed', peer=seed, reason=str(error))
             return
-        self.updates.apply_recalled(recalled)
+        if isinstance(recalled, messages.Recalled):
+            self.updates.apply_recalled(recalled)
--- a/src/carobfork/roles/store.py
+++ b/src/carobfork/roles/store.py
@@ -192,10 +192,9 @@
     def _merge_recalled(
         self, member: groups.Member, recalled: messages.Recalled | None
     ) -> None:
-        if (
-            recalled is not None
-            and not self.replica.status_exchange.merge_recalled(recalled)
-        ):
+        if isinstance(
+            recalled, messages.Recalled
+        ) and not self.replica.status_exchange.merge_recalled(recalled):
             self._recall(member, messages.Recall())
 
     def _report_retirement(self) -> None:
--- a/src/carobfork/roles/updates.py
+++ b/src/carobfork/roles/updates.py
@@ -118,7 +118,8 @@
         self, link: links.Link
     ) -> Callable[[messages.Recalled | None], None]:
         def handle(recalled: messages.Recalled | None) -> None:  # noqa: WPS430
-            if recalled is not None and not self.apply_recalled(recalled):
+            is_refused = not isinstance(recalled, messages.Recalled)
+            if not (is_refused or self.apply_recalled(recalled)):
                 link.send_request(messages.Recall(), self._on_recalled(link))
 
         return handle
--- a/src/carobfork/storage/connections.py
+++ b/src/carobfork/storage/connections.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import gevent
+import structlog
 from gevent import event, socket
 
 from carobfork import clock
@@ -23,6 +24,8 @@
 process a timeout ends before replies that have arrived are read; it costs one
 step. The first one is longer than the pause between two heartbeats."""
 
+logger = structlog.get_logger(part='links')
+
 ReplyCallback = Callable[[Any], None]
 
 
@@ -85,12 +88,13 @@
 
         :param epoch: the epoch of the storage group that this host knows.
         :param on_reply: called once, with the reply, or with ``None`` if the
-            connection ends before.
+            connection ends before or the reply is unknown.
+        :raises MessageTooLongError: if the message does not fit a frame.
         """
         number = next(self._request_numbers)
-        self._reply_callbacks[number] = on_reply
         envelope = messages.Envelope(number, epoch, message)
         self._outgoing.append(messages.encode(envelope))
+        self._reply_callbacks[number] = on_reply
         self._has_outgoing.set()
 
     def read(
@@ -113,7 +117,7 @@
             on_received()
             buffered.extend(received)
             for frame in messages.pop_frames(buffered):
-                self._dispatch_reply(messages.decode(frame))
+                self._dispatch_reply(frame)
 
     def close(self) -> None:
         """Close the socket, on which reading then fails."""
@@ -130,7 +134,12 @@
                 return self._sock.recv(READ_BYTES)
         raise TimeoutError(f'silent for {max_silence_ms} ms')
 
-    def _dispatch_reply(self, envelope: messages.Envelope) -> None:
+    def _dispatch_reply(self, frame: bytes) -> None:
+        try:
+            envelope = messages.decode(frame)
+        except messages.UnknownMessageError as error:
+            logger.warning('unknown reply', reason=error.message)
+            envelope = messages.Envelope(error.number, 0, None)
         on_reply = self._reply_callbacks.pop(envelope.number, None)
         if on_reply is not None:
             on_reply(envelope.message)
--- a/src/carobfork/storage/listeners.py
+++ b/src/carobfork/storage/listeners.py
@@ -86,15 +86,28 @@
     ) -> None:
         """Handle a request and release its room once it is answered."""
         holding.is_arriving = False
-        envelope = messages.decode(frame)
+        try:
+            envelope = messages.decode(frame)
+        except messages.UnknownMessageError as error:
+            logger.warning('unknown request', reason=error.message)
+            self.room.release(holding)
+            writer.reply_callback(error.number)(self._refusal(error.code))
+            return
         send_reply = writer.reply_callback(envelope.number)
 
         def reply(message) -> None:  # noqa: WPS430
             self.room.release(holding)
-            send_reply(message)
+            try:
+                send_reply(message)
+            except messages.MessageTooLongError as error:
+                logger.warning('reply not sent', reason=error.message)
+                send_reply(self._refusal('too_long'))
 
         self._replica.receive(envelope, reply)
 
+    def _refusal(self, reason: str) -> messages.Refused:
+        return messages.Refused(reason, self._replica.group)
+
 
 class _ReplyWriter:
     """Write the replies of one connection in the order of their completion."""
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -27,6 +27,26 @@
 Message = TypeVar('Message')
 
 
+class MessageTooLongError(exceptions.NotRunError):
+    """A message does not fit a frame, so it was not sent."""
+
+    code = 'message_too_long'
+
+
+class UnknownMessageError(exceptions.BadRequestError):
+    """A frame holds no message that this build knows.
+
+    :param number: its request number.
+    """
+
+    code = 'unknown_message'
+
+    def __init__(self, message: str, number: int) -> None:
+        """Keep the number, with which the request can be refused."""
+        super().__init__(message, step='decode')
+        self.number = number
+
+
 def register(message_type: type[Message]) -> type[Message]:
     """Register a message class under its name."""
     MESSAGE_TYPES[message_type.__name__] = message_type
@@ -449,7 +469,9 @@
 
     :param reason: ``stale`` if the sender's group is outdated, ``behind`` if
         the member's is, ``filling`` while the member still copies records,
-        ``failed`` if the disk failed or the listing is gone.
+        ``failed`` if the disk failed or the listing is gone, ``too_long`` if
+        the reply exceeds a frame, ``unknown_message`` if the member does not
+        know the request.
     :param group: the group that the member knows.
     """
 
@@ -467,26 +489,40 @@
 
 
 def encode(envelope: Envelope) -> bytes:
-    """Encode a message as a frame."""
+    """Encode a message as a frame.
+
+    :raises MessageTooLongError: if it is longer than receivers accept.
+    """
     tag = type(envelope.message).__name__
     payload = msgspec.msgpack.encode(
         (envelope.number, envelope.epoch, tag, envelope.message)
     )
+    if len(payload) > MAX_FRAME_BYTES:
+        raise MessageTooLongError(
+            f'{tag} takes {len(payload)} bytes, more than {MAX_FRAME_BYTES}',
+            step='encode',
+        )
     return _LENGTH_PREFIX.pack(len(payload)) + payload
 
 
 def decode(payload: bytes) -> Envelope:
     """Decode the payload of a frame.
 
-    :raises BadRequestError: if it is not a known message.
+    :raises UnknownMessageError: if it is not a known message.
+    :raises BadRequestError: if it is none at all.
     """
     try:
         number, epoch, tag, fields = msgspec.msgpack.decode(payload)
-        message = msgspec.convert(fields, MESSAGE_TYPES[tag])
     except _DECODE_ERRORS as error:
         raise exceptions.BadRequestError(
             f'malformed storage message: {error!r}', step='decode'
         ) from error
+    try:
+        message = msgspec.convert(fields, MESSAGE_TYPES[tag])
+    except _DECODE_ERRORS as unknown:
+        raise UnknownMessageError(
+            f'unknown storage message {tag!r}: {unknown!r}', number
+        ) from unknown
     return Envelope(number, epoch, message)
 
 
