--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -8,6 +8,7 @@
     events,
     fingerprints,
     framing,
+    histories,
     program_admissions,
     routes,
     turns,
@@ -47,12 +48,13 @@
     :param route: the route that it matched.
     :param service: the service that runs it.
     :param deadline_at_ms: when the deadline expires.
-    :param body: the body that backend servers get.
+    :param body: the input that backend servers get after the history.
     :param tenant: the tenant that the caller belongs to, if any.
     :param has_tenants: whether callers are told apart by tenant.
     :param keys: identify the request whichever attempt carries it.
     :param credit: the tenant's credit for the latest attempt, if it needs one.
     :param event_log: the events that the caller received.
+    :param history: what backend servers get before the input of a turn.
     :param turn: the turn, if it is part of a program's conversation.
     :param has_output: whether the latest attempt got a part of an answer.
     :param is_sent: whether a backend server may have run the call.
@@ -85,6 +87,7 @@
         takes_self=True,
     )
     credit: credit_stocks.Credit | None = None
+    history: histories.History = histories.History()
     turn: turns.Turn | None = None
     has_output: bool = False
     is_sent: bool = False
@@ -98,6 +101,11 @@
     was_reused: bool = False
     failure: exceptions.CarobforkError | None = None
 
+    @property
+    def body_bytes(self) -> int:
+        """Length of the body that backend servers get."""
+        return len(self.history) + len(self.body)
+
     @property
     def tenant_name(self) -> str:
         """Name of the caller's tenant, empty if there is none."""
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -7,18 +7,17 @@
 import contextlib
 from collections.abc import Callable, Iterator
 
-import gevent
 import structlog
 from gevent import lock
 
 from carobfork import clock, exceptions
 from carobfork.gateway import (
     answer_readers,
-    calls,
     connection_pools,
     contexts,
     failures,
     ports,
+    request_senders,
     routes,
     stalls,
     stream_relays,
@@ -27,9 +26,6 @@
     workers,
 )
 
-MAX_BLOCKING_SEND_BYTES = 16_384
-"""Longer requests are sent in the background, because the answer may arrive
-before the request is complete."""
 LARGE_TURN_BYTES = 262_144
 """Turns with longer requests are stored one at a time: each store host gets an
 encoded copy, which together take several times the room of the request."""
@@ -101,7 +97,7 @@
         connection = self._connect(context, worker)
         try:
             with self._watch(context, worker) as watch:
-                answer = self._send(context, worker, connection)
+                answer = self._send(context, worker, connection, watch)
                 self._relay_answer(context, connection, answer, response, watch)
         except BaseException:
             connection.close()
@@ -179,37 +175,50 @@
         context: contexts.RequestContext,
         worker: workers.Worker,
         connection: connection_pools.Connection,
+        watch: stalls.Watch,
     ) -> answer_readers.Answer:
+        with request_senders.OutgoingRequest(
+            context, self._turns.histories
+        ) as request:
+            head = self._encode_head(context, worker, connection)
+            context.is_sent = True
+            context.has_output = False
+            self._log_limited(context, worker)
+            with failures.raise_as_failure(worker.instance):
+                connection.sock.settimeout(None)
+                with request.send(connection, head, watch):
+                    answer = self._reader.read(context, connection)
+        if answer.told.load:
+            worker.record_load(answer.told.load, self._timer.now_ms())
+        if not answer.told.is_elsewhere:
+            self._record_limit(worker, answer)
+        if answer.told.not_run:
+            context.is_sent = context.failed_attempts > 0
+            self._raise_refusal(worker, connection, answer)
+        return answer
+
+    def _encode_head(
+        self,
+        context: contexts.RequestContext,
+        worker: workers.Worker,
+        connection: connection_pools.Connection,
+    ) -> bytes:
         left_ms = self._left_ms(context)
         stream_relays.check_process(context, connection, sent=False)
-        head = self._codec.encode_request(
+        return self._codec.encode_request(
             context.request.head,
             worker.instance,
             left_ms,
-            len(context.body),
+            context.body_bytes,
             context.event_log.last_id,
             context.tenant_name if context.has_tenants else None,
         )
-        context.is_sent = True
-        context.has_output = False
-        self._log_limited(context, worker)
-        with failures.raise_as_failure(worker.instance):
-            connection.sock.settimeout(None)
-            with _sending(connection, head, context.body):
-                answer = self._reader.read(context, connection)
-        if answer.told.load:
-            worker.record_load(answer.told.load, self._timer.now_ms())
-        if not answer.told.is_elsewhere:
-            self._record_limit(worker, answer.told)
-        if answer.told.not_run:
-            context.is_sent = context.failed_attempts > 0
-            self._raise_refusal(worker, connection, answer)
-        return answer
 
     def _record_limit(
-        self, worker: workers.Worker, told: calls.ServerAnswer
+        self, worker: workers.Worker, answer: answer_readers.Answer
     ) -> None:
         """Record a limit, or its absence in the answer to a call that ran."""
+        told = answer.told
         if told.limit_per_s is not None or not told.not_run:
             self._table.limiter.record(worker, told.limit_per_s)
 
@@ -324,41 +333,6 @@
             self._turns.store(context.turn, context.event_log)
 
 
-@contextlib.contextmanager
-def _sending(
-    connection: connection_pools.Connection, head: bytes, body: bytes
-) -> Iterator[None]:
-    """Send a request, a long one in the background and without a copy.
-
-    If the answer arrives before the request is complete, the connection can't
-    be reused: the server may still wait for the rest of the request.
-    """
-    if len(head) + len(body) <= MAX_BLOCKING_SEND_BYTES:
-        connection.sock.sendall(head + body)
-        yield
-        return
-    writer = gevent.spawn(
-        _send_in_background, connection.sock.sendall, head, body
-    )
-    try:
-        yield
-    finally:
-        if not writer.ready():
-            writer.kill(block=False)
-            connection.has_partial_request = True
-
-
-def _send_in_background(
-    send: Callable[[bytes], None], head: bytes, body: bytes
-) -> None:
-    try:
-        send(head)
-        send(body)
-    except OSError as error:
-        # Reading the answer fails for the same reason and reports it.
-        logger.debug('request not sent whole', reason=str(error))
-
-
 def trust_process(
     _context: contexts.RequestContext,
     connection: connection_pools.Connection,
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -238,7 +238,7 @@
             self.streams_continued += 1
             context.turn.event_tokens = self._event_tokens(context)
         self.guard.learn(context.turn.crash_weights)
-        context.body = context.turn.history + context.request.body
+        context.history = context.turn.history
         if context.turn.open_turns is not None:
             self.table.update_open_turns(
                 context.turn.open_turns, context.turn.worker
--- a/src/carobfork/gateway/stalls.py
+++ b/src/carobfork/gateway/stalls.py
@@ -169,6 +169,13 @@
             took_ms = self._timer.now_ms() - self._started_ms
             self._detector.record_answer(self._context, took_ms)
 
+    def restart(self) -> None:
+        """Start the time again once the request was sent whole."""
+        if not self._has_begun:
+            self.pause()
+            self._started_ms = self._timer.now_ms()
+            self.__enter__()
+
     def expect_next(self) -> None:
         """Start the time until the next event of a stream."""
         gap_ms = self._context.route.target_gap_ms * GAP_TARGETS
--- a/src/carobfork/gateway/turns.py
+++ b/src/carobfork/gateway/turns.py
@@ -3,7 +3,7 @@
 A turn is one exchange of a conversation with a backend server.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Protocol
 
 import attrs
@@ -16,6 +16,7 @@
     calls,
     events,
     fingerprints,
+    histories,
     program_admissions,
     routes,
     workers,
@@ -53,6 +54,11 @@
     def change_version(self, message: messages.Begin) -> None:
         """Record that another version writes an attempt's stream."""
 
+    def read_pages(
+        self, stored: Sequence[messages.TurnLength]
+    ) -> Iterator[bytes]:
+        """Yield the bytes of stored turns in pages."""
+
     def place(self, attempt: str, worker: str) -> None:
         """Report the worker that a turn runs on."""
 
@@ -71,7 +77,7 @@
     :param stream: the version that was reported to write its stream, if it
         begins one that can be resumed.
     :param origin: the version that began the stream that it resumes, if known.
-    :param history: the bytes of the previous turns, sent before the new input.
+    :param history: the previous turns, sent before the new input.
     :param open_turns: open turns of all hosts by worker, including this one,
         if the store hosts returned them.
     :param crash_weights: weights of the crashes of servers under the request
@@ -89,7 +95,7 @@
     worker: str = ''
     stream: messages.StreamVersion | None = None
     origin: messages.StreamVersion | None = None
-    history: bytes = b''
+    history: histories.History = histories.History()
     open_turns: Mapping[str, int] | None = None
     crash_weights: Mapping[str, int] = attrs.Factory(dict)
     start: program_admissions.ProgramStart | None = None
@@ -178,11 +184,18 @@
 class TurnManager:
     """Open, store and close turns.
 
+    :ivar histories: reads the histories of turns.
     :param store: storage of turns and charges.
+    :param timer: the clock for waits; by default the system's.
     """
 
-    def __init__(self, store: TurnStore) -> None:
+    def __init__(
+        self, store: TurnStore, timer: clock.Clock | None = None
+    ) -> None:
         """Create a manager for a store."""
+        self.histories = histories.HistoryReader(
+            store.read_pages, timer or clock.SystemClock()
+        )
         self._store = store
 
     def open(
@@ -217,7 +230,7 @@
         begun = self._begin(turn, previous, keys)
         turn.origin = begun.stream if turn.resumes_stream else None
         turn.crash_weights = begun.crash_weights
-        turn.history = begun.chain
+        turn.history = histories.History(tuple(begun.turns), begun.chain)
         turn.open_turns = begun.open_turns
         turn.start = program_admissions.find_start(
             call, begun.charges, turn.record_name
--- a/src/carobfork/memory/accounts.py
+++ b/src/carobfork/memory/accounts.py
@@ -32,6 +32,8 @@
 """Part of a host's room for answers and events of backend servers."""
 BUFFER_RATIO = 0.125
 """Part of a host's room for received bytes of callers that wait for room."""
+HISTORY_RATIO = 0.0625
+"""Part of a host's room for pages of histories on their way to servers."""
 _MB = 1_048_576
 
 
@@ -42,11 +44,13 @@
     :param body_bytes: for the bodies of callers.
     :param answer_bytes: for answers and events of backend servers.
     :param buffer_bytes: for received bytes of callers that wait for room.
+    :param history_bytes: for pages of histories on their way to servers.
     """
 
     body_bytes: float = float('inf')
     answer_bytes: float = float('inf')
     buffer_bytes: float = float('inf')
+    history_bytes: float = float('inf')
 
     @property
     def is_bounded(self) -> bool:
@@ -66,6 +70,7 @@
         room_bytes * BODY_RATIO,
         room_bytes * ANSWER_RATIO,
         room_bytes * BUFFER_RATIO,
+        room_bytes * HISTORY_RATIO,
     )
 
 
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -114,10 +114,12 @@
         self.processes = process_checks.ProcessChecker(
             heads, self._health_path, self.table.leaving.record
         )
+        turn_manager = turns.TurnManager(self.storage, self.timer)
+        self.histories = turn_manager.histories
         self.relay = relays.Relay(
             heads,
             self.table,
-            turns.TurnManager(self.storage),
+            turn_manager,
             self.timer,
             guard=request_guards.RequestGuard(
                 self.timer, self.crash_reporter.report
@@ -130,6 +132,7 @@
         self.relay.quota = self.quota
         if sizes.is_bounded:
             self.relay.exchanger.pool.bound_memory(sizes.answer_bytes)
+            self.histories.bound_memory(sizes.history_bytes)
         self.successors = successor_probes.SuccessorProber(
             self.table, self.relay.exchanger.pool, self.processes
         )
--- a/src/carobfork/roles/front_metrics.py
+++ b/src/carobfork/roles/front_metrics.py
@@ -30,6 +30,7 @@
         'requests_unidentified': counts.unidentified,
         'responses_broken': counts.broken,
         'bodies_refused_for_room': front.server.room.refused,
+        'histories_refused_for_room': front.histories.room.refused,
         'connections_closed_for_room': (
             front.server.room.withdrawn + front.server.connections.turned_away
         ),
@@ -67,6 +68,7 @@
         'bytes_held': (
             front.server.room.reserved_bytes
             + relay.exchanger.pool.room.reserved_bytes
+            + front.histories.room.reserved_bytes
         ),
         'servers_limited': sum(
             worker.limit_per_s is not None for worker in front.table
--- a/src/carobfork/storage/chains.py
+++ b/src/carobfork/storage/chains.py
@@ -10,10 +10,12 @@
 import structlog
 
 from carobfork import clock, exceptions
+from carobfork.memory import accounts
 from carobfork.storage import chain_messages, links, messages
 
-MAX_INLINE_BYTES = 65_536
-"""Longest chain that comes with the reply to ``Begin``; most are shorter."""
+MAX_INLINE_BYTES = accounts.SMALL_BYTES
+"""Longest chain that comes with the reply to ``Begin``. It needs no room, as
+other small messages."""
 REQUEST_TIMEOUT_MS = 300
 """Timeout of one request. It covers many round trips; a slower member is
 skipped, because another one may hold the turn."""
--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -6,7 +6,7 @@
 """
 
 import zlib
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from typing import Any
 
 import attrs
@@ -108,6 +108,7 @@
 
         The charges of all replies are merged; a settled charge wins over a
         reservation. Of the versions of a stream, the last choice is returned.
+        Of a long chain, the turns are returned, to be read in pages.
 
         :raises NotRunError: if too few members reply.
         :raises UnknownProgramError: if no member of the quorum knows the
@@ -133,9 +134,22 @@
         merged = _merge_replies(quorum_replies.replies.values())
         if not merged.knows_previous:
             raise exceptions.UnknownProgramError('no such turn', step=_STEP)
-        older = self.read_chain(merged.missing)
-        listed = b''.join(self.chains.read_pages(merged.turns))
-        return attrs.evolve(merged, chain=older + listed + merged.chain)
+        turns, chain = self.chains.list_turns(merged.missing)
+        if chain:
+            listed = b''.join(self.chains.read_pages(merged.turns))
+            return attrs.evolve(
+                merged, turns=turns, chain=chain + listed + merged.chain
+            )
+        return attrs.evolve(merged, turns=[*turns, *merged.turns])
+
+    def read_pages(
+        self, stored: Iterable[messages.TurnLength]
+    ) -> Iterator[bytes]:
+        """Yield the bytes of turns in pages of bounded length.
+
+        :raises NotRunError: if no reachable member holds one of the turns.
+        """
+        yield from self.chains.read_pages(stored)
 
     def change_version(self, message: messages.Begin) -> None:
         """Record that servers of another version write an attempt's stream.
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -79,7 +79,7 @@
 MemoryMb = {SMALL_MEMORY_MB}
 MaxFds = {MANY_DESCRIPTORS}
 """
-_KEY = {'X-Api-Key': tenants.key(tenants.KEPT)}  # noqa: WPS407
+CALLER_KEY = {'X-Api-Key': tenants.key(tenants.KEPT)}  # noqa: WPS407
 _KB = 1024
 _SAMPLE_SECONDS = 0.02
 
@@ -465,7 +465,7 @@
         attempt = plain_calls.new_attempt()
         headers = {
             'Accept': 'text/event-stream',
-            **_KEY,
+            **CALLER_KEY,
             'X-Program-Id': attempt,
             'X-Session-Id': attempt,
             'X-Token-Budget': '1000',
@@ -515,7 +515,7 @@
             '/look/1',
             method='POST',
             body=b'ordinary',
-            headers={'Connection': 'keep-alive', **_KEY},
+            headers={'Connection': 'keep-alive', **CALLER_KEY},
         )
         address = self.fleet.address('front-0')
         self.check_crowd(address, requests, LARGE_CROWD)
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -57,6 +57,15 @@
             self.detector.record_answer(self.context(), 900)
         self.assertGreater(self.limit_ms(), 900)
 
+    def test_time_to_send_a_history(self):
+        """An answer's time starts once the request was sent whole."""
+        with self.detector.watch(self.context(), self.worker) as watch:
+            watch.pause()
+            self.timer.advance(LEARNED * 100)
+            watch.restart()
+            watch.record_progress()
+        self.assertEqual(self.limit_ms(), stalls.MIN_LIMIT_MS)
+
     def test_no_limit_without_a_reason(self):
         """Unknown services, short deadlines and full servers have no limit."""
         unknown = self.context(kind=routes.Kind.unsafe)
