Bound the replies that peers of a store host leave unread

A peer that was frozen or cut off and had many requests under way could take a store host over its memory, with the turns of all callers.

--- a/src/carobfork/roles/store.py
+++ b/src/carobfork/roles/store.py
@@ -66,6 +66,7 @@
             self.boot_timer,
         )
         self.replica = replicas.Replica(self.disk, self.credits)
+        sizes = accounts.divide_memory(host_settings.memory_mb)
         address = host_settings.control or (
             host_settings.ip,
             host_settings.inner_ports[0],
@@ -73,7 +74,8 @@
         self.listener = listeners.Listener(
             address,
             self.replica,
-            accounts.divide_memory(host_settings.memory_mb).body_bytes,
+            sizes.body_bytes,
+            sizes.answer_bytes,
         )
         self.register = registers.GroupRegister(self.store)
         self.retirement = registers.Retirement(self.store, host_settings.node)
@@ -129,6 +131,7 @@
             'storage_epoch': self.replica.group.epoch,
             'storage_complete': self.disk.identity.is_complete,
             'room_bytes': self.listener.room.reserved_bytes,
+            'unsent_reply_bytes': self.listener.unsent.total_bytes,
             **self.disk.index.describe(),
         }
         counters = {
--- a/src/carobfork/storage/chain_messages.py
+++ b/src/carobfork/storage/chain_messages.py
@@ -41,7 +41,7 @@
     """The reply to ``ReadTurns``.
 
     :param content: the parts, one after the other; ``None`` if the member does
-        not hold them all.
+        not hold them all, or has no room for them now.
     """
 
     content: bytes | None
--- a/src/carobfork/storage/listeners.py
+++ b/src/carobfork/storage/listeners.py
@@ -3,18 +3,29 @@
 import contextlib
 import socket as sockets
 
+import attrs
 import gevent
 import structlog
-from gevent import server, socket
+from gevent import event, server, socket
 
 from carobfork import exceptions
 from carobfork.memory import accounts
-from carobfork.storage import connections, frame_rooms, messages, replicas
+from carobfork.storage import (
+    chain_messages,
+    connections,
+    frame_rooms,
+    messages,
+    replicas,
+)
 
 _READ_BYTES = 65_536
 """A message waits for room once so much of it has been read."""
 WRITE_TIMEOUT_SECONDS = 5
 """A peer that reads nothing for so long is considered lost."""
+MAX_UNREAD_BYTES = 262_144
+"""Replies that a peer may leave unread before its next request is handled."""
+REPLY_COPIES = 2
+"""A reply is held as its frame and in the batch that is written."""
 
 logger = structlog.get_logger(part='listener')
 
@@ -25,6 +36,7 @@
     :param address: IP address and port to listen on.
     :param replica: handles the requests.
     :param room_bytes: room for large requests until they are answered.
+    :param reply_bytes: room for replies that are not sent yet.
     """
 
     def __init__(
@@ -32,8 +44,10 @@
         address: tuple[str, int],
         replica: replicas.Replica,
         room_bytes: float,
+        reply_bytes: float,
     ) -> None:
         """Create the listener; it does not listen yet."""
+        self.unsent = UnsentReplies(reply_bytes)
         self.room = frame_rooms.FrameRoom(room_bytes)
         self._replica = replica
         self._server = server.StreamServer(address, self._serve)
@@ -55,7 +69,7 @@
     def _serve(self, sock: socket.socket, address: tuple) -> None:
         connections.configure_socket(sock)
         sock.settimeout(None)
-        writer = _ReplyWriter(sock)
+        writer = _ReplyWriter(sock, self.unsent)
         self._open_sockets.add(sock)
         try:
             self._read(sock, writer)
@@ -74,6 +88,7 @@
                 buffered.extend(received)
                 for frame in messages.pop_frames(buffered):
                     self.room.reserve(holding, len(frame))
+                    writer.wait_until_read()
                     self._handle(frame, writer, holding)
                     holding = self.room.open(sock)
                 self.room.reserve(holding, messages.begun_bytes(buffered))
@@ -103,18 +118,49 @@
                 logger.warning('reply not sent', reason=error.message)
                 send_reply(self._refusal('too_long'))
 
+        if self.unsent.is_full and _reads_turns(envelope):
+            reply(chain_messages.TurnBytes(None))
+            return
         self._replica.receive(envelope, reply)
 
     def _refusal(self, reason: str) -> messages.Refused:
         return messages.Refused(reason, self._replica.group)
 
 
+def _reads_turns(envelope: messages.Envelope) -> bool:
+    return isinstance(envelope.message, chain_messages.ReadTurns)
+
+
+@attrs.define
+class UnsentReplies:
+    """The bytes of replies that the peers of a host have not read.
+
+    :param max_bytes: bound above which no more pages of turns are read.
+    """
+
+    max_bytes: float
+    total_bytes: int = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Whether pages of turns have to wait."""
+        return self.total_bytes * REPLY_COPIES > self.max_bytes
+
+
 class _ReplyWriter:
-    """Write the replies of one connection in the order of their completion."""
+    """Write the replies of one connection in the order of their completion.
+
+    :param sock: the connection.
+    :param unsent: what the replies of all connections fill.
+    """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, unsent: UnsentReplies) -> None:
         self._sock = sock
+        self._unsent = unsent
         self._pending_frames: list[bytes] = []
+        self._pending_bytes = 0
+        self._is_read = event.Event()
+        self._is_read.set()
         self._writer: gevent.Greenlet | None = None
         self._is_closed = False
 
@@ -125,16 +171,25 @@
         """
 
         def reply(message) -> None:  # noqa: WPS430
-            envelope = messages.Envelope(number, 0, message)
-            self._pending_frames.append(messages.encode(envelope))
-            if self._writer is None and not self._is_closed:
+            frame = messages.encode(messages.Envelope(number, 0, message))
+            if self._is_closed:
+                return
+            self._pending_frames.append(frame)
+            self._count(len(frame))
+            if self._writer is None:
                 self._writer = gevent.spawn(self._write)
 
         return reply
 
+    def wait_until_read(self) -> None:
+        """Wait while the peer leaves many replies unread."""
+        self._is_read.wait()
+
     def close(self) -> None:
         """Stop writing; replies that are still pending are dropped."""
         self._is_closed = True
+        self._pending_frames.clear()
+        self._count(-self._pending_bytes)
         if self._writer is not None:
             self._writer.kill(block=False)
 
@@ -148,5 +203,15 @@
             except (OSError, gevent.Timeout) as error:
                 logger.info('answer not sent', reason=str(error))
                 self._sock.close()
+                self.close()
                 return
+            self._count(-len(batch))
         self._writer = None
+
+    def _count(self, added_bytes: int) -> None:
+        self._pending_bytes += added_bytes
+        self._unsent.total_bytes += added_bytes
+        if self._pending_bytes > MAX_UNREAD_BYTES:
+            self._is_read.clear()
+        else:
+            self._is_read.set()
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -281,7 +281,7 @@
         :param address: where they connect, by default as all callers do.
         :param send: sends the pieces, by default on one connection.
         """
-        with _crowd(
+        with open_crowd(
             address or self.host.address, pieces_of, members, send or _send
         ):
             answer = self.ask()
@@ -530,7 +530,7 @@
 
     def check_crowd(self, address, content, members):
         """Let callers send and leave, and check that turns are served."""
-        with _crowd(address, lambda _is_whole: [content], members):
+        with open_crowd(address, lambda _is_whole: [content], members):
             self.check_hosts()
         with gevent.Timeout(plain_calls.WAIT_SECONDS):
             while self.ask(b'ordinary').status != 200:
@@ -572,7 +572,7 @@
 
 
 @contextlib.contextmanager
-def _crowd(address, pieces_of, members, send=_send):
+def open_crowd(address, pieces_of, members, send=_send):
     """Let callers send, and stay open in the block."""
     socks = []
     senders = [
