--- a/src/carobfork/gateway/start_lines.py
+++ b/src/carobfork/gateway/start_lines.py
@@ -4,6 +4,9 @@
 
 _TARGET_CHARACTERS = frozenset(map(chr, range(ord('!'), ord('~') + 1)))
 _STATUS_DIGITS = 3
+_MIN_STATUS = 100
+_MAX_STATUS = 599
+_SWITCHING_PROTOCOLS = 101
 _VERSIONS = frozenset(('HTTP/1.0', 'HTTP/1.1'))
 _STEP = 'parse head'
 
@@ -32,6 +35,9 @@
 def response_status(head: framing.Head) -> int:
     """Return the status code of a response.
 
+    A switch to another protocol is none, since no request asks for one.
+    Source: RFC 9110, section 15.
+
     :raises FramingError: if the first line is not that of an HTTP/1 response.
     """
     version, code, _reason = head.first
@@ -39,7 +45,11 @@
         raise _malformed('version', version)
     if not (code.isascii() and code.isdigit() and len(code) == _STATUS_DIGITS):
         raise _malformed('status', code)
-    return int(code)
+    status = int(code)
+    is_known = _MIN_STATUS <= status <= _MAX_STATUS
+    if not is_known or status == _SWITCHING_PROTOCOLS:
+        raise _malformed('status', code)
+    return status
 
 
 def _malformed(part: str, found: str) -> framing.FramingError:
--- a/tests/test_broken_servers.py
+++ b/tests/test_broken_servers.py
@@ -22,6 +22,9 @@
     send_stream,
 )
 
+SOON_SECONDS = 2
+"""Half of the time that callers wait."""
+
 
 class LateAnswersTest(scripted_servers.ScriptedCase):
     """Second copies of answers on connections in use again."""
@@ -286,3 +289,42 @@
                 gevent.sleep(0.1)
                 hosts.fronts['front-0'].server.stop_accepting()
                 self.assertEqual(sock.recv(1), b'')
+
+
+class StatusTest(scripted_servers.ScriptedCase):
+    """Answers whose status is none of HTTP.
+
+    Guards against MIXED: a worker in trouble answered with status 000, which a
+    caller got as an answer, or waited for until its deadline.
+    """
+
+    def send_status(self, code):
+        """Let the server answer with a status."""
+        answer = WHOLE.replace(b'200 OK', b'%b Odd' % code)
+        self.scripted.script = lambda sock, attempt: sock.sendall(
+            answer % attempt
+        )
+
+    def test_unknown_codes(self):
+        """The answer is malformed, which is known at once."""
+        for code in (b'000', b'001', b'099', b'101', b'600', b'666', b'999'):
+            with self.subTest(code=code), gevent.Timeout(SOON_SECONDS):
+                self.send_status(code)
+                self.assertEqual(self.ask().status, 502)
+
+    def test_codes_of_http(self):
+        """Codes that HTTP leaves open are passed on."""
+        for code in (b'299', b'418', b'499'):
+            with self.subTest(code=code):
+                self.send_status(code)
+                answer = self.ask()
+                self.assertEqual(answer.status, int(code))
+                self.assertEqual(answer.body, b'whole')
+
+    def test_repeatable_call(self):
+        """A call that may be repeated is sent to another server."""
+        self.scripted.runs = 0
+        self.send_status(b'000')
+        with gevent.Timeout(SOON_SECONDS):
+            self.assertNotEqual(self.ask('/look/1').status, 504)
+        self.assertEqual(self.scripted.runs, 2)
