--- a/src/carobfork/gateway/admissions.py
+++ b/src/carobfork/gateway/admissions.py
@@ -13,6 +13,7 @@
     program_admissions,
     queued_calls,
     queues,
+    stop_guards,
     worker_tables,
     workers,
 )
@@ -30,6 +31,7 @@
 class AdmissionController:
     """The call queues of all services.
 
+    :ivar stop_guard: refuses calls that this host can't end before it stops.
     :param table: the backend servers that calls are scheduled on.
     :param timer: the clock for deadlines and waiting times.
     :param policy: registered name of the placement policy.
@@ -39,6 +41,7 @@
         self, table: worker_tables.WorkerTable, timer: clock.Clock, policy: str
     ) -> None:
         """Create a controller without queues."""
+        self.stop_guard = stop_guards.StopGuard(timer)
         self._table = table
         self._timer = timer
         self._policy = placements.PLACEMENTS[policy]
@@ -127,11 +130,13 @@
 
         :param context: the request that the call belongs to.
         :raises OverloadedError: if no slot can be granted in time.
+        :raises HostStoppingError: if the host stops before.
         """
         queue = self.queue(context.service)
         worker = self._wait_for_slot(context, queue)
         taken_ms = self._timer.now_ms()
         try:
+            self.stop_guard.check(context)
             yield worker
         finally:
             queue.release(worker, self._timer.now_ms() - taken_ms)
--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -25,6 +25,13 @@
     code = 'deadline'
 
 
+class HostStoppedError(exceptions.UnknownOutcomeError):
+    """The host ended while the call was running."""
+
+    code = 'host_stopped'
+    http_status = 502
+
+
 @attrs.frozen
 class Request:
     """A completely received request.
@@ -169,6 +176,18 @@
             step='wait',
         )
 
+    def stop_error(self) -> exceptions.CarobforkError:
+        """Return the error for a call that is not over when its host ends."""
+        if self.is_sent:
+            return HostStoppedError(
+                'the host ended while the call was running',
+                step='relay',
+                peer=self.worker,
+            )
+        return exceptions.NotRunError(
+            'the host ended before the call was sent', step='wait'
+        )
+
 
 def identify(
     table: routes.RouteTable, route: routes.Route, call: calls.Call
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -116,14 +116,11 @@
         try:
             with timeout:
                 self._forward(context, response)
-        except gevent.Timeout as expired:
-            if expired is not timeout:
+        except BaseException as error:
+            context.failure = _explain(error, timeout, context)
+            if context.failure is None or context.failure is error:
                 raise
-            context.failure = context.deadline_error()
             raise context.failure from None
-        except exceptions.CarobforkError as error:
-            context.failure = error
-            raise
         finally:
             self._close(context)
 
@@ -180,6 +177,7 @@
         context: contexts.RequestContext,
         response: ports.ResponseWriter,
     ) -> None:
+        self.admission.stop_guard.check(context)
         self.guard.check(context)
         self._take_credit(context)
         if context.route.kind == routes.Kind.stream and (
@@ -264,6 +262,8 @@
             self._turns.close(context.turn, context.event_log.count)
         took_ms = self._timer.now_ms() - context.request.arrived_ms
         self.latencies.observe(took_ms)
+        if context.failure is None:
+            self.admission.stop_guard.record(context.route, took_ms)
         self.queue_times.observe(context.queued_ms)
         logger.info(
             'request ended',
@@ -351,5 +351,21 @@
         context.credit = None
 
 
+def _explain(
+    error: BaseException,
+    timeout: gevent.Timeout,
+    context: contexts.RequestContext,
+) -> exceptions.CarobforkError | None:
+    """Return what the caller is told of an error, if it is one of a call.
+
+    :param timeout: the timeout of the call.
+    """
+    if error is timeout:
+        return context.deadline_error()
+    if isinstance(error, contexts.HostStoppedError):
+        return context.stop_error()
+    return error if isinstance(error, exceptions.CarobforkError) else None
+
+
 def _ignore_report(_report: messages.Crash | messages.CrashCleared) -> None:
     """Discard a report where there are no store hosts."""
--- a/src/carobfork/gateway/servers.py
+++ b/src/carobfork/gateway/servers.py
@@ -187,6 +187,7 @@
     ) -> None:
         """Create the listener without opening it."""
         self.counts = Counts()
+        self._running: dict[gevent.Greenlet, SocketResponseWriter] = {}
         self.room = rooms.Room(sizes.body_bytes, sizes.buffer_bytes, timer)
         self._buffers_bytes = sizes.buffer_bytes
         self._listener_bytes = 0
@@ -215,16 +216,19 @@
         self._server.start()
 
     def stop_accepting(self) -> None:
-        """Close the listener and the connections that have no request.
+        """Close the listener.
 
-        A request that has arrived but was not read yet is still answered.
+        Requests on kept connections are answered with what the relay says.
         """
         self._server.stop_accepting()
         self._server.close()
-        for sock in self.connections.idle:
-            with contextlib.suppress(OSError):
-                if not _peek(sock):
-                    sock.shutdown(sockets.SHUT_RDWR)
+
+    def interrupt(self) -> None:
+        """Answer the requests that are running, unless an answer has begun."""
+        for greenlet, response in list(self._running.items()):
+            if not response.has_begun:
+                error = contexts.HostStoppedError('the host ends', step='stop')
+                gevent.kill(greenlet, error)
 
     def _serve_connection(self, sock: socket.socket, _address: tuple) -> None:
         with self.connections.admit(sock) as is_admitted:
@@ -239,8 +243,8 @@
                 sock.settimeout(None)
                 # Requests that are refused at once wait for nothing else.
                 gevent.sleep(0)
-        except CallerGoneError as error:
-            logger.debug('caller gone', reason=error.message)
+        except (CallerGoneError, contexts.HostStoppedError) as error:
+            logger.debug('connection given up', reason=error.message)
         except (OSError, EOFError) as error:
             logger.debug('connection ended', reason=str(error))
 
@@ -295,10 +299,12 @@
         """Serve a request that was read whole."""
         sock.settimeout(clock.to_seconds(WRITE_TIMEOUT_MS))
         self.counts.in_progress += 1
+        self._running[gevent.getcurrent()] = response
         try:
             with _interrupt_on_disconnect(sock):
                 self._answer(request, response)
         finally:
+            self._running.pop(gevent.getcurrent())
             self.counts.in_progress -= 1
         return (
             response.is_complete
--- a/src/carobfork/gateway/stalls.py
+++ b/src/carobfork/gateway/stalls.py
@@ -8,11 +8,15 @@
 from collections.abc import Callable
 from types import TracebackType
 
-import attrs
 import gevent
 
 from carobfork import clock, retry_budgets
-from carobfork.gateway import contexts, routes, workers
+from carobfork.gateway import (
+    contexts,
+    duration_estimates,
+    routes,
+    workers,
+)
 
 MIN_LIMIT_MS = 500
 """Least time without an answer that counts as a stall: several lost packets or
@@ -22,10 +26,6 @@
 is needed for the answer of another server."""
 DEVIATIONS = 8
 """How many mean deviations above the mean an answer may take."""
-MEAN_WEIGHT = 0.1
-"""Weight of the latest answer in the moving mean and the mean deviation."""
-MIN_ANSWERS = 5
-"""Number of answers from which on the mean is used."""
 GAP_TARGETS = 4
 """How many times the longest pause for which a stream is on time it may pause
 before it counts as stalled."""
@@ -33,29 +33,6 @@
 _Key = tuple[str, routes.Kind]
 
 
-@attrs.define
-class _Estimate:
-    """Moving mean and mean deviation of answer times, as for TCP's timeout."""
-
-    answers: int = 0
-    mean_ms: float = 0
-    deviation_ms: float = 0
-
-    def record(self, took_ms: float) -> None:
-        if not self.answers:
-            self.mean_ms = took_ms
-            self.deviation_ms = took_ms / 2
-        error_ms = took_ms - self.mean_ms
-        self.mean_ms += error_ms * MEAN_WEIGHT
-        self.deviation_ms += (abs(error_ms) - self.deviation_ms) * MEAN_WEIGHT
-        self.answers += 1
-
-    def limit_ms(self) -> float | None:
-        if self.answers < MIN_ANSWERS:
-            return None
-        return max(MIN_LIMIT_MS, self.mean_ms + DEVIATIONS * self.deviation_ms)
-
-
 class StallDetector:
     """The answer times of all services, and the limits that follow from them.
 
@@ -65,7 +42,7 @@
     def __init__(self, timer: clock.Clock) -> None:
         """Create a detector that has seen no answers."""
         self._timer = timer
-        self._estimates: dict[_Key, _Estimate] = {}
+        self._estimates: dict[_Key, duration_estimates.DurationEstimate] = {}
         self._retries = retry_budgets.RetryBudget()
 
     def watch(
@@ -87,9 +64,10 @@
         request waits in the server's own queue.
         """
         now_ms = self._timer.now_ms()
-        limit_ms = self._estimate(context).limit_ms()
-        if limit_ms is None or worker.load(now_ms) > worker.entry.slots:
+        high_ms = self._estimate(context).high_ms(DEVIATIONS)
+        if high_ms is None or worker.load(now_ms) > worker.entry.slots:
             return None
+        limit_ms = max(MIN_LIMIT_MS, high_ms)
         left_ms = context.deadline_at_ms - now_ms
         return None if limit_ms > left_ms * MAX_LEFT_RATIO else limit_ms
 
@@ -108,9 +86,13 @@
         """
         return context.can_retry() and self._retries.take()
 
-    def _estimate(self, context: contexts.RequestContext) -> _Estimate:
+    def _estimate(
+        self, context: contexts.RequestContext
+    ) -> duration_estimates.DurationEstimate:
         key = (context.service, context.route.kind)
-        return self._estimates.setdefault(key, _Estimate())
+        return self._estimates.setdefault(
+            key, duration_estimates.DurationEstimate()
+        )
 
 
 class StalledError(Exception):
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -52,6 +52,11 @@
 """Longest time in which new requests are still served."""
 FINISH_RATIO = 0.9
 """Fraction of the grace time after which running requests are aborted."""
+REFUSE_RATIO = 0.1
+"""Fraction of the grace time in which at least requests on kept connections are
+still answered, by a refusal."""
+ANSWER_RATIO = 0.05
+"""Fraction of the grace time to tell the callers of aborted requests."""
 DIRECTORY_TTL_MS = 1000
 """Short, since callers leave a lost host within it, and asking again is
 cheap."""
@@ -207,17 +212,22 @@
     def stop(self) -> None:
         """Send callers elsewhere and wait for running requests.
 
-        New requests are served at first, while callers learn that this host
-        is not ready. Requests that outlast the grace time are aborted.
+        New requests that can be over in time are served at first, while
+        callers learn that this host is not ready. Later ones are refused as
+        not run. The callers of those that outlast the grace time are told so.
         """
         grace_ms = self.settings.grace_ms
         leave_ms = min(grace_ms * LEAVE_RATIO, MAX_LEAVE_MS)
         until_ms = self.timer.now_ms() + grace_ms * FINISH_RATIO
         self.server.is_leaving = True
+        self.relay.admission.stop_guard.begin(grace_ms * FINISH_RATIO)
         gevent.sleep(clock.to_seconds(leave_ms))
+        self.relay.admission.stop_guard.close()
         self.server.stop_accepting()
-        while self.server.counts.in_progress and self.timer.now_ms() < until_ms:
-            gevent.sleep(clock.to_seconds(admissions.PROCESS_INTERVAL_MS))
+        gevent.sleep(clock.to_seconds(min(grace_ms * REFUSE_RATIO, leave_ms)))
+        self._wait_for_requests(until_ms)
+        self.server.interrupt()
+        self._wait_for_requests(until_ms + grace_ms * ANSWER_RATIO)
 
     def operator_endpoints(self) -> dict[str, endpoints.Endpoint]:
         """Return the endpoints for operators, by path."""
@@ -232,6 +242,11 @@
         """Return the entry host's metrics in the Prometheus text format."""
         return front_metrics.render(self)
 
+    def _wait_for_requests(self, until_ms: float) -> None:
+        """Wait until no request is running, or a time has come."""
+        while self.server.counts.in_progress and self.timer.now_ms() < until_ms:
+            gevent.sleep(clock.to_seconds(admissions.PROCESS_INTERVAL_MS))
+
     def _age_options(self, kind: str) -> dict[str, Any]:
         """Return what a follower of the configuration does for keys."""
         if kind != names.KIND_CONFIG:
--- a/src/carobfork/roles/front_metrics.py
+++ b/src/carobfork/roles/front_metrics.py
@@ -30,6 +30,7 @@
         'requests_unidentified': counts.unidentified,
         'responses_broken': counts.broken,
         'bodies_refused_for_room': front.server.room.refused,
+        'requests_refused_for_stop': front.relay.admission.stop_guard.refused,
         'histories_refused_for_room': front.histories.room.refused,
         'connections_closed_for_room': (
             front.server.room.withdrawn + front.server.connections.turned_away
