--- a/tests/scripted_servers.py
+++ b/tests/scripted_servers.py
@@ -45,6 +45,7 @@
         self.report = REPORT
         self.health = HEALTH
         self.health_checks = 0
+        self.reports = 0
         self.runs = 0
         self.sent_bytes = 0
         self._server = server.StreamServer(('127.0.0.1', 0), self._serve)
@@ -82,6 +83,7 @@
         """Answer a request and return whether the connection stays open."""
         reader.read_body(framing.request_shape(head), 10_000)
         if head.first[1] == '/report':
+            self.reports += 1
             sock.sendall(self.report)
             return b'Connection: close' not in self.report
         if head.first[1] == '/health':
