Hold nothing against a server while a history is read for it

The watch on stalls ran while the first page of a history waited for room or for store hosts, up to 1.4 s: its server counted as failing, and a request that may be repeated would have been counted as sent.

Cause: the watch was paused only once sending began. It is now paused before the first page is read. A page that a disk can't read is refused by itself, too, and no longer ends its link.

--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -178,7 +178,7 @@
         watch: stalls.Watch,
     ) -> answer_readers.Answer:
         with request_senders.OutgoingRequest(
-            context, self._turns.histories
+            context, self._turns.histories, watch
         ) as request:
             head = self._encode_head(context, worker, connection)
             context.is_sent = True
@@ -186,7 +186,7 @@
             self._log_limited(context, worker)
             with failures.raise_as_failure(worker.instance):
                 connection.sock.settimeout(None)
-                with request.send(connection, head, watch):
+                with request.send(connection, head):
                     answer = self._reader.read(context, connection)
         if answer.told.load:
             worker.record_load(answer.told.load, self._timer.now_ms())
--- a/src/carobfork/gateway/request_senders.py
+++ b/src/carobfork/gateway/request_senders.py
@@ -39,18 +39,24 @@
     """A request to a backend server, as a context manager.
 
     Entering it reads the first page of the history, so that nothing is sent
-    unless store hosts can be reached.
+    unless store hosts can be reached. While stored turns are read and sent, the
+    server is not to blame for the time that passes.
 
     :param context: the request.
     :param reader: reads its history.
+    :param watch: the watch on the progress of the exchange.
     """
 
     def __init__(
-        self, context: contexts.RequestContext, reader: histories.HistoryReader
+        self,
+        context: contexts.RequestContext,
+        reader: histories.HistoryReader,
+        watch: stalls.Watch,
     ) -> None:
         """Create a request that is not sent yet."""
         self._context = context
         self._pages = reader.iter_pages(context.history)
+        self._watch = watch
         self._first_page = b''
         self._sender: BackgroundSender | None = None
 
@@ -59,6 +65,8 @@
 
         :raises NotRunError: if it can't be read, or the host has no room.
         """
+        if self._context.history.stored:
+            self._watch.pause()
         self._first_page = next(self._pages)
         return self
 
@@ -73,18 +81,11 @@
             self._pages.close()
 
     def send(
-        self,
-        connection: connection_pools.Connection,
-        head: bytes,
-        watch: stalls.Watch,
+        self, connection: connection_pools.Connection, head: bytes
     ) -> contextlib.AbstractContextManager:
         """Send the request, a long one in the background and without a copy.
 
-        While stored turns are read and sent, the server is not to blame for
-        the time that passes.
-
         :param head: the encoded head.
-        :param watch: the watch on the progress of the exchange.
         :raises OSError: if a short request can't be sent.
         """
         context = self._context
@@ -94,10 +95,8 @@
         if len(head) + context.body_bytes <= MAX_BLOCKING_SEND_BYTES:
             connection.sock.sendall(b''.join(pieces))
             return contextlib.nullcontext()
-        on_sent = _do_nothing
-        if context.history.stored:
-            watch.pause()
-            on_sent = watch.restart
+        is_paused = bool(context.history.stored)
+        on_sent = self._watch.restart if is_paused else _do_nothing
         self._sender = BackgroundSender(
             connection, pieces, on_sent, self._pages.close
         )
--- a/src/carobfork/storage/stored_turns.py
+++ b/src/carobfork/storage/stored_turns.py
@@ -5,6 +5,7 @@
 
 import attrs
 import msgspec
+import structlog
 
 from carobfork import exceptions
 from carobfork.storage import chain_messages, messages, segments
@@ -13,6 +14,8 @@
 """Most turns that are listed at a time; bounds the work of one request."""
 _RAW_RECORD = tuple[Any, Any, str, dict[str, msgspec.Raw]]
 
+logger = structlog.get_logger(part='keeper')
+
 
 class UnknownTurnError(exceptions.BadRequestError):
     """The store host does not hold a turn or a part of it."""
@@ -118,7 +121,8 @@
             return chain_messages.TurnBytes(None)
         try:
             return chain_messages.TurnBytes(self._read_parts(message.parts))
-        except UnknownTurnError:
+        except (UnknownTurnError, OSError) as error:
+            logger.info('turns not read', reason=str(error))
             return chain_messages.TurnBytes(None)
 
     def _read_parts(self, parts: Iterable[chain_messages.TurnPart]) -> bytes:
