--- a/src/carobfork/storage/connections.py
+++ b/src/carobfork/storage/connections.py
@@ -13,12 +13,17 @@
 from gevent import event, socket
 
 from carobfork import clock
+from carobfork.memory import accounts
 from carobfork.storage import messages
 
 TCP_USER_TIMEOUT_MS = 1000
 """Kernel timeout for unacknowledged bytes, for the case that no heartbeat is
 pending."""
 READ_BYTES = 262_144
+MAX_UNSENT_BYTES = messages.MAX_FRAME_BYTES
+"""Bytes of requests that wait on a connection, beyond which a long one is given
+up. The other members of a quorum may store many long turns before a peer that
+reads nothing counts as lost."""
 SILENCE_STEPS = (0.7, 0.1, 0.1, 0.1)
 """Parts of a span in which silence is counted. After a pause of this host's own
 process a timeout ends before replies that have arrived are read; it costs one
@@ -46,6 +51,7 @@
 class Connection:
     """A connection with requests that wait for replies, as a context manager.
 
+    :ivar unsent_bytes: bytes of requests that the peer has not taken.
     :param sock: a connected socket, which the connection closes.
     """
 
@@ -54,6 +60,7 @@
         self._sock = sock
         self._request_numbers = itertools.count(1)
         self._reply_callbacks: dict[int, ReplyCallback] = {}
+        self.unsent_bytes = 0
         self._outgoing: collections.deque[bytes] = collections.deque()
         self._has_outgoing = event.Event()
         self._writer: gevent.Greenlet | None = None
@@ -88,12 +95,18 @@
 
         :param epoch: the epoch of the storage group that this host knows.
         :param on_reply: called once, with the reply, or with ``None`` if the
-            connection ends before or the reply is unknown.
+            connection ends before, the reply is unknown or there is no room
+            for a long message behind others.
         :raises MessageTooLongError: if the message does not fit a frame.
         """
         number = next(self._request_numbers)
         envelope = messages.Envelope(number, epoch, message)
-        self._outgoing.append(messages.encode(envelope))
+        frame = messages.encode(envelope)
+        if not self._has_room(len(frame)):
+            on_reply(None)
+            return
+        self._outgoing.append(frame)
+        self.unsent_bytes += len(frame)
         self._reply_callbacks[number] = on_reply
         self._has_outgoing.set()
 
@@ -144,15 +157,31 @@
         if on_reply is not None:
             on_reply(envelope.message)
 
+    def _has_room(self, length: int) -> bool:
+        """Return whether a message may wait behind others."""
+        if not self.unsent_bytes or length <= accounts.SMALL_BYTES:
+            return True
+        return self.unsent_bytes + length <= MAX_UNSENT_BYTES
+
     def _write(self) -> None:
         while True:
             self._has_outgoing.wait()
             self._has_outgoing.clear()
-            batch = b''.join(self._outgoing)
-            self._outgoing.clear()
-            try:
-                self._sock.sendall(batch)
-            except OSError:
-                # The reader fails, too, and reports it.
-                self.close()
-                return
+            while self._outgoing:
+                batch = self._take_batch()
+                try:
+                    self._sock.sendall(batch)
+                except OSError:
+                    # The reader fails, too, and reports it.
+                    self.close()
+                    return
+                self.unsent_bytes -= len(batch)
+
+    def _take_batch(self) -> bytes:
+        """Remove what is sent next: a long message, or several short ones."""
+        batch = [self._outgoing.popleft()]
+        batch_bytes = len(batch[0])
+        while self._outgoing and batch_bytes <= accounts.SMALL_BYTES:
+            batch.append(self._outgoing.popleft())
+            batch_bytes += len(batch[-1])
+        return batch[0] if len(batch) == 1 else b''.join(batch)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -24,6 +24,7 @@
 )
 
 LOST = ('127.0.0.1', 9)
+UNREAD_REQUESTS = 12
 
 
 def drip(sock, _address):
@@ -186,3 +187,48 @@
             clients.SLOW_REPLY_MS + links.PROBE_TIMEOUT_MS,
             links.HEARTBEAT_INTERVAL_MS + links.SILENCE_TIMEOUT_MS,
         )
+
+
+class UnreadRequestsTest(unittest.TestCase):
+    """A peer that reads nothing, as if it were frozen."""
+
+    def setUp(self):
+        """Connect to a peer that never reads."""
+        listener = socket.create_server(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        sock = socket.create_connection(listener.getsockname())
+        self.connection = self.enterContext(connections.Connection(sock))
+        self.replies = []
+
+    def send(self, length):
+        """Send a message with so many bytes."""
+        turn = messages.Turn('a', '', bytes(length), b'')
+        finish = messages.Finish(None, turn)
+        self.connection.send(1, finish, self.replies.append)
+        gevent.sleep(0)
+
+    def test_long_requests(self):
+        """Long messages to a peer that reads nothing are given up at once.
+
+        Guards against entry hosts that ended by their memory while a store
+        host was frozen and long turns were stored at the others.
+        """
+        for _ in range(UNREAD_REQUESTS):
+            self.send(connections.MAX_UNSENT_BYTES // 2)
+        self.assertLessEqual(
+            self.connection.unsent_bytes, 2 * connections.MAX_UNSENT_BYTES
+        )
+        self.assertIn(None, self.replies)
+        self.assertLess(len(self.replies), UNREAD_REQUESTS)
+
+    def test_short_requests(self):
+        """Short messages wait as long as the connection stands."""
+        self.send(connections.MAX_UNSENT_BYTES // 2)
+        self.send(connections.MAX_UNSENT_BYTES * 3 // 4)
+        self.send(1)
+        self.assertEqual(self.replies, [None])
+
+    def test_longest_request(self):
+        """A message of any length is sent if nothing waits before it."""
+        self.send(connections.MAX_UNSENT_BYTES - 1000)
+        self.assertEqual(self.replies, [])
--- a/tests/test_message_faults.py
+++ b/tests/test_message_faults.py
@@ -12,6 +12,8 @@
 from tests import plain_calls, platform_hosts
 
 LONG = messages.Turn('long', '', bytes(messages.MAX_FRAME_BYTES), b'')
+LONG_TURNS = 4
+"""Turns that exceed a frame together."""
 TIMEOUT_MS = 10_000
 
 
@@ -48,17 +50,28 @@
 
         Hosts of an earlier build ask for whole histories.
         """
-        turns = [plain_calls.new_attempt(), plain_calls.new_attempt()]
-        for turn, previous in zip(turns, ['', turns[0]], strict=True):
-            body = bytes(messages.MAX_FRAME_BYTES // 2)
-            self.storage.finish(
-                messages.Finish(None, messages.Turn(turn, previous, body, b'')),
-            )
-        request = messages.Begin(None, previous=turns[1], wants_details=True)
+        previous = ''
+        for _ in range(LONG_TURNS):
+            body = bytes(messages.MAX_FRAME_BYTES // (LONG_TURNS - 1))
+            turn = messages.Turn(plain_calls.new_attempt(), previous, body, b'')
+            self.storage.finish(messages.Finish(None, turn))
+            previous = turn.attempt
+            self.wait_until_held(previous)
+        request = messages.Begin(None, previous=previous, wants_details=True)
         reply = self.link.request(request, TIMEOUT_MS)
         self.assertEqual(reply.reason, 'too_long')
         self.check_links()
 
+    def wait_until_held(self, turn):
+        """Wait until all members hold a turn."""
+        keepers = self.hosts.keepers.values()
+        platform_hosts.wait_until(
+            lambda: all(
+                keeper.replica.index.has_turn(turn) for keeper in keepers
+            ),
+            turn,
+        )
+
     def test_unknown_request(self):
         """A request of a later build is refused."""
         messages.MESSAGE_TYPES.pop(FutureMessage.__name__)
