--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -113,7 +113,7 @@
         ]
         gevent.joinall(asking)
         self.stop()
-        self.wait(LEAVE_SECONDS - 0.3)
+        self.wait(LEAVE_SECONDS - 0.4)
         attempt = plain_calls.new_attempt()
         answer = ask(self.address, attempt)
         self.assertEqual((answer and answer.status), 503)
