--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -196,11 +196,11 @@
     """A worker: it registers itself, runs requests, and can crash.
 
     :param crashes_on: the body of the requests that crash it.
-    :param event_count: returns how many events a request gets.
+    :param crashes_after: events of such a request before it does.
     """
 
     def __init__(self, store, instance, service, record, *, slots=8, zone='a',
-                 version='1', crashes_on=None, back_s=2.0, event_s=0.002,
+                 version='1', crashes_on=None, crashes_after=0, back_s=2.0, event_s=0.002,
                  work_s=0.02, events=10):
         self.store = store
         self.instance = instance
@@ -210,6 +210,7 @@
         self.zone = zone
         self.version = version
         self.crashes_on = crashes_on
+        self.crashes_after = crashes_after
         self.back_s = back_s
         self.event_s = event_s
         self.work_s = work_s
@@ -345,7 +346,8 @@
     def _run(self, sock, method, path, fields, body, attempt, born):
         with self.lock:
             self.runs.append((time.monotonic(), attempt, path, body, fields))
-        if self.crashes_on is not None and body == self.crashes_on:
+        is_deadly = self.crashes_on is not None and body == self.crashes_on
+        if is_deadly and not self.crashes_after:
             self.crash()
             return False
         headers = {
@@ -368,6 +370,10 @@
             time.sleep(self.event_s)
             event = f'id: {number}\ndata: {attempt[:6]}-{number}\n\n'.encode()
             sock.sendall(b'%x\r\n%b\r\n' % (len(event), event))
+            if is_deadly and number >= self.crashes_after:
+                time.sleep(0.02)
+                self.crash()
+                return False
         sock.sendall(b'0\r\n\r\n')
         return True
 
