--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -21,21 +21,36 @@
 STRIDE = 14
 
 
-_PORTS = itertools.cycle(range(20_000, 32_000))
-for _ in range(random.randrange(12_000)):
-    next(_PORTS)
+_BLOCKS = list(range(20_000, 32_000, 200))
+"""First ports of blocks, below the ports that systems choose for connections."""
 
 
-def free_port():
-    """Return a loopback port that nobody listens on, another one each time.
+def _take_block():
+    """Return a block's ports and what keeps other cases from it."""
+    random.shuffle(_BLOCKS)
+    for first in _BLOCKS:
+        holder = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            holder.bind((IP, first))
+        except OSError:
+            holder.close()
+            continue
+        return itertools.cycle(range(first + 1, first + 200)), holder
+    raise RuntimeError('all blocks of ports are taken')
 
-    It lies below the ports that systems choose for connections.
-    """
-    while True:
+
+_PORTS, _HOLDER = _take_block()
+
+
+def free_port():
+    """Return a loopback port that nobody listens on, another one each time."""
+    for _ in range(200):
         port = next(_PORTS)
         with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             probe.bind((IP, port))
             return port
+    raise RuntimeError('no port is free')
 
 
 class PlatformStore:
