--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -212,10 +212,12 @@
 
     :param crashes_on: the body of the requests that crash it.
     :param crashes_after: events of such a request before it does.
+    :param falls_silent: whether its machine then says nothing any more,
+        instead of resetting its connections.
     """
 
     def __init__(self, store, instance, service, record, *, slots=8, zone='a',
-                 version='1', crashes_on=None, crashes_after=0, back_s=2.0, event_s=0.002,
+                 version='1', crashes_on=None, crashes_after=0, falls_silent=False, back_s=2.0, event_s=0.002,
                  work_s=0.02, events=10):
         self.store = store
         self.instance = instance
@@ -226,6 +228,7 @@
         self.version = version
         self.crashes_on = crashes_on
         self.crashes_after = crashes_after
+        self.falls_silent = falls_silent
         self.back_s = back_s
         self.event_s = event_s
         self.work_s = work_s
@@ -236,6 +239,7 @@
         self.crashes = []
         self.up = threading.Event()
         self.socks = set()
+        self.fillers = []
         self.port = None
         self.start()
 
@@ -277,6 +281,12 @@
             self.crashes.append(time.monotonic())
             socks, self.socks = list(self.socks), set()
         self.record(f'worker {self.instance} crashes')
+        timer = threading.Timer(self.back_s, self._return, (socks,))
+        timer.daemon = True
+        timer.start()
+        if self.falls_silent:
+            self._fall_silent()
+            return
         with contextlib.suppress(OSError):
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
@@ -287,11 +297,26 @@
                 )
                 # Wakes the thread that reads it, which closes it.
                 sock.shutdown(socket.SHUT_RDWR)
-        timer = threading.Timer(self.back_s, self._return)
-        timer.daemon = True
-        timer.start()
 
-    def _return(self):
+    def _fall_silent(self):
+        """Let nobody connect: the queue of new connections is full."""
+        self.listener.listen(0)
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((IP, self.port))
+            self.fillers.append(filler)
+
+    def _return(self, socks):
+        if self.falls_silent:
+            for sock in (*socks, *self.fillers):
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
+            self.fillers = []
+            with contextlib.suppress(OSError):
+                self.listener.shutdown(socket.SHUT_RDWR)
+            self.listener.close()
+            time.sleep(0.1)
         self.start()
         self.record(f'worker {self.instance} is back')
 
@@ -301,6 +326,10 @@
                 sock, _ = listener.accept()
             except OSError:
                 return
+            if not self.up.is_set():
+                # Its machine is silent: this one is left as it is.
+                self.fillers.append(sock)
+                return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self.lock:
                 self.socks.add(sock)
@@ -322,6 +351,8 @@
         request = read_head(stream)
         if request is None:
             return False
+        if not self.up.is_set():
+            return self._stay_silent(born)
         (method, path, _version), fields = request
         body = read_request_body(stream, fields)
         if path == '/report':
@@ -355,6 +386,12 @@
                 if self.born == born:
                     self.running -= 1
 
+    def _stay_silent(self, born):
+        """Keep a connection open and silent until the machine is back."""
+        while self.falls_silent and self.born == born:
+            time.sleep(0.05)
+        return False
+
     def _load(self):
         return f'{min(self.running, self.slots)},0,{self.slots}'
 
@@ -364,7 +401,7 @@
         is_deadly = self.crashes_on is not None and body == self.crashes_on
         if is_deadly and not self.crashes_after:
             self.crash()
-            return False
+            return self._stay_silent(born)
         headers = {
             'X-Attempt-Id': attempt,
             'X-Response-Stamp': f'{self.instance}.{attempt}',
@@ -388,7 +425,7 @@
             if is_deadly and number >= self.crashes_after:
                 time.sleep(0.02)
                 self.crash()
-                return False
+                return self._stay_silent(born)
         sock.sendall(b'0\r\n\r\n')
         return True
 
@@ -453,8 +490,12 @@
 
 
 def call(address, method, path, host, fields=None, body=b'', deadline_ms=3000,
-         most_events=None):
-    """Send one client attempt on a new connection and read the answer."""
+         on_event=None, gap_ms=None):
+    """Send one client attempt on a new connection and read the answer.
+
+    :param on_event: called with the answer after each piece of a stream.
+    :param gap_ms: longest wait for the next bytes, by default the deadline.
+    """
     answer = Answer(new_attempt())
     head = {
         'Host': host,
@@ -469,15 +510,15 @@
     until = time.monotonic() + deadline_ms / 1000 + 0.5
     try:
         with socket.create_connection(address, timeout=1) as sock:
-            sock.settimeout(deadline_ms / 1000 + 0.5)
+            sock.settimeout((gap_ms or deadline_ms + 500) / 1000)
             sock.sendall('\r\n'.join([*lines, '', '']).encode() + body)
-            _read_answer(sock.makefile('rb'), answer, until, most_events)
+            _read_answer(sock.makefile('rb'), answer, until, on_event)
     except (OSError, EOFError, ValueError) as error:
         answer.error = repr(error)
     return answer
 
 
-def _read_answer(stream, answer, until, most_events):
+def _read_answer(stream, answer, until, on_event):
     read = read_head(stream)
     if read is None:
         raise EOFError('no answer')
@@ -500,8 +541,8 @@
             answer.is_whole = True
             return
         answer.body += piece[:-2]
-        if most_events and len(answer.events) >= most_events:
-            return
+        if on_event is not None:
+            on_event(answer)
     raise EOFError('too late')
 
 
