--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,118 +1,97 @@
-"""A program's older charges are forgotten when its stores are killed (BUDGET).
+"""A turn that its client took up is kept without its beginning (UNASKED).
 
-With TROUBLE=0, the stores are not killed.
+With TROUBLE=0, the entry host is not killed.
 """
 
-import concurrent.futures
 import signal
-import threading
-import time
 
 import fleet
 import standins
 
-EVENTS = 10
-MOST = EVENTS * standins.STRIDE
-"""Tokens of the longest turn."""
-BUDGET = 5 * MOST
-EARLY_TURNS = 4
-PAUSE_S = 8
-FILLING_TURNS = 340
-FILLING_BYTES = 26_000
-"""Longest request of the small sites."""
-KILL_AFTER_S = 88
-"""After the last of the other programs: RetainS, and what the stores add."""
+SEEN_EVENTS = 4
+"""Events that the client has when the entry host is killed."""
+INPUT = b'rail 1;'
+TRIES = 3
+
+
+def fields(**more):
+    """Return the headers of a turn of the program."""
+    return {
+        'X-Program-Id': 'p-1', 'X-Session-Id': 'p-1-s',
+        'X-Finish-Ms': '30000', 'X-Token-Budget': '5000',
+        'X-Token-Count': '600,140', 'X-Model': 'm', **more,
+    }
 
 
 def case(record_path, trouble):
     """Return whether the rule was broken."""
     with fleet.Fleet(record_path) as fleet_:
-        for number in range(4):
+        configured = fleet.configuration(version=5)
+        configured['Routes'][0]['Resumable'] = True
+        fleet_.platform.put('config', 'main', configured)
+        workers = [
             standins.Worker(
                 fleet_.platform, f'i-{number}', fleet.AGENTS, fleet_.record,
-                zone=fleet.ZONES[number % 3], event_s=0.001, work_s=0.005,
+                zone=fleet.ZONES[number % 3], event_s=0.05,
             )
+            for number in range(5)
+        ]
         fleet_.start()
-        program = Program(fleet_, 'p-long')
-        for _ in range(EARLY_TURNS):
-            program.turn(MOST)
-        send_others(fleet_)
-        filled = time.monotonic()
-        while time.monotonic() - filled < KILL_AFTER_S - PAUSE_S:
-            time.sleep(PAUSE_S)
-            program.turn(standins.STRIDE)
-        time.sleep(max(0, KILL_AFTER_S - (time.monotonic() - filled)))
-        if trouble:
-            kill_stores(fleet_)
-        fleet_.wait_ready()
-        for _ in range(8):
-            if program.turn(MOST).status == 402:
-                break
-        fleet_.record(
-            f'the client got {program.tokens} tokens; the budget is {BUDGET},'
-            f' one turn is at most {MOST}'
+        last, events = stream_turn(fleet_, trouble)
+        expected = INPUT + b''.join(event + b'\n' for event in events)
+        expected += b'rail 2;'
+        for number in range(TRIES):
+            answer = fleet_.call(
+                fleet_.fronts[1 + number % 2], 'POST', '/measure/2f',
+                fields(**{'X-Previous-Turn': last.attempt}), b'rail 2;',
+            )
+            fleet_.log_answer('second turn', answer)
+            bodies = [
+                run[3] for worker in workers for run in worker.runs
+                if run[1] == answer.attempt
+            ]
+            for body in bodies:
+                fleet_.record(f'a worker ran it with the body {body!r}')
+                if body != expected:
+                    fleet_.record(f'the body should have been {expected!r}')
+                    return True
+            if bodies:
+                return False
+        raise fleet.CannotRunError('the second turn reached no worker')
+
+
+def stream_turn(fleet_, trouble):
+    """Run the first turn to its end; return its last attempt and events."""
+    killed = []
+
+    def kill(answer):
+        if trouble and not killed and len(answer.events) >= SEEN_EVENTS:
+            killed.append(True)
+            fleet_.fronts[0].send(signal.SIGKILL)
+
+    answer = fleet_.call(
+        fleet_.fronts[0], 'POST', '/measure/2f', fields(), INPUT,
+        on_event=kill,
+    )
+    fleet_.log_answer('first turn', answer)
+    events = list(answer.events)
+    begun = answer.attempt
+    for number in range(TRIES):
+        if answer.status == 200 and answer.is_whole:
+            return answer, events
+        # The client takes the stream up after its last event.
+        answer = fleet_.call(
+            fleet_.fronts[1 + number % 2], 'POST', '/measure/2f',
+            fields(**{'Last-Event-Id': str(len(events)), 'Resumes': begun}),
+            INPUT,
         )
-        return program.tokens > BUDGET + MOST
-
-
-class Program:
-    """A program that counts the tokens that its client gets."""
-
-    def __init__(self, fleet_, name):
-        self.fleet = fleet_
-        self.name = name
-        self.tokens = 0
-        self.turns = 0
-
-    def turn(self, most):
-        """Send a turn that may generate so many tokens."""
-        front = self.fleet.fronts[self.turns % 3]
-        self.turns += 1
-        answer = self.fleet.call(front, 'POST', '/quote/2f', {
-            'X-Program-Id': self.name, 'X-Session-Id': f'{self.name}-s',
-            'X-Finish-Ms': '120000', 'X-Token-Budget': str(BUDGET),
-            'X-Token-Count': f'600,{most}', 'X-Model': 'm',
-        }, b'quote')
-        self.tokens += len(answer.events) * standins.STRIDE
-        self.fleet.log_answer(
-            f'{self.name}, at most {most}, {self.tokens} in all', answer
+        fleet_.log_answer(
+            f'first turn, taken up after event {len(events)}', answer
         )
-        return answer
-
-
-def send_others(fleet_):
-    """Let other programs run turns, as on any day."""
-    done = threading.Semaphore(0)
-
-    def send(number):
-        answer = fleet_.call(
-            fleet_.fronts[number % 3], 'POST', f'/measure/{number % 8}', {
-                'X-Program-Id': f'q-{number}', 'X-Session-Id': f'q-{number}-s',
-                'X-Finish-Ms': '20000', 'X-Token-Budget': '5000',
-                'X-Token-Count': f'600,{MOST}', 'X-Model': 'm',
-            }, b'm' * FILLING_BYTES)
-        if answer.status == 200:
-            done.release()
-        return answer.status
-
-    with concurrent.futures.ThreadPoolExecutor(16) as pool:
-        statuses = list(pool.map(send, range(FILLING_TURNS)))
-    fleet_.record(
-        f'{statuses.count(200)} of {FILLING_TURNS} turns of other programs'
-        ' were answered'
-    )
-
-
-def kill_stores(fleet_):
-    """Kill all store processes at the same moment; their disks stay."""
-    for host in fleet_.stores:
-        host.send(signal.SIGKILL)
-    for host in fleet_.stores:
-        host.wait_end()
-    for host in fleet_.stores:
-        host.start(wait=False)
-    for host in fleet_.stores:
-        host.wait_listening()
+        events += answer.events
+    if answer.status == 200 and answer.is_whole:
+        return answer, events
+    raise fleet.CannotRunError('the first turn was not answered whole')
 
 
 if __name__ == '__main__':
