--- a/src/carobfork/roles/store.py
+++ b/src/carobfork/roles/store.py
@@ -18,6 +18,7 @@
 )
 from carobfork.roles import hosts
 from carobfork.storage import (
+    catch_ups,
     credit_tables,
     disks,
     grant_rights,
@@ -87,6 +88,13 @@
                 self._heartbeat_interval_ms,
             ),
         )
+        self.catch_up = catch_ups.CatchUp(
+            self.replica,
+            self.links,
+            host_settings.losses,
+            self.boot_timer,
+            clock.WallClock(),
+        )
         self.membership = memberships.Membership(
             groups.Member(
                 host_settings.node,
@@ -105,7 +113,11 @@
         """Start listening, following the platform and joining the group."""
         self.listener.start()
         self.spawn(self.disk.run)
-        self.spawn(self.disk.run_expiry)
+        self.spawn(
+            functools.partial(
+                self.disk.run_expiry, self.catch_up.known_until_ms
+            )
+        )
         self.follow(names.KIND_STORAGE, self.register.update)
         self.follow(names.KIND_RETIREMENTS, self.retirement.update)
         platform_followers = [
@@ -121,6 +133,7 @@
         )
         self.links.apply(self.replica.group, self.disk.identity.disk)
         self.spawn(self.membership.run)
+        self.spawn(self.catch_up.run)
         self.repeat(self._report_retirement, RETIREMENT_POLL_MS)
         self.serve_metrics()
         return self
@@ -138,6 +151,7 @@
             'platform_calls': self.store.calls,
             'credits_granted': self.credits.granted,
             'synced_batches': self.disk.synced_batches,
+            'records_caught_up': self.catch_up.copied,
             'log_lines_lost': host_logs.lost_lines(),
             'tasks_failed': supervision.failures(),
         }
--- a/src/carobfork/storage/disks.py
+++ b/src/carobfork/storage/disks.py
@@ -169,11 +169,12 @@
             submission.on_synced()
 
     def read(
-        self, entry: segments.RecordLocation | record_indexes.Record
+        self, entry: record_indexes.KeptTurn | record_indexes.Record
     ) -> bytes:
         """Return the encoded record of an entry of the index's dump."""
-        if isinstance(entry, segments.RecordLocation):
-            return self._files.read(entry)
+        if isinstance(entry, record_indexes.KeptTurn):
+            encoded = self._files.read(entry.location)
+            return record_indexes.encode_kept(encoded, entry.expires_ms)
         return record_indexes.encode_record(entry)
 
     def run(self) -> None:
@@ -185,11 +186,15 @@
             self._pending = []
             self._commit(batch)
 
-    def run_expiry(self) -> None:
-        """Remove expired segments until the greenlet is killed."""
+    def run_expiry(self, known_until_ms: Callable[[], float]) -> None:
+        """Remove expired segments until the greenlet is killed.
+
+        :param known_until_ms: returns the time until which this host knows all
+            records, by the wall clock.
+        """
         while True:
             gevent.sleep(clock.to_seconds(EXPIRY_INTERVAL_MS))
-            for segment in self.index.expire():
+            for segment in self.index.expire(known_until_ms()):
                 self._files.remove(segment)
                 logger.info('segment removed', segment=segment)
 
--- a/src/carobfork/storage/memberships.py
+++ b/src/carobfork/storage/memberships.py
@@ -221,7 +221,6 @@
         needed = groups.read_quorum(len(group.members), self._losses)
         if len(done) < needed:
             return False
-        self._replica.index.propagate_retention()
         self._replica.disk.save_completeness(is_complete=True)
         return True
 
--- a/src/carobfork/storage/record_indexes.py
+++ b/src/carobfork/storage/record_indexes.py
@@ -5,21 +5,25 @@
 """
 
 from collections.abc import Iterator
+from typing import TypeVar
 
 import attrs
 import msgspec
 
 from carobfork import clock
 from carobfork.storage import (
+    change_logs,
+    charge_indexes,
     messages,
     segments,
     stored_turns,
-    stream_indexes,
 )
 
 RETENTION_MARGIN_MS = 20_000
 """Extra time for which records are kept: it covers steps of the wall clock and
 requests in flight."""
+Key = TypeVar('Key')
+_RAW_RECORD = tuple[float, float, str, msgspec.Raw]
 
 
 @attrs.frozen
@@ -35,11 +39,14 @@
     entry: messages.Charge | messages.Turn
 
 
-@attrs.define
-class _ProgramCharges:
-    """The charges of a program, by attempt, and when they expire."""
+@attrs.frozen
+class KeptTurn:
+    """A turn on the disk that is kept longer than its record tells.
+
+    :param expires_ms: the wall-clock time at which it expires.
+    """
 
-    charges: dict[str, tuple[int, bool]]
+    location: segments.RecordLocation
     expires_ms: float
 
 
@@ -48,6 +55,7 @@
 
     :ivar turns: the turns, which can be read in parts.
     :ivar streams: the versions that write the streams of charged attempts.
+    :ivar changes: the attempts with records, in the order of their changes.
     :param files: the disk's record files.
     :param timer: the wall clock.
     """
@@ -58,28 +66,27 @@
         self._timer = timer
         self.turns = stored_turns.StoredTurns(files)
         self._turns = self.turns.entries
-        self._programs: dict[str, _ProgramCharges] = {}
-        self.streams = stream_indexes.StreamIndex()
+        self._charges = charge_indexes.ChargeIndex()
+        self.streams = self._charges.streams
+        self.changes = change_logs.ChangeLog(clock.BootClock())
         self._segment_expiry_ms: dict[int, float] = {}
+        self._missing_expiry_ms: dict[str, float] = {}
         for location, record in files.replay():
             self.apply(decode_record(record), location)
-        self.propagate_retention()
 
     def apply(self, record: Record, location: segments.RecordLocation) -> None:
-        """Add a record that was written at a location."""
+        """Add a record that was written at a location.
+
+        Records may arrive in any order, as those that are copied do.
+        """
         expires_ms = record.written_ms + record.retain_ms + RETENTION_MARGIN_MS
-        self._retain_segment(location.segment, expires_ms)
         if isinstance(record.entry, messages.Charge):
-            self._apply_charge(record.entry, expires_ms)
+            self._retain_segment(location.segment, expires_ms)
+            self._charges.apply(record.entry, expires_ms)
+            self.changes.record(record.entry.attempt, record.entry.program)
         else:
-            self._turns[record.entry.attempt] = stored_turns.TurnEntry(
-                record.entry.previous,
-                location,
-                expires_ms,
-                len(record.entry.request),
-                len(record.entry.events),
-            )
-            self._extend_chain_retention(record.entry.previous, expires_ms)
+            self._apply_turn(record.entry, location, expires_ms)
+            self.changes.record(record.entry.attempt)
 
     def new_record(
         self, entry: messages.Charge | messages.Turn, retain_ms: float
@@ -89,15 +96,11 @@
 
     def charges(self, program: str) -> dict[str, tuple[int, bool]]:
         """Return a program's charges by attempt."""
-        program_charges = self._programs.get(program)
-        return dict(program_charges.charges) if program_charges else {}
+        return dict(self._charges.get(program))
 
     def has_charge(self, charge: messages.Charge) -> bool:
         """Return whether the index already covers a charge and its stream."""
-        if not self.streams.covers(charge):
-            return False
-        known = self.charges(charge.program).get(charge.attempt)
-        return known is not None and (known[1] or not charge.is_settled)
+        return self._charges.covers(charge)
 
     def has_turn(self, attempt: str) -> bool:
         """Return whether a turn is stored here."""
@@ -121,74 +124,95 @@
         expires_ms = self._timer.now_ms() + retain_ms + RETENTION_MARGIN_MS
         self._extend_chain_retention(attempt, expires_ms)
 
-    def dump(self) -> Iterator[segments.RecordLocation | Record]:
-        """Yield the locations of all turns and records of all charges."""
-        now_ms = self._timer.now_ms()
-        for turn in list(self._turns.values()):
-            yield turn.location
-        for name, program in list(self._programs.items()):
-            retain_ms = program.expires_ms - RETENTION_MARGIN_MS - now_ms
-            for attempt, (tokens, is_settled) in program.charges.items():
-                charge = messages.Charge(
-                    name,
-                    attempt,
-                    tokens,
-                    is_settled,
-                    retain_ms,
-                    self.streams.get(attempt),
-                )
-                yield Record(now_ms, retain_ms, charge)
-
-    def propagate_retention(self) -> None:
-        """Keep all turns of a chain at least as long as its last one.
-
-        Copied records arrive in any order, so a turn can arrive before the
-        turn that it continues.
-        """
-        for turn in list(self._turns.values()):
-            self._extend_chain_retention(turn.previous, turn.expires_ms)
+    def form(self, attempt: str) -> int:
+        """Return which records of an attempt are held here."""
+        program = self.changes.program(attempt)
+        return change_logs.make_form(
+            self.has_turn(attempt),
+            self._charges.get(program).get(attempt),
+            self.streams.number(attempt),
+        )
 
-    def expire(self) -> list[int]:
-        """Remove expired entries and return segments no longer needed."""
+    def find_records(self, attempt: str) -> Iterator[KeptTurn | Record]:
+        """Yield the turn and the charge of an attempt that are held here."""
+        turn = self._turns.get(attempt)
+        if turn is not None:
+            yield KeptTurn(turn.location, turn.expires_ms)
         now_ms = self._timer.now_ms()
+        charge = self._charges.find(
+            self.changes.program(attempt), attempt, now_ms + RETENTION_MARGIN_MS
+        )
+        if charge is not None:
+            yield Record(now_ms, charge.retain_ms, charge)
+
+    def dump(self) -> Iterator[KeptTurn | Record]:
+        """Yield all turns and charges."""
+        for attempt in self.changes.attempts():
+            yield from self.find_records(attempt)
+
+    def expire(self, until_ms: float | None = None) -> list[int]:
+        """Remove expired entries and return segments no longer needed.
+
+        :param until_ms: the wall-clock time until which this host knows all
+            records of its group, by default now. What expires later may have
+            been extended by a record that this host has missed.
+        """
+        if until_ms is None:
+            until_ms = self._timer.now_ms()
+        expired = self._charges.expire(until_ms)
         for attempt, turn in list(self._turns.items()):
-            if turn.expires_ms < now_ms:
+            if turn.expires_ms < until_ms:
                 self._turns.pop(attempt)
-        for name, program in list(self._programs.items()):
-            if program.expires_ms < now_ms:
-                self._programs.pop(name)
-        self.streams.expire(now_ms)
-        unneeded = [
-            segment
-            for segment, until_ms in self._segment_expiry_ms.items()
-            if until_ms < now_ms and segment != self._files.current
-        ]
-        for segment in unneeded:
-            self._segment_expiry_ms.pop(segment)
-        return unneeded
+                expired.append(attempt)
+        for name in expired:
+            if not self.form(name):
+                self.changes.remove(name)
+        _pop_expired(self._missing_expiry_ms, until_ms)
+        return _pop_expired(
+            self._segment_expiry_ms, until_ms, self._files.current
+        )
 
     def describe(self) -> dict[str, int]:
         """Return the number of turns and programs in the index."""
-        return {'turns': len(self._turns), 'programs': len(self._programs)}
-
-    def _apply_charge(self, charge: messages.Charge, expires_ms: float) -> None:
-        self.streams.apply(charge, expires_ms)
-        program = self._programs.setdefault(
-            charge.program, _ProgramCharges({}, expires_ms)
+        return {
+            'turns': len(self._turns),
+            'programs': self._charges.program_count,
+        }
+
+    def _apply_turn(
+        self,
+        turn: messages.Turn,
+        location: segments.RecordLocation,
+        expires_ms: float,
+    ) -> None:
+        needed_ms = self._missing_expiry_ms.pop(turn.attempt, 0)
+        known = self._turns.get(turn.attempt)
+        if known is not None:
+            needed_ms = max(needed_ms, known.expires_ms)
+        expires_ms = max(expires_ms, needed_ms)
+        self._retain_segment(location.segment, expires_ms)
+        self._turns[turn.attempt] = stored_turns.TurnEntry(
+            turn.previous,
+            location,
+            expires_ms,
+            len(turn.request),
+            len(turn.events),
         )
-        program.expires_ms = max(program.expires_ms, expires_ms)
-        known = program.charges.get(charge.attempt)
-        if known is None or not known[1]:
-            program.charges[charge.attempt] = (
-                charge.tokens,
-                charge.is_settled,
-            )
+        self._extend_chain_retention(turn.previous, expires_ms)
 
     def _extend_chain_retention(self, attempt: str, expires_ms: float) -> None:
+        """Keep a turn and those before it until a time.
+
+        A turn that is missing here is kept so long once it has been copied.
+        """
         name = attempt
         while name:
             entry = self._turns.get(name)
-            if entry is None or entry.expires_ms >= expires_ms:
+            if entry is None:
+                known_ms = self._missing_expiry_ms.get(name, 0)
+                self._missing_expiry_ms[name] = max(known_ms, expires_ms)
+                return
+            if entry.expires_ms >= expires_ms:
                 return
             entry.expires_ms = expires_ms
             self._retain_segment(entry.location.segment, expires_ms)
@@ -207,8 +231,37 @@
     )
 
 
+def encode_kept(encoded: bytes, expires_ms: float) -> bytes:
+    """Return an encoded record of the same entry that expires at a time.
+
+    :param expires_ms: the wall-clock time.
+    """
+    written_ms, _retain_ms, kind, entry = msgspec.msgpack.decode(
+        encoded, type=_RAW_RECORD
+    )
+    retain_ms = expires_ms - RETENTION_MARGIN_MS - written_ms
+    return msgspec.msgpack.encode((written_ms, retain_ms, kind, entry))
+
+
 def decode_record(encoded: bytes) -> Record:
     """Decode a record."""
     written_ms, retain_ms, kind, fields = msgspec.msgpack.decode(encoded)
     entry = msgspec.convert(fields, messages.MESSAGE_TYPES[kind])
     return Record(written_ms, retain_ms, entry)
+
+
+def _pop_expired(
+    expiry_ms: dict[Key, float], until_ms: float, kept: Key | None = None
+) -> list[Key]:
+    """Remove the keys whose times are before another one and return them.
+
+    :param kept: the key that is not removed.
+    """
+    expired = [
+        key
+        for key, time_ms in expiry_ms.items()
+        if time_ms < until_ms and key != kept
+    ]
+    for key in expired:
+        expiry_ms.pop(key)
+    return expired
--- a/src/carobfork/storage/replicas.py
+++ b/src/carobfork/storage/replicas.py
@@ -8,7 +8,6 @@
 from carobfork import clock
 from carobfork.storage import (
     adoptions,
-    chain_messages,
     credit_messages,
     credit_tables,
     disks,
@@ -16,15 +15,12 @@
     messages,
     permit_tables,
     record_indexes,
+    record_sources,
     request_blocks,
     status_exchanges,
     turn_counters,
 )
 
-PAGE_BYTES = 262_144
-"""Size at which a page of records is sent; a page takes a few milliseconds on
-the slowest link of a store host."""
-
 ReplyCallback = Callable[[Any], None]
 
 
@@ -49,8 +45,7 @@
         )
         self.open_turns = turn_counters.TurnCounter(clock.SystemClock())
         self.permits = permit_tables.PermitTable(clock.SystemClock())
-        self._listed_entries: list = []
-        self._listing_number = 0
+        self.record_source = record_sources.RecordSource(disk)
 
     @property
     def group(self) -> groups.Group:
@@ -77,8 +72,10 @@
             block_handler(self.blocks, envelope.message)
             reply(messages.Done())
             return
-        if isinstance(envelope.message, chain_messages.ReadTurns):
-            reply(self.index.turns.handle_read(envelope.message))
+        source_handler = _SOURCE_HANDLERS.get(kind)
+        if source_handler is not None:
+            page = source_handler(self.record_source, envelope.message)
+            reply(page or self._refusal('failed'))
             return
         handler = _HANDLERS[kind]
         if handler in _EPOCH_FENCED and envelope.epoch != self.group.epoch:
@@ -166,35 +163,6 @@
         if not self.adoptions.call_after(group.epoch, answer):
             answer()
 
-    def handle_fetch(
-        self, message: messages.Fetch, reply: ReplyCallback
-    ) -> None:
-        """Reply with one page of all records.
-
-        A new listing replaces the one before; a request for a page of an
-        older listing is refused.
-        """
-        if not message.listing:
-            self._listed_entries = list(self.index.dump())
-            self._listing_number += 1
-        elif message.listing != self._listing_number:
-            reply(self._refusal('failed'))
-            return
-        page: list[bytes] = []
-        size = 0
-        position = message.place
-        while position < len(self._listed_entries) and size < PAGE_BYTES:
-            page.append(self.disk.read(self._listed_entries[position]))
-            size += len(page[-1])
-            position += 1
-        next_position = 0 if position >= len(self._listed_entries) else position
-        is_complete = self.disk.identity.is_complete
-        reply(
-            messages.Records(
-                page, next_position, self._listing_number, is_complete
-            )
-        )
-
     def handle_give(self, message: messages.Give, reply: ReplyCallback) -> None:
         """Store records that another member transfers."""
         self._submit(
@@ -260,7 +228,6 @@
     'Adopt': Replica.handle_adopt,
     'CreditRequest': Replica.handle_credit_request,
     'Begin': Replica.handle_begin,
-    'Fetch': Replica.handle_fetch,
     'Finish': Replica.handle_finish,
     'Give': Replica.handle_give,
     'PermitRequest': Replica.handle_permit_request,
@@ -273,6 +240,12 @@
     'Recall': status_exchanges.StatusExchange.handle_recall,
     'Report': status_exchanges.StatusExchange.handle_report,
 }
+_SOURCE_HANDLERS = {  # noqa: WPS407
+    'Fetch': record_sources.RecordSource.fetch,
+    'ListChanges': record_sources.RecordSource.list_changes,
+    'ReadRecords': record_sources.RecordSource.read_records,
+    'ReadTurns': record_sources.RecordSource.read_turns,
+}
 _BLOCK_HANDLERS = {  # noqa: WPS407
     'Crash': request_blocks.RequestBlocks.add,
     'CrashCleared': request_blocks.RequestBlocks.clear,
--- a/src/carobfork/storage/stream_indexes.py
+++ b/src/carobfork/storage/stream_indexes.py
@@ -41,9 +41,13 @@
         entry = self._entries.get(attempt)
         return entry.stream if entry else None
 
+    def number(self, attempt: str) -> int:
+        """Return the number of the last choice for an attempt, 0 if none."""
+        return number_of(self.get(attempt))
+
     def covers(self, charge: messages.Charge) -> bool:
         """Return whether a charge brings no later choice of a version."""
-        return number_of(charge.stream) <= number_of(self.get(charge.attempt))
+        return number_of(charge.stream) <= self.number(charge.attempt)
 
     def expire(self, now_ms: float) -> None:
         """Remove expired entries."""
