Keep the turns that a running turn continues over restarts (LOST)

What callers would see: a turn that runs for more than the retention margin of 20 s ends whole, and the next turn is refused, if the store hosts were restarted in between.

Cause: the begin of a turn extended its chain in the memory of the store hosts only. A restart read the turns' own expiry from the disk again.

Change: the reservation, which is written anyway, names the turn that it continues, and the index extends the chain by it, also when it is replayed.

Evidence: test_a_restart_while_a_turn_runs failed with the index as it was ("False is not true") and passes. tests.test_catch_ups: 16 passed.

--- a/src/carobfork/gateway/turns.py
+++ b/src/carobfork/gateway/turns.py
@@ -155,6 +155,7 @@
         """
         if not self.is_charged:
             return None
+        continues = self.route.is_retained and not is_settled
         return messages.Charge(
             self.scope(self.call.program),
             self.record_name,
@@ -162,6 +163,7 @@
             is_settled,
             self.retain_ms,
             self.stream,
+            self.scope(self.call.previous_turn) if continues else '',
         )
 
     def make_reservation(self) -> messages.Charge | None:
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -96,6 +96,8 @@
         are the most that it can generate.
     :param stream: the version that writes the attempt's stream, if it is one
         that can be resumed.
+    :param previous: the turn that the attempt continues while it is not
+        settled, if any; it is kept as long as the charge.
     """
 
     program: str
@@ -104,6 +106,7 @@
     is_settled: bool
     retain_ms: float
     stream: StreamVersion | None = None
+    previous: str = ''
 
 
 @attrs.frozen
--- a/src/carobfork/storage/record_indexes.py
+++ b/src/carobfork/storage/record_indexes.py
@@ -83,6 +83,7 @@
         if isinstance(record.entry, messages.Charge):
             self._retain_segment(location.segment, expires_ms)
             self._charges.apply(record.entry, expires_ms)
+            self._extend_chain_retention(record.entry.previous, expires_ms)
             self.changes.record(record.entry.attempt, record.entry.program)
         else:
             self._apply_turn(record.entry, location, expires_ms)
--- a/tests/test_catch_ups.py
+++ b/tests/test_catch_ups.py
@@ -14,6 +14,7 @@
 import gevent
 
 from carobfork import clock, exceptions
+from carobfork.gateway import calls, events, routes, turns
 from carobfork.storage import (
     catch_up_messages,
     catch_ups,
@@ -109,6 +110,28 @@
         other.index.expire()
         self.assertTrue(other.index.has_turn('a'))
 
+    def test_a_restart_while_a_turn_runs(self):
+        """The turns that it continues are kept as long as it may run.
+
+        Guards against LOST: the reservation kept them in memory only.
+        """
+        reserved = messages.Charge(
+            'p',
+            'b',
+            7,
+            False,
+            RETAIN_MS,
+            previous='a',  # noqa: WPS425
+        )
+        running = record_indexes.Record(50_000, RETAIN_MS, reserved)
+        disk = self.open_disk(turn('a'), running)
+        disk.close()
+        again = disks.Disk(disk._folder, self.timer)
+        self.addCleanup(again.close)
+        self.timer.advance(EXPIRY_MS + 1)
+        again.index.expire()
+        self.assertTrue(again.index.has_turn('a'))
+
     def test_nothing_expires_that_may_have_been_extended(self):
         """A host that does not know the latest records drops none of them."""
         disk = self.open_disk(turn('a'), charge('a'))
@@ -121,6 +144,29 @@
         self.assertEqual(disk.index.changes.attempts(), [])
 
 
+class ReservationTest(unittest.TestCase):
+    """What an entry host reserves for a turn."""
+
+    def test_a_turn_that_continues_another_one(self):
+        """It names that turn until it is settled."""
+        store = mock.Mock()
+        store.begin.return_value = messages.Begun({})
+        manager = turns.TurnManager(store)
+        route = routes.Route(
+            'r', 'h', '/', routes.Kind.stream, (), is_retained=True
+        )
+        call = calls.Call(
+            'b', program='p', budget_tokens=9, previous_turn='a', tenant='t'
+        )
+        running = manager.open(call, route, 1, b'')
+        begun = store.begin.call_args[0][0]
+        self.assertEqual(begun.charge.previous, begun.previous)
+        self.assertTrue(begun.previous.endswith('a'))
+        manager.store(running, events.EventLog())
+        finished = store.finish.call_args[0][0]
+        self.assertEqual(finished.charge.previous, '')
+
+
 class CatchUpTest(DiskCase):
     """Two members of a group, the second of which has missed records."""
 
