--- a/src/carobfork/gateway/events.py
+++ b/src/carobfork/gateway/events.py
@@ -125,7 +125,7 @@
 
 
 class EventLog:
-    """Events that a caller was sent of a stream, over all attempts.
+    """Events that a caller was sent of a stream by this host.
 
     :param last: identifier of the last event that the caller had before;
         empty if it had none.
@@ -167,6 +167,11 @@
             self._payloads.append(payload)
         return True
 
+    def restore(self, payloads: list[bytes]) -> None:
+        """Add the data of the events that the caller had before."""
+        self.content_bytes += sum(len(payload) + 1 for payload in payloads)
+        self._payloads = [*payloads, *self._payloads]
+
     def content(self) -> bytes:
         """Return the data of all recorded events, each with a newline."""
         return b''.join(b'%b\n' % line for line in self._payloads)
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -233,6 +233,7 @@
         if context.resumes_stream:
             self.streams_resumed += 1
             stream_versions.require_origin(context, self.table)
+            self._turns.take_up(context.turn, context.event_log)
             self.streams_continued += 1
             context.turn.event_tokens = self._event_tokens(context)
         self.guard.learn(context.turn.crash_weights)
--- a/src/carobfork/gateway/stream_relays.py
+++ b/src/carobfork/gateway/stream_relays.py
@@ -127,6 +127,9 @@
             self._watch.record_progress()
         self._context.has_output = True
         self._context.require_version(self._context.server_version)
+        if self._context.turn is not None:
+            self._watch.pause()
+            self._context.turn.record_events(accepted)
         self._response.send(new_bytes)
         if has_content:
             self._watch.expect_next()
--- a/src/carobfork/gateway/turns.py
+++ b/src/carobfork/gateway/turns.py
@@ -19,9 +19,11 @@
     histories,
     program_admissions,
     routes,
+    stream_beginnings,
+    stream_recorders,
     workers,
 )
-from carobfork.storage import messages
+from carobfork.storage import messages, stream_messages
 
 RECORD_TIMEOUT_MS = 150
 """Covers many round trips and a sync; a stream that waits longer would pause
@@ -39,8 +41,19 @@
     http_status = 502
 
 
+class StreamBeginningError(exceptions.NotRunError):
+    """The events that the caller has of a stream are not known whole."""
+
+    code = 'stream_beginning'
+
+
 class TurnStore(Protocol):
-    """Storage of turns and charges."""
+    """Storage of turns and charges.
+
+    :ivar parts: storage of the parts of streams that may be taken up.
+    """
+
+    parts: stream_recorders.PartStore
 
     def begin(self, message: messages.Begin) -> messages.Begun:
         """Reserve tokens and return the program's state."""
@@ -84,6 +97,8 @@
         and under others to its path, by fingerprint.
     :param start: the start of its program, if it is the first turn.
     :param is_open: whether the turn has not been stored or settled.
+    :param recorder: keeps the events of its stream, if the stream may be taken
+        up and the turn is stored.
     :param recording: writes the version of the stream, unless the turn was
         opened with it.
     """
@@ -100,6 +115,7 @@
     crash_weights: Mapping[str, int] = attrs.Factory(dict)
     start: program_admissions.ProgramStart | None = None
     is_open: bool = True
+    recorder: stream_recorders.StreamRecorder | None = None
     recording: gevent.Greenlet | None = None
 
     @property
@@ -112,6 +128,11 @@
         """Whether the caller already has events of the stream."""
         return self.route.is_resumable and bool(self.call.last_event)
 
+    @property
+    def is_recorded(self) -> bool:
+        """Whether the events of its stream are needed by other hosts."""
+        return self.route.is_retained and self.route.is_resumable
+
     @property
     def retain_ms(self) -> float:
         """How long the charge and the stream's version are kept."""
@@ -133,6 +154,14 @@
         if self.recording is not None:
             self.recording.join(clock.to_seconds(RECORD_TIMEOUT_MS))
 
+    def record_events(self, received: Sequence[events.Event]) -> None:
+        """Keep events, so that the caller may take the stream up after them.
+
+        :param received: what the caller gets next.
+        """
+        if self.recorder is not None:
+            self.recorder.record(received)
+
     def scope(self, name: str) -> str:
         """Return the name of a tenant's record.
 
@@ -225,6 +254,8 @@
         :raises NotRunError: if the store can't be reached.
         """
         turn = Turn(call, route, event_tokens, request, worker, stream)
+        if turn.is_recorded and not turn.resumes_stream:
+            turn.recorder = self._make_recorder(turn, turn.record_name)
         previous = call.previous_turn if route.is_retained else ''
         if not (turn.is_charged or previous or turn.resumes_stream):
             self._record_stream(turn)
@@ -248,6 +279,42 @@
             )
         return turn
 
+    def take_up(self, turn: Turn, event_log: events.EventLog) -> None:
+        """Let a turn go on with a stream that an earlier attempt began.
+
+        The turn is stored with the events of all attempts. A stream whose
+        beginning is not known whole is refused, and its caller starts anew.
+
+        :param turn: the turn, which has not been sent to a server.
+        :param event_log: gets the events that the caller has.
+        :raises NotRunError: if the beginning can't be read, or another attempt
+            takes the stream up at the same time.
+        """
+        if not turn.is_recorded:
+            return
+        stream = turn.scope(turn.call.resumes)
+        last_event = turn.call.last_event
+        parts = self._store.parts.read(stream)
+        beginning = None
+        if last_event.isdecimal():
+            beginning = stream_beginnings.compose_beginning(
+                parts, int(last_event)
+            )
+        if beginning is None:
+            raise StreamBeginningError(
+                f'the events up to {last_event!r} of the stream of attempt'
+                f' {turn.call.resumes!r} are not known',
+                step='resume',
+            )
+        turn.recorder = self._make_recorder(
+            turn,
+            stream,
+            stream_beginnings.next_take(parts),
+            int(last_event),
+        )
+        turn.recorder.claim()
+        event_log.restore(beginning)
+
     def update_worker(self, turn: Turn, worker: workers.Worker) -> None:
         """Report the worker of a turn to other hosts if it has changed.
 
@@ -305,6 +372,16 @@
             turn.is_open = False
             gevent.spawn(self._store.settle, messages.Finish(charge))
 
+    def _make_recorder(
+        self, turn: Turn, stream: str, take: int = 0, after: int = 0
+    ) -> stream_recorders.StreamRecorder:
+        start = stream_messages.StreamPart(
+            stream, take, turn.record_name, after, 0, []
+        )
+        return stream_recorders.StreamRecorder(
+            self._store.parts, start, turn.route.timeout_ms
+        )
+
     def _record_stream(self, turn: Turn) -> None:
         """Record the version of a stream while its server begins to answer."""
         charge = turn.make_reservation()
--- a/src/carobfork/storage/clients.py
+++ b/src/carobfork/storage/clients.py
@@ -20,6 +20,7 @@
     links,
     messages,
     operations,
+    part_clients,
     stream_indexes,
 )
 
@@ -57,6 +58,8 @@
 class Client:
     """A client of the storage group.
 
+    :ivar chains: reads the turns before a request.
+    :ivar parts: stores and reads the parts of streams.
     :param member_links: links to the group's store hosts.
     :param losses: number of disks that may be lost at the same time.
     :param node: this host's name; it seeds the order in which members are
@@ -77,12 +80,13 @@
         self.group = groups.Group()
         self._links = member_links
         self._losses = losses
-        self._node = node
+        self._node_checksum = zlib.crc32(node.encode())
         self._zone = zone
         self._timer = timer
         self.chains = chains.ChainReader(
             member_links, self.nearest_disk, self._align_epochs, timer
         )
+        self.parts = part_clients.PartClient(self._run_on_all)
 
     def apply(self, group: groups.Group) -> None:
         """Adopt a group unless one at least as new is known."""
@@ -226,7 +230,11 @@
         ] or usable
         same_zone = [link for link in usable if link.member.zone == self._zone]
         disks = [link.member.disk for link in same_zone or usable]
-        return min(disks, key=self._preference, default='')
+        return min(
+            disks,
+            key=lambda disk: zlib.crc32(disk.encode(), self._node_checksum),
+            default='',
+        )
 
     def read_chain(self, turn: str) -> bytes:
         """Return a turn and all turns before it, oldest first.
@@ -237,10 +245,6 @@
         turns, chain = self.chains.list_turns(turn)
         return b''.join(self.chains.read_pages(turns)) + chain
 
-    def _preference(self, disk: str) -> int:
-        """Return a disk's position in this host's order of preference."""
-        return zlib.crc32(disk.encode(), zlib.crc32(self._node.encode()))
-
     def _align_epochs(
         self, link: links.Link, refused: messages.Refused
     ) -> None:
@@ -252,6 +256,18 @@
                 messages.Adopt(self.group), operations.ignore_reply
             )
 
+    def _run_on_all(self, message: Any, is_read: bool) -> dict[str, Any]:
+        """Return the replies of a quorum to a request that all members get.
+
+        :raises NotRunError: if too few members reply.
+        """
+        operation = self._run_operation(
+            lambda: dict.fromkeys(self.group.all_members(), message),
+            is_read,
+            until_ms=self._links.last_disconnect_ms + BEGIN_RETRY_WINDOW_MS,
+        )
+        return operation.replies
+
     def _run_operation(
         self,
         compose: Callable[[], dict[str, Any]],
--- a/src/carobfork/storage/disks.py
+++ b/src/carobfork/storage/disks.py
@@ -52,6 +52,9 @@
     has_granted: bool = False
 
 
+Records = list[record_indexes.Record]
+
+
 @attrs.frozen
 class Submission:
     """Records to write, and what to call afterwards.
@@ -60,7 +63,7 @@
     :param on_failed: called when the write failed.
     """
 
-    records: list[record_indexes.Record]
+    records: Records
     on_synced: Callable[[], Any]
     on_failed: Callable[[], Any]
 
@@ -169,10 +172,10 @@
             submission.on_synced()
 
     def read(
-        self, entry: record_indexes.KeptTurn | record_indexes.Record
+        self, entry: record_indexes.KeptRecord | record_indexes.Record
     ) -> bytes:
         """Return the encoded record of an entry of the index's dump."""
-        if isinstance(entry, record_indexes.KeptTurn):
+        if isinstance(entry, record_indexes.KeptRecord):
             encoded = self._files.read(entry.location)
             return record_indexes.encode_kept(encoded, entry.expires_ms)
         return record_indexes.encode_record(entry)
--- a/src/carobfork/storage/record_indexes.py
+++ b/src/carobfork/storage/record_indexes.py
@@ -17,6 +17,8 @@
     messages,
     segments,
     stored_turns,
+    stream_logs,
+    stream_messages,
 )
 
 RETENTION_MARGIN_MS = 20_000
@@ -28,7 +30,7 @@
 
 @attrs.frozen
 class Record:
-    """A turn or charge as written to a disk.
+    """A turn, a charge or a part of a stream as written to a disk.
 
     :param written_ms: wall-clock time of the host that wrote it.
     :param retain_ms: how long it is kept from then on.
@@ -36,12 +38,12 @@
 
     written_ms: float
     retain_ms: float
-    entry: messages.Charge | messages.Turn
+    entry: messages.Charge | messages.Turn | stream_messages.StreamPart
 
 
 @attrs.frozen
-class KeptTurn:
-    """A turn on the disk that is kept longer than its record tells.
+class KeptRecord:
+    """A record on the disk that is kept longer than it tells.
 
     :param expires_ms: the wall-clock time at which it expires.
     """
@@ -55,6 +57,7 @@
 
     :ivar turns: the turns, which can be read in parts.
     :ivar streams: the versions that write the streams of charged attempts.
+    :ivar parts: the parts of streams that may be taken up.
     :ivar changes: the attempts with records, in the order of their changes.
     :param files: the disk's record files.
     :param timer: the wall clock.
@@ -68,6 +71,7 @@
         self._turns = self.turns.entries
         self._charges = charge_indexes.ChargeIndex()
         self.streams = self._charges.streams
+        self.parts = stream_logs.StreamLogs(files)
         self.changes = change_logs.ChangeLog(clock.BootClock())
         self._segment_expiry_ms: dict[int, float] = {}
         self._missing_expiry_ms: dict[str, float] = {}
@@ -85,12 +89,17 @@
             self._charges.apply(record.entry, expires_ms)
             self._extend_chain_retention(record.entry.previous, expires_ms)
             self.changes.record(record.entry.attempt, record.entry.program)
+        elif isinstance(record.entry, stream_messages.StreamPart):
+            self._retain_segment(location.segment, expires_ms)
+            self.parts.apply(record.entry, location, expires_ms)
         else:
             self._apply_turn(record.entry, location, expires_ms)
             self.changes.record(record.entry.attempt)
 
     def new_record(
-        self, entry: messages.Charge | messages.Turn, retain_ms: float
+        self,
+        entry: messages.Charge | messages.Turn | stream_messages.StreamPart,
+        retain_ms: float,
     ) -> Record:
         """Return a record of an entry with the current time."""
         return Record(self._timer.now_ms(), retain_ms, entry)
@@ -114,6 +123,8 @@
             entry = record.entry
             if isinstance(entry, messages.Charge):
                 is_known = self.has_charge(entry)
+            elif isinstance(entry, stream_messages.StreamPart):
+                is_known = self.parts.covers(entry)
             else:
                 is_known = self.has_turn(entry.attempt)
             if not is_known:
@@ -134,11 +145,11 @@
             self.streams.number(attempt),
         )
 
-    def find_records(self, attempt: str) -> Iterator[KeptTurn | Record]:
+    def find_records(self, attempt: str) -> Iterator[KeptRecord | Record]:
         """Yield the turn and the charge of an attempt that are held here."""
         turn = self._turns.get(attempt)
         if turn is not None:
-            yield KeptTurn(turn.location, turn.expires_ms)
+            yield KeptRecord(turn.location, turn.expires_ms)
         now_ms = self._timer.now_ms()
         charge = self._charges.find(
             self.changes.program(attempt), attempt, now_ms + RETENTION_MARGIN_MS
@@ -146,10 +157,12 @@
         if charge is not None:
             yield Record(now_ms, charge.retain_ms, charge)
 
-    def dump(self) -> Iterator[KeptTurn | Record]:
-        """Yield all turns and charges."""
+    def dump(self) -> Iterator[KeptRecord | Record]:
+        """Yield all turns, charges and parts of streams."""
         for attempt in self.changes.attempts():
             yield from self.find_records(attempt)
+        for location, expires_ms in self.parts.dump():
+            yield KeptRecord(location, expires_ms)
 
     def expire(self, until_ms: float | None = None) -> list[int]:
         """Remove expired entries and return segments no longer needed.
@@ -160,6 +173,7 @@
         """
         if until_ms is None:
             until_ms = self._timer.now_ms()
+        self.parts.expire(until_ms)
         expired = self._charges.expire(until_ms)
         for attempt, turn in list(self._turns.items()):
             if turn.expires_ms < until_ms:
--- a/src/carobfork/storage/replicas.py
+++ b/src/carobfork/storage/replicas.py
@@ -14,10 +14,10 @@
     groups,
     messages,
     permit_tables,
-    record_indexes,
     record_sources,
     request_blocks,
     status_exchanges,
+    stream_parts,
     turn_counters,
 )
 
@@ -45,6 +45,7 @@
         )
         self.open_turns = turn_counters.TurnCounter(clock.SystemClock())
         self.permits = permit_tables.PermitTable(clock.SystemClock())
+        self.stream_parts = stream_parts.StreamParts(disk)
         self.record_source = record_sources.RecordSource(disk)
 
     @property
@@ -123,6 +124,12 @@
             )
         self._submit(records, messages.Done, reply)
 
+    def handle_parts(self, message: Any, reply: ReplyCallback) -> None:
+        """Store or return parts of streams."""
+        _PART_HANDLERS[type(message).__name__](
+            self.stream_parts, message, reply
+        )
+
     def handle_place(
         self, message: messages.Place, reply: ReplyCallback
     ) -> None:
@@ -211,7 +218,7 @@
 
     def _submit(
         self,
-        records: list[record_indexes.Record],
+        records: disks.Records,
         build_reply: Callable[[], Any],
         reply: ReplyCallback,
     ) -> None:
@@ -232,14 +239,22 @@
     'Give': Replica.handle_give,
     'PermitRequest': Replica.handle_permit_request,
     'Place': Replica.handle_place,
+    'ReadParts': Replica.handle_parts,
+    'StorePart': Replica.handle_parts,
 }
-_EPOCH_FENCED = frozenset((Replica.handle_begin, Replica.handle_finish))
+_EPOCH_FENCED = frozenset(
+    (Replica.handle_begin, Replica.handle_finish, Replica.handle_parts)
+)
 _STATUS_HANDLERS = {  # noqa: WPS407
     'Beat': status_exchanges.StatusExchange.handle_beat,
     'Presence': status_exchanges.StatusExchange.handle_presence,
     'Recall': status_exchanges.StatusExchange.handle_recall,
     'Report': status_exchanges.StatusExchange.handle_report,
 }
+_PART_HANDLERS = {  # noqa: WPS407
+    'ReadParts': stream_parts.StreamParts.read,
+    'StorePart': stream_parts.StreamParts.store,
+}
 _SOURCE_HANDLERS = {  # noqa: WPS407
     'Fetch': record_sources.RecordSource.fetch,
     'ListChanges': record_sources.RecordSource.list_changes,
