--- a/src/carobfork/roles/store.py
+++ b/src/carobfork/roles/store.py
@@ -115,7 +115,7 @@
         self.spawn(self.disk.run)
         self.spawn(
             functools.partial(
-                self.disk.run_expiry, self.catch_up.known_until_ms
+                self.disk.cleaner.run, self.catch_up.known_until_ms
             )
         )
         self.follow(names.KIND_STORAGE, self.register.update)
--- a/src/carobfork/storage/charge_indexes.py
+++ b/src/carobfork/storage/charge_indexes.py
@@ -9,10 +9,14 @@
 
 @attrs.define
 class _ProgramCharges:
-    """The charges of a program, by attempt, and when they expire."""
+    """The charges of a program, by attempt, and when they expire.
+
+    :param segments: the files that hold them.
+    """
 
-    charges: dict[str, tuple[int, bool]]
     expires_ms: float
+    charges: dict[str, tuple[int, bool]] = attrs.Factory(dict)
+    segments: set[int] = attrs.Factory(set)
 
 
 class ChargeIndex:
@@ -31,16 +35,20 @@
         """The number of programs with charges."""
         return len(self._programs)
 
-    def apply(self, charge: messages.Charge, expires_ms: float) -> None:
+    def apply(
+        self, charge: messages.Charge, segment: int, expires_ms: float
+    ) -> None:
         """Add a charge; a settled one is final.
 
+        :param segment: the file that holds it.
         :param expires_ms: until when the program's charges are kept at least.
         """
         self.streams.apply(charge, expires_ms)
         program = self._programs.setdefault(
-            charge.program, _ProgramCharges({}, expires_ms)
+            charge.program, _ProgramCharges(expires_ms)
         )
         program.expires_ms = max(program.expires_ms, expires_ms)
+        program.segments.add(segment)
         known = program.charges.get(charge.attempt)
         if known is None or not known[1]:
             program.charges[charge.attempt] = (
@@ -78,6 +86,25 @@
             self.streams.get(attempt),
         )
 
+    def find_in_segment(
+        self, segment: int, since_ms: float
+    ) -> list[messages.Charge]:
+        """Return the charges of all programs that have some in a file.
+
+        :param since_ms: the time from which on they are to be kept.
+        """
+        return [
+            self.find(name, attempt, since_ms)
+            for name, program in self._programs.items()
+            if segment in program.segments
+            for attempt in program.charges
+        ]
+
+    def forget_segment(self, segment: int) -> None:
+        """Forget a file whose charges have been written to another one."""
+        for program in self._programs.values():
+            program.segments.discard(segment)
+
     def expire(self, until_ms: float) -> list[str]:
         """Remove expired charges and return their attempts."""
         self.streams.expire(until_ms)
--- a/src/carobfork/storage/disks.py
+++ b/src/carobfork/storage/disks.py
@@ -8,6 +8,7 @@
 heartbeat and count as lost.
 """
 
+import functools
 import pathlib
 import secrets
 from collections.abc import Callable, Mapping
@@ -20,9 +21,14 @@
 from gevent import event, lock, threadpool
 
 from carobfork import clock
-from carobfork.storage import groups, record_indexes, segments, snapshots
+from carobfork.storage import (
+    groups,
+    record_indexes,
+    segment_cleaners,
+    segments,
+    snapshots,
+)
 
-EXPIRY_INTERVAL_MS = 5000
 CLOSE_TIMEOUT_MS = 2000
 """How long closing waits for a write. Longer than a slow sync, but a host whose
 disk hangs must end too."""
@@ -31,6 +37,8 @@
 _BLOCKED_FILE = 'blocked'
 _DISK_ID_BYTES = 8
 
+Records = list[record_indexes.Record]
+
 logger = structlog.get_logger(part='disk')
 
 
@@ -52,9 +60,6 @@
     has_granted: bool = False
 
 
-Records = list[record_indexes.Record]
-
-
 @attrs.frozen
 class Submission:
     """Records to write, and what to call afterwards.
@@ -71,6 +76,7 @@
 class Disk:
     """The records, identity and snapshots in one directory.
 
+    :ivar cleaner: removes the files that are not needed any more.
     :param folder: the directory; it is created if necessary.
     :param timer: the wall clock.
     """
@@ -83,6 +89,9 @@
         self._files = segments.Segments(folder)
         self.index = record_indexes.RecordIndex(self._files, timer)
         self.snapshots = snapshots.SnapshotCache(_load_snapshots(folder))
+        self.cleaner = segment_cleaners.SegmentCleaner(
+            self.index, self._files, self.write
+        )
         self.synced_batches = 0
         self._pending: list[Submission] = []
         self._has_pending = event.Event()
@@ -171,6 +180,18 @@
         else:
             submission.on_synced()
 
+    def write(self, records: Records) -> bool:
+        """Write records and return whether they are on the disk."""
+        written = event.AsyncResult()
+        self.submit(
+            Submission(
+                records,
+                functools.partial(written.set, True),  # noqa: WPS425
+                functools.partial(written.set, False),  # noqa: WPS425
+            )
+        )
+        return written.get()
+
     def read(
         self, entry: record_indexes.KeptRecord | record_indexes.Record
     ) -> bytes:
@@ -189,18 +210,6 @@
             self._pending = []
             self._commit(batch)
 
-    def run_expiry(self, known_until_ms: Callable[[], float]) -> None:
-        """Remove expired segments until the greenlet is killed.
-
-        :param known_until_ms: returns the time until which this host knows all
-            records, by the wall clock.
-        """
-        while True:
-            gevent.sleep(clock.to_seconds(EXPIRY_INTERVAL_MS))
-            for segment in self.index.expire(known_until_ms()):
-                self._files.remove(segment)
-                logger.info('segment removed', segment=segment)
-
     def close(self) -> None:
         """Close the files once what is being written is on the disk.
 
--- a/src/carobfork/storage/record_indexes.py
+++ b/src/carobfork/storage/record_indexes.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterator
-from typing import TypeVar
 
 import attrs
 import msgspec
@@ -15,6 +14,7 @@
     change_logs,
     charge_indexes,
     messages,
+    segment_retentions,
     segments,
     stored_turns,
     stream_logs,
@@ -24,7 +24,6 @@
 RETENTION_MARGIN_MS = 20_000
 """Extra time for which records are kept: it covers steps of the wall clock and
 requests in flight."""
-Key = TypeVar('Key')
 _RAW_RECORD = tuple[float, float, str, msgspec.Raw]
 
 
@@ -56,6 +55,8 @@
     """An index of all turns and charges that a disk holds.
 
     :ivar turns: the turns, which can be read in parts.
+    :ivar charge_index: the charges of programs.
+    :ivar segment_retention: how long the files are needed.
     :ivar streams: the versions that write the streams of charged attempts.
     :ivar parts: the parts of streams that may be taken up.
     :ivar changes: the attempts with records, in the order of their changes.
@@ -69,11 +70,11 @@
         self._timer = timer
         self.turns = stored_turns.StoredTurns(files)
         self._turns = self.turns.entries
-        self._charges = charge_indexes.ChargeIndex()
-        self.streams = self._charges.streams
+        self.charge_index = charge_indexes.ChargeIndex()
+        self.streams = self.charge_index.streams
         self.parts = stream_logs.StreamLogs(files)
         self.changes = change_logs.ChangeLog(clock.BootClock())
-        self._segment_expiry_ms: dict[int, float] = {}
+        self.segment_retention = segment_retentions.SegmentRetention()
         self._missing_expiry_ms: dict[str, float] = {}
         for location, record in files.replay():
             self.apply(decode_record(record), location)
@@ -85,12 +86,12 @@
         """
         expires_ms = record.written_ms + record.retain_ms + RETENTION_MARGIN_MS
         if isinstance(record.entry, messages.Charge):
-            self._retain_segment(location.segment, expires_ms)
-            self._charges.apply(record.entry, expires_ms)
+            self.segment_retention.retain(location.segment, expires_ms)
+            self.charge_index.apply(record.entry, location.segment, expires_ms)
             self._extend_chain_retention(record.entry.previous, expires_ms)
             self.changes.record(record.entry.attempt, record.entry.program)
         elif isinstance(record.entry, stream_messages.StreamPart):
-            self._retain_segment(location.segment, expires_ms)
+            self.segment_retention.retain(location.segment, expires_ms)
             self.parts.apply(record.entry, location, expires_ms)
         else:
             self._apply_turn(record.entry, location, expires_ms)
@@ -106,11 +107,11 @@
 
     def charges(self, program: str) -> dict[str, tuple[int, bool]]:
         """Return a program's charges by attempt."""
-        return dict(self._charges.get(program))
+        return dict(self.charge_index.get(program))
 
     def has_charge(self, charge: messages.Charge) -> bool:
         """Return whether the index already covers a charge and its stream."""
-        return self._charges.covers(charge)
+        return self.charge_index.covers(charge)
 
     def has_turn(self, attempt: str) -> bool:
         """Return whether a turn is stored here."""
@@ -141,7 +142,7 @@
         program = self.changes.program(attempt)
         return change_logs.make_form(
             self.has_turn(attempt),
-            self._charges.get(program).get(attempt),
+            self.charge_index.get(program).get(attempt),
             self.streams.number(attempt),
         )
 
@@ -151,7 +152,7 @@
         if turn is not None:
             yield KeptRecord(turn.location, turn.expires_ms)
         now_ms = self._timer.now_ms()
-        charge = self._charges.find(
+        charge = self.charge_index.find(
             self.changes.program(attempt), attempt, now_ms + RETENTION_MARGIN_MS
         )
         if charge is not None:
@@ -164,9 +165,22 @@
         for location, expires_ms in self.parts.dump():
             yield KeptRecord(location, expires_ms)
 
+    def live_charges(self, segment: int) -> list[Record]:
+        """Return the charges that are kept longer than those of a segment.
+
+        They are to be written to another one before it is removed.
+        """
+        now_ms = self._timer.now_ms()
+        charges = self.charge_index.find_in_segment(
+            segment, now_ms + RETENTION_MARGIN_MS
+        )
+        return [Record(now_ms, charge.retain_ms, charge) for charge in charges]
+
     def expire(self, until_ms: float | None = None) -> list[int]:
         """Remove expired entries and return segments no longer needed.
 
+        Of these, charges of programs that go on may still have to be moved.
+
         :param until_ms: the wall-clock time until which this host knows all
             records of its group, by default now. What expires later may have
             been extended by a record that this host has missed.
@@ -174,7 +188,7 @@
         if until_ms is None:
             until_ms = self._timer.now_ms()
         self.parts.expire(until_ms)
-        expired = self._charges.expire(until_ms)
+        expired = self.charge_index.expire(until_ms)
         for attempt, turn in list(self._turns.items()):
             if turn.expires_ms < until_ms:
                 self._turns.pop(attempt)
@@ -182,16 +196,17 @@
         for name in expired:
             if not self.form(name):
                 self.changes.remove(name)
-        _pop_expired(self._missing_expiry_ms, until_ms)
-        return _pop_expired(
-            self._segment_expiry_ms, until_ms, self._files.current
-        )
+        for missing, expires_ms in list(self._missing_expiry_ms.items()):
+            if expires_ms < until_ms:
+                self._missing_expiry_ms.pop(missing)
+        unneeded = self.segment_retention.find_expired(until_ms)
+        return [name for name in unneeded if name != self._files.current]
 
     def describe(self) -> dict[str, int]:
         """Return the number of turns and programs in the index."""
         return {
             'turns': len(self._turns),
-            'programs': self._charges.program_count,
+            'programs': self.charge_index.program_count,
         }
 
     def _apply_turn(
@@ -205,7 +220,7 @@
         if known is not None:
             needed_ms = max(needed_ms, known.expires_ms)
         expires_ms = max(expires_ms, needed_ms)
-        self._retain_segment(location.segment, expires_ms)
+        self.segment_retention.retain(location.segment, expires_ms)
         self._turns[turn.attempt] = stored_turns.TurnEntry(
             turn.previous,
             location,
@@ -230,13 +245,9 @@
             if entry.expires_ms >= expires_ms:
                 return
             entry.expires_ms = expires_ms
-            self._retain_segment(entry.location.segment, expires_ms)
+            self.segment_retention.retain(entry.location.segment, expires_ms)
             name = entry.previous
 
-    def _retain_segment(self, segment: int, expires_ms: float) -> None:
-        known_ms = self._segment_expiry_ms.get(segment, 0)
-        self._segment_expiry_ms[segment] = max(known_ms, expires_ms)
-
 
 def encode_record(record: Record) -> bytes:
     """Encode a record."""
@@ -263,20 +274,3 @@
     written_ms, retain_ms, kind, fields = msgspec.msgpack.decode(encoded)
     entry = msgspec.convert(fields, messages.MESSAGE_TYPES[kind])
     return Record(written_ms, retain_ms, entry)
-
-
-def _pop_expired(
-    expiry_ms: dict[Key, float], until_ms: float, kept: Key | None = None
-) -> list[Key]:
-    """Remove the keys whose times are before another one and return them.
-
-    :param kept: the key that is not removed.
-    """
-    expired = [
-        key
-        for key, time_ms in expiry_ms.items()
-        if time_ms < until_ms and key != kept
-    ]
-    for key in expired:
-        expiry_ms.pop(key)
-    return expired
--- a/src/carobfork/storage/replicas.py
+++ b/src/carobfork/storage/replicas.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from gevent import event
-
 from carobfork import clock
 from carobfork.storage import (
     adoptions,
@@ -89,11 +87,7 @@
 
         :return: whether they are on the disk.
         """
-        written = event.AsyncResult()
-        self._submit(
-            self.index.select_unknown(records), messages.Done, written.set
-        )
-        return isinstance(written.get(), messages.Done)
+        return self.disk.write(self.index.select_unknown(records))
 
     def handle_begin(
         self, message: messages.Begin, reply: ReplyCallback
--- a/tests/test_catch_ups.py
+++ b/tests/test_catch_ups.py
@@ -11,6 +11,7 @@
 import unittest
 from unittest import mock
 
+import attrs
 import gevent
 
 from carobfork import clock, exceptions
@@ -25,6 +26,7 @@
     record_indexes,
     record_sources,
     replicas,
+    segment_cleaners,
 )
 from tests import platform_hosts
 
@@ -65,6 +67,23 @@
         self.write(disk, *records)
         return disk
 
+    def reopen(self, disk):
+        """Close a disk and return it as a new process finds it."""
+        disk.close()
+        again = disks.Disk(disk._folder, self.timer)
+        self.addCleanup(again.close)
+        return again
+
+    def run_expiry(self, disk):
+        """Remove the files of a disk that are not needed any more."""
+        with mock.patch.object(segment_cleaners, 'INTERVAL_MS', 100):
+            tasks = [
+                gevent.spawn(disk.run),
+                gevent.spawn(disk.cleaner.run, self.timer.now_ms),
+            ]
+            gevent.sleep(SEVERAL_EXPIRIES_SECONDS)
+            gevent.killall(tasks)
+
     def write(self, disk, *records):
         """Write records to a disk, each with a sync."""
         greenlet = gevent.spawn(disk.run)
@@ -125,13 +144,42 @@
         )
         running = record_indexes.Record(50_000, RETAIN_MS, reserved)
         disk = self.open_disk(turn('a'), running)
-        disk.close()
-        again = disks.Disk(disk._folder, self.timer)
-        self.addCleanup(again.close)
+        again = self.reopen(disk)
         self.timer.advance(EXPIRY_MS + 1)
         again.index.expire()
         self.assertTrue(again.index.has_turn('a'))
 
+    def test_the_charges_of_a_long_program(self):
+        """All are kept as long as the last one, also over a restart.
+
+        Guards against BUDGET as in review/6: the file with the first charges
+        was removed while the program went on.
+        """
+        first = self.open_disk(charge('a'))
+        disk = self.reopen(first)
+        later = attrs.evolve(charge('b'), written_ms=50_000)
+        self.write(disk, later)
+        self.timer.advance(EXPIRY_MS + 1)
+        self.run_expiry(disk)
+        again = self.reopen(disk)
+        self.assertEqual(set(again.index.charges('p')), {'a', 'b'})
+        self.timer.advance(50_000)
+        self.run_expiry(again)
+        self.assertEqual(again.index.describe()['programs'], 0)
+
+    def test_a_file_that_can_not_be_replaced(self):
+        """It stays until the charges in it could be written to another one."""
+        disk = self.reopen(self.open_disk(charge('a')))
+        self.write(disk, attrs.evolve(charge('b'), written_ms=50_000))
+        self.timer.advance(EXPIRY_MS + 1)
+        with mock.patch.object(disk._files, 'append', side_effect=OSError):
+            self.run_expiry(disk)
+        self.assertEqual(len(list(disk._folder.glob('*.records'))), 2)
+        self.run_expiry(disk)
+        self.assertEqual(len(list(disk._folder.glob('*.records'))), 1)
+        again = self.reopen(disk)
+        self.assertEqual(set(again.index.charges('p')), {'a', 'b'})
+
     def test_nothing_expires_that_may_have_been_extended(self):
         """A host that does not know the latest records drops none of them."""
         disk = self.open_disk(turn('a'), charge('a'))
@@ -315,7 +363,9 @@
                 lambda timer: wall_ms(timer) + self.shift_ms,
             )
         )
-        self.enterContext(mock.patch.object(disks, 'EXPIRY_INTERVAL_MS', 50))
+        self.enterContext(
+            mock.patch.object(segment_cleaners, 'INTERVAL_MS', 50)
+        )
         self.hosts = self.enterContext(platform_hosts.Deployment())
 
     @contextlib.contextmanager
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -15,7 +15,12 @@
 
 from carobfork import clock, exceptions
 from carobfork.gateway import calls, events, routes, turns, workers
-from carobfork.storage import clients, disks, messages, record_indexes
+from carobfork.storage import (
+    clients,
+    disks,
+    messages,
+    record_indexes,
+)
 from tests import platform_hosts
 
 RETAIN_MS = 60_000
