Soak: take up the streams of turns that are kept

Callers now run turns on such a route, leave in the middle, take the stream up at any entry host, and check the history of each turn.

--- a/tests/configurations.py
+++ b/tests/configurations.py
@@ -74,6 +74,15 @@
         'Version': version,
         'Routes': [
             route('chat', '/chat/', 'stream', ENGINES, Retain=True, Attempts=2),
+            route(
+                'talk',
+                '/talk/',
+                'stream',
+                ENGINES,
+                Retain=True,
+                Resumable=True,
+                Attempts=2,
+            ),
             route(
                 'ask',
                 '/ask/',
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,6 +24,7 @@
         sys.stdout.write(
             f'seed {seed}: {len(found.seen)} requests, {whole} answered whole,'
             f' {found.resumed} streams resumed to their end,'
+            f' {found.taken_up} turns taken up,'
             f' {len(found.broken)} promises broken\n'
         )
         for line in found.broken:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -58,6 +58,7 @@
         program = records.Program(name, budget)
         for _ in range(self.dice.randrange(2, 8)):
             self._turn(program)
+            self._taken_up_turn(program)
             self._call()
             self._stream(name)
             gevent.sleep(PAUSE_SECONDS * self.dice.random())
@@ -65,20 +66,10 @@
 
     def _turn(self, program: records.Program) -> None:
         """Send a turn that continues one of the turns before."""
-        previous, chain = ('', b'')
-        if program.turns:
-            previous, chain = self.dice.choice(program.turns)
+        previous, chain = self._choose_turn(program)
         attempt = plain_calls.new_attempt()
         text = f'input {attempt};'.encode()
-        headers = {
-            'Accept': 'text/event-stream',
-            'X-Program-Id': program.name,
-            'X-Session-Id': program.name,
-            'X-Token-Budget': str(program.budget_tokens),
-            'X-Token-Count': f'100,{MOST_TOKENS}',
-        }
-        if previous:
-            headers['X-Previous-Turn'] = previous
+        headers = program.turn_headers(previous, MOST_TOKENS)
         seen, body = self._send('/chat/1', attempt, headers, text)
         if seen.status == _OK:
             events = self.found.check_stream(seen, body)
@@ -89,6 +80,35 @@
             self.found.fail('history', f'{previous} was forgotten')
         self.found.check_chain(attempt, chain + text, self.fleet.served())
 
+    def _taken_up_turn(self, program: records.Program) -> None:
+        """Send a turn whose stream is taken up where it breaks off."""
+        previous, chain = self._choose_turn(program)
+        text = f'input {plain_calls.new_attempt()};'.encode()
+        headers = program.turn_headers(previous, MOST_TOKENS)
+        stream = records.Stream()
+        for _ in range(TRIES):
+            attempt = plain_calls.new_attempt()
+            fields = {**headers, **stream.resume_headers()}
+            leaves = self.dice.randrange(backends.EVENTS)
+            seen, piece = self._send(
+                '/talk/1', attempt, fields, text, most_events=leaves
+            )
+            self.found.check_chain(attempt, chain + text, self.fleet.served())
+            if seen.status == _OK:
+                before = stream.body
+                stream.add(attempt, piece)
+                self.found.check_stream(seen, stream.body)
+                new = stream.body.removeprefix(before)
+                program.tokens += records.tokens_of(new.count(b'id:'))
+            if seen.is_whole and seen.status == _OK:
+                program.turns.append((attempt, chain + text + _EVENTS))
+                self.found.taken_up += bool(fields.get('Resumes'))
+                return
+
+    def _choose_turn(self, program: records.Program) -> tuple[str, bytes]:
+        """Return one of the turns before, if any, and its chain."""
+        return self.dice.choice(program.turns) if program.turns else ('', b'')
+
     def _stream(self, program: str) -> None:
         """Send a stream that can be resumed; take it up where it breaks off."""
         headers = {'Accept': 'text/event-stream'}
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -53,6 +53,22 @@
     turns: list[tuple[str, bytes]] = attrs.Factory(list)
     tokens: int = 0
 
+    def turn_headers(self, previous: str, most_tokens: int) -> dict[str, str]:
+        """Return the headers of a turn.
+
+        :param previous: the turn that it continues, if any.
+        """
+        headers = {
+            'Accept': 'text/event-stream',
+            'X-Program-Id': self.name,
+            'X-Session-Id': self.name,
+            'X-Token-Budget': str(self.budget_tokens),
+            'X-Token-Count': f'100,{most_tokens}',
+        }
+        if previous:
+            headers['X-Previous-Turn'] = previous
+        return headers
+
 
 @attrs.define
 class Stream:
@@ -88,6 +104,7 @@
         self.broken: list[str] = []
         self.seen: list[Seen] = []
         self.resumed = 0
+        self.taken_up = 0
         self.leaving: dict[tuple[str, str, int], float] = {}
 
     def note(self, seen: Seen) -> None:
