Keep parts of streams as charges, which earlier builds can read

What operators would see: after a roll back to the build before, a store host whose disk holds a part of a stream ends at its start, and such a host can't join beside members of this build: its reader knows no record "StreamPart".

Change: on disk and in copies a part is a charge without tokens, under a name of its own, with the part as a field that earlier builds ignore.

--- a/src/carobfork/gateway/stream_beginnings.py
+++ b/src/carobfork/gateway/stream_beginnings.py
@@ -7,18 +7,18 @@
 
 from collections.abc import Iterable
 
-from carobfork.storage import stream_messages
+from carobfork.storage import messages
 
-Run = list[stream_messages.StreamPart]
+Run = list[messages.StreamPart]
 
 
-def next_take(parts: Iterable[stream_messages.StreamPart]) -> int:
+def next_take(parts: Iterable[messages.StreamPart]) -> int:
     """Return the number for the next attempt that takes the stream up."""
     return max((part.take for part in parts), default=0) + 1
 
 
 def compose_beginning(
-    parts: Iterable[stream_messages.StreamPart], last_event: int
+    parts: Iterable[messages.StreamPart], last_event: int
 ) -> list[bytes] | None:
     """Return the data of a stream's events up to one that the caller had.
 
@@ -41,7 +41,7 @@
     return None if last_event else beginning
 
 
-def _group_runs(parts: Iterable[stream_messages.StreamPart]) -> list[Run]:
+def _group_runs(parts: Iterable[messages.StreamPart]) -> list[Run]:
     """Return the parts with events of each attempt, the latest one first."""
     runs: dict[tuple[int, str], Run] = {}
     for part in parts:
--- a/src/carobfork/gateway/stream_recorders.py
+++ b/src/carobfork/gateway/stream_recorders.py
@@ -8,7 +8,7 @@
 
 from carobfork import clock, exceptions
 from carobfork.gateway import events
-from carobfork.storage import stream_messages
+from carobfork.storage import messages, stream_messages
 
 WRITE_TIMEOUT_MS = 150
 """Covers many round trips and a sync; a stream that waits longer would pause
@@ -26,7 +26,7 @@
     def store(self, message: stream_messages.StorePart) -> None:
         """Store a part of a stream."""
 
-    def read(self, stream: str) -> list[stream_messages.StreamPart]:
+    def read(self, stream: str) -> list[messages.StreamPart]:
         """Return the parts of a stream."""
 
 
@@ -44,7 +44,7 @@
     def __init__(
         self,
         store: PartStore,
-        start: stream_messages.StreamPart,
+        start: messages.StreamPart,
         retain_ms: float,
     ) -> None:
         """Create a recorder without events."""
@@ -91,7 +91,7 @@
 
     def _store_events(self, stored: list[tuple[int, bytes]]) -> None:
         start = self._start
-        part = stream_messages.StreamPart(
+        part = messages.StreamPart(
             start.stream,
             start.take,
             start.attempt,
--- a/src/carobfork/gateway/turns.py
+++ b/src/carobfork/gateway/turns.py
@@ -23,7 +23,7 @@
     stream_recorders,
     workers,
 )
-from carobfork.storage import messages, stream_messages
+from carobfork.storage import messages
 
 RECORD_TIMEOUT_MS = 150
 """Covers many round trips and a sync; a stream that waits longer would pause
@@ -375,7 +375,7 @@
     def _make_recorder(
         self, turn: Turn, stream: str, take: int = 0, after: int = 0
     ) -> stream_recorders.StreamRecorder:
-        start = stream_messages.StreamPart(
+        start = messages.StreamPart(
             stream, take, turn.record_name, after, 0, []
         )
         return stream_recorders.StreamRecorder(
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -85,6 +85,29 @@
     number: int = 1
 
 
+@attrs.frozen
+class StreamPart:
+    """Consecutive events of a stream that one attempt brings to its caller.
+
+    :param stream: the attempt that brought the stream's first event.
+    :param take: number of times that the stream had been taken up before this
+        attempt, 0 for the attempt that began it.
+    :param attempt: the attempt.
+    :param after: identifier of the last event that the caller had before; 0 if
+        it had none.
+    :param position: number of events of the attempt before these.
+    :param events: identifier and data of each event. An attempt that takes the
+        stream up writes a part without events first.
+    """
+
+    stream: str
+    take: int
+    attempt: str
+    after: int
+    position: int
+    events: list[tuple[int, bytes]]
+
+
 @register
 @attrs.frozen
 class Charge:
@@ -98,6 +121,8 @@
         that can be resumed.
     :param previous: the turn that the attempt continues while it is not
         settled, if any; it is kept as long as the charge.
+    :param part: a part of a stream, which is kept as a charge without tokens.
+        Hosts of an earlier build read and copy it as one.
     """
 
     program: str
@@ -107,6 +132,7 @@
     retain_ms: float
     stream: StreamVersion | None = None
     previous: str = ''
+    part: StreamPart | None = None
 
 
 @attrs.frozen
--- a/src/carobfork/storage/part_clients.py
+++ b/src/carobfork/storage/part_clients.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from carobfork.storage import stream_messages
+from carobfork.storage import messages, stream_messages
 
 RunOnAll = Callable[[Any, bool], dict[str, Any]]
 """Sends all members a request and returns the replies of a write quorum, which
@@ -28,7 +28,7 @@
         """
         self._run_on_all(message, False)  # noqa: WPS425
 
-    def read(self, stream: str) -> list[stream_messages.StreamPart]:
+    def read(self, stream: str) -> list[messages.StreamPart]:
         """Return the parts of a stream that a read quorum holds.
 
         :param stream: the attempt that brought its first event.
--- a/src/carobfork/storage/record_indexes.py
+++ b/src/carobfork/storage/record_indexes.py
@@ -18,7 +18,6 @@
     segments,
     stored_turns,
     stream_logs,
-    stream_messages,
 )
 
 RETENTION_MARGIN_MS = 20_000
@@ -29,7 +28,7 @@
 
 @attrs.frozen
 class Record:
-    """A turn, a charge or a part of a stream as written to a disk.
+    """A turn or charge as written to a disk.
 
     :param written_ms: wall-clock time of the host that wrote it.
     :param retain_ms: how long it is kept from then on.
@@ -37,7 +36,7 @@
 
     written_ms: float
     retain_ms: float
-    entry: messages.Charge | messages.Turn | stream_messages.StreamPart
+    entry: messages.Charge | messages.Turn
 
 
 @attrs.frozen
@@ -85,22 +84,20 @@
         Records may arrive in any order, as those that are copied do.
         """
         expires_ms = record.written_ms + record.retain_ms + RETENTION_MARGIN_MS
-        if isinstance(record.entry, messages.Charge):
+        if isinstance(record.entry, messages.Turn):
+            self._apply_turn(record.entry, location, expires_ms)
+            self.changes.record(record.entry.attempt)
+        elif record.entry.part is None:
             self.segment_retention.retain(location.segment, expires_ms)
             self.charge_index.apply(record.entry, location.segment, expires_ms)
             self._extend_chain_retention(record.entry.previous, expires_ms)
             self.changes.record(record.entry.attempt, record.entry.program)
-        elif isinstance(record.entry, stream_messages.StreamPart):
-            self.segment_retention.retain(location.segment, expires_ms)
-            self.parts.apply(record.entry, location, expires_ms)
         else:
-            self._apply_turn(record.entry, location, expires_ms)
-            self.changes.record(record.entry.attempt)
+            self.segment_retention.retain(location.segment, expires_ms)
+            self.parts.apply(record.entry.part, location, expires_ms)
 
     def new_record(
-        self,
-        entry: messages.Charge | messages.Turn | stream_messages.StreamPart,
-        retain_ms: float,
+        self, entry: messages.Charge | messages.Turn, retain_ms: float
     ) -> Record:
         """Return a record of an entry with the current time."""
         return Record(self._timer.now_ms(), retain_ms, entry)
@@ -122,12 +119,12 @@
         unknown_records = []
         for record in map(decode_record, records):
             entry = record.entry
-            if isinstance(entry, messages.Charge):
+            if isinstance(entry, messages.Turn):
+                is_known = self.has_turn(entry.attempt)
+            elif entry.part is None:
                 is_known = self.has_charge(entry)
-            elif isinstance(entry, stream_messages.StreamPart):
-                is_known = self.parts.covers(entry)
             else:
-                is_known = self.has_turn(entry.attempt)
+                is_known = self.parts.covers(entry.part)
             if not is_known:
                 unknown_records.append(record)
         return unknown_records
--- a/src/carobfork/storage/stream_logs.py
+++ b/src/carobfork/storage/stream_logs.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from carobfork.storage import segments, stream_messages
+from carobfork.storage import messages, segments
 
 PartKey = tuple[int, str, int]
 """Number of the take, its attempt, and the position of the part."""
@@ -35,7 +35,7 @@
 
     def apply(
         self,
-        part: stream_messages.StreamPart,
+        part: messages.StreamPart,
         location: segments.RecordLocation,
         expires_ms: float,
     ) -> None:
@@ -45,7 +45,7 @@
         log.parts[_key(part)] = location
         log.takes.setdefault(part.take, part.attempt)
 
-    def claim(self, part: stream_messages.StreamPart, until_ms: float) -> bool:
+    def claim(self, part: messages.StreamPart, until_ms: float) -> bool:
         """Return whether an attempt may write parts with its number.
 
         The first attempt that asks for a number has it, also while its part is
@@ -56,7 +56,7 @@
         log = self._logs.setdefault(part.stream, _StreamLog(until_ms))
         return log.takes.setdefault(part.take, part.attempt) == part.attempt
 
-    def covers(self, part: stream_messages.StreamPart) -> bool:
+    def covers(self, part: messages.StreamPart) -> bool:
         """Return whether a part is known."""
         log = self._logs.get(part.stream)
         return log is not None and _key(part) in log.parts
@@ -79,5 +79,5 @@
                 self._logs.pop(stream)
 
 
-def _key(part: stream_messages.StreamPart) -> PartKey:
+def _key(part: messages.StreamPart) -> PartKey:
     return part.take, part.attempt, part.position
--- a/src/carobfork/storage/stream_messages.py
+++ b/src/carobfork/storage/stream_messages.py
@@ -9,30 +9,6 @@
 from carobfork.storage import messages
 
 
-@messages.register
-@attrs.frozen
-class StreamPart:
-    """Consecutive events of a stream that one attempt brings to its caller.
-
-    :param stream: the attempt that brought the stream's first event.
-    :param take: number of times that the stream had been taken up before this
-        attempt, 0 for the attempt that began it.
-    :param attempt: the attempt.
-    :param after: identifier of the last event that the caller had before; 0 if
-        it had none.
-    :param position: number of events of the attempt before these.
-    :param events: identifier and data of each event. An attempt that takes the
-        stream up writes a part without events first.
-    """
-
-    stream: str
-    take: int
-    attempt: str
-    after: int
-    position: int
-    events: list[tuple[int, bytes]]
-
-
 @messages.register
 @attrs.frozen
 class StorePart:
@@ -41,7 +17,7 @@
     It is refused with ``taken`` if another attempt has the same number.
     """
 
-    part: StreamPart
+    part: messages.StreamPart
     retain_ms: float
 
 
@@ -58,4 +34,4 @@
 class StreamParts:
     """The reply to ``ReadParts``: the parts that the member holds."""
 
-    parts: list[StreamPart]
+    parts: list[messages.StreamPart]
--- a/src/carobfork/storage/stream_parts.py
+++ b/src/carobfork/storage/stream_parts.py
@@ -28,7 +28,7 @@
     ) -> None:
         """Store a part, unless its number belongs to another attempt."""
         index = self._disk.index
-        record = index.new_record(message.part, message.retain_ms)
+        record = index.new_record(_make_charge(message), message.retain_ms)
         if not index.parts.claim(
             message.part, record.written_ms + record.retain_ms
         ):
@@ -51,7 +51,25 @@
             return
         encoded = self._disk.index.parts.read(message.stream)
         records = map(record_indexes.decode_record, encoded)
-        reply(stream_messages.StreamParts([part.entry for part in records]))
+        reply(
+            stream_messages.StreamParts(
+                [record.entry.part for record in records]
+            )
+        )
 
     def _refuse(self, reason: str, reply: ReplyCallback) -> None:
         reply(messages.Refused(reason, self._disk.identity.group))
+
+
+def _make_charge(message: stream_messages.StorePart) -> messages.Charge:
+    """Return the charge that a part is kept as, with a name of its own."""
+    part = message.part
+    name = f'{part.attempt}#{part.position}'
+    return messages.Charge(
+        name,
+        name,
+        tokens=0,
+        is_settled=True,
+        retain_ms=message.retain_ms,
+        part=part,
+    )
--- a/tests/test_taken_up_turns.py
+++ b/tests/test_taken_up_turns.py
@@ -10,6 +10,7 @@
 from unittest import mock
 
 import gevent
+import msgspec
 
 from carobfork import clock, exceptions
 from carobfork.gateway import (
@@ -39,7 +40,7 @@
     """Return a part with events of an attempt, named after its take."""
     name = attempt or f'a{take}'
     brought = [(number, f'{name}-{number}'.encode()) for number in numbers]
-    return stream_messages.StreamPart('s', take, name, after, position, brought)
+    return messages.StreamPart('s', take, name, after, position, brought)
 
 
 BEGUN = part(0, 0, 1, 2)
@@ -254,6 +255,20 @@
         other = self.open_disk(pathlib.Path(folder))
         self.assertEqual(len(other.index.select_unknown(copied)), 1)
 
+    def test_a_host_of_an_earlier_build(self):
+        """It reads and copies a part as a charge that it knows.
+
+        Guards against hosts that end where two builds share a fleet or a disk.
+        """
+        self.store(part(0, 0, 1))
+        raw = self.disk.read(next(self.disk.index.dump()))
+        _written_ms, _retain_ms, kind, fields = msgspec.msgpack.decode(raw)
+        self.assertEqual(kind, 'Charge')
+        earlier = {'program', 'attempt', 'tokens', 'is_settled', 'retain_ms'}
+        self.assertLessEqual(earlier, fields.keys())
+        self.assertEqual((fields['tokens'], fields['is_settled']), (0, True))
+        self.assertEqual(self.disk.index.describe()['programs'], 0)
+
     def test_two_attempts_with_one_number(self):
         """The second one is refused, also while the first one is written."""
         replies = []
