--- a/tests/configurations.py
+++ b/tests/configurations.py
@@ -68,21 +68,25 @@
     }
 
 
+def talk_route():
+    """Return a route that keeps turns whose streams may be taken up."""
+    return route(
+        'talk',
+        '/talk/',
+        'stream',
+        ENGINES,
+        Retain=True,
+        Resumable=True,
+        Attempts=2,
+    )
+
+
 def configuration(version=3, **limits):
     """Return a configuration with a route of each kind."""
     return {
         'Version': version,
         'Routes': [
             route('chat', '/chat/', 'stream', ENGINES, Retain=True, Attempts=2),
-            route(
-                'talk',
-                '/talk/',
-                'stream',
-                ENGINES,
-                Retain=True,
-                Resumable=True,
-                Attempts=2,
-            ),
             route(
                 'ask',
                 '/ask/',
--- a/tests/soak/fleets.py
+++ b/tests/soak/fleets.py
@@ -132,6 +132,7 @@
         """Write the next version of the configuration."""
         self.version += 1
         spec = configurations.configuration(self.version, **fields)
+        spec['Routes'].append(configurations.talk_route())
         spec['Tenants'] = tenants.entries(self.revoked)
         self.store.put('config', 'main', spec)
 
--- a/tests/test_taken_up_turns.py
+++ b/tests/test_taken_up_turns.py
@@ -314,7 +314,7 @@
         """Start two entry hosts with such a route."""
         self.hosts = self.enterContext(platform_hosts.Deployment(fronts=2))
         configured = configurations.configuration(version=5)
-        configured['Routes'][0]['Resumable'] = True
+        configured['Routes'].append(configurations.talk_route())
         self.hosts.store.put('config', 'main', configured)
         platform_hosts.wait_until(
             lambda: all(
@@ -327,7 +327,9 @@
     def turn(self, body=INPUT, **options):
         """Send a turn and return its attempt and answer."""
         attempt = plain_calls.new_attempt()
-        answer = self.hosts.turn('p', body=body, attempt=attempt, **options)
+        answer = self.hosts.turn(
+            'p', path='/talk/1', body=body, attempt=attempt, **options
+        )
         return attempt, answer
 
     def take_up(self, begun, last_event, front='front-1', **options):
