--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -10,7 +10,7 @@
 from gevent import socket
 
 from carobfork.gateway import framing
-from tests import scripted_servers
+from tests import platform_hosts, scripted_servers
 from tests.scripted_servers import EVENT, REFUSAL, STREAM
 
 NEXT_EVENT = b'id: 2\ndata: b\n\n'
@@ -134,11 +134,23 @@
         self.assertEqual(answer.body, EVENT)
 
     def test_a_stream_that_is_taken_up_at_a_server_that_fails(self):
-        """The caller gets no success, as it adds what comes to its stream."""
+        """The caller gets no success, as it adds what comes to its stream.
+
+        A stream is refused as not run until store hosts have recorded its
+        version, which its first event waits for, but not for a slow disk.
+        """
         attempt = 'f' * 16
         self.script_after_event(FAILURES[0])
         self.ask('/ask/1', attempt=attempt)
         headers = {'Last-Event-Id': '1', 'Resumes': attempt}
+        self.answer_and_close(LATE_FAILURE)
+        platform_hosts.wait_until(
+            lambda: (
+                self.ask('/ask/1', headers=headers).status
+                != platform_hosts.NOT_RUN
+            ),
+            'the record of the version',
+        )
         for content in FAILURES:
             with self.subTest(content=content):
                 self.answer_and_close(content)
