Soak: lose no second disk while a lost one is still a member

Traced by its logs: store-1 lost its disk twice, and 1.1 s after its last start, before it had joined, store-2 lost its disk as well. The schedule asked whether the group had three members and no change. It had, between a cancelled change and the next one, which an outage of the platform's store had delayed: the lost disk was still a member. Two of three disks were lost, which is more than Tolerate allows, and no fleet comes back from that.

Change: the group counts as whole only if its members are the disks that the hosts have. The bound that a disk is lost only then is as before.

Evidence: test_a_lost_disk_that_is_still_a_member failed before ("True is not false") and passes.

--- a/tests/soak/fleets.py
+++ b/tests/soak/fleets.py
@@ -7,6 +7,7 @@
 import time
 
 import attrs
+import msgspec
 
 from carobfork.state import bundles
 from carobfork_standins import lab_processes
@@ -73,6 +74,14 @@
         self.process.send(signal.SIGKILL)
         self.process.wait()
 
+    @property
+    def disk(self) -> str:
+        """The identifier of its disk, empty if it has none yet."""
+        path = self.folder / 'identity'
+        if not path.exists():
+            return ''
+        return msgspec.msgpack.decode(path.read_bytes())['disk']
+
     def wipe(self) -> None:
         """Empty the disk of a process that has ended."""
         shutil.rmtree(self.folder, ignore_errors=True)
@@ -160,12 +169,17 @@
         return address.ip, address.port
 
     def is_settled(self) -> bool:
-        """Tell whether all store hosts are members and none joins."""
+        """Tell whether the disks of all hosts are members and none joins.
+
+        A disk that was lost stays a member until another one has joined.
+        """
         stored = self.store.get('carobfork-storage', 'main')
         if stored is None:
             return False
         group = stored['Spec']
-        return len(group['members']) == STORES and not group['following']
+        disks = {host.disk for host in self.stores.values()}
+        members = {member['disk'] for member in group['members']}
+        return members == disks and not group['following']
 
     def is_changing(self) -> bool:
         """Tell whether the storage group is in a change."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,10 +10,11 @@
 
 import attrs
 import gevent
+import msgspec
 from gevent import server, socket
 
 from tests import backends, configurations
-from tests.soak import proxies, records, runs, tenants
+from tests.soak import fleets, proxies, records, runs, tenants
 
 SEED = 1
 SECONDS = 6
@@ -69,6 +70,33 @@
             )
 
 
+class LostDisksTest(unittest.TestCase):
+    """When another disk may be lost."""
+
+    def test_a_lost_disk_that_is_still_a_member(self):
+        """The group is whole only with the disks that its hosts have.
+
+        Otherwise a run loses two disks of three, which no fleet survives.
+        """
+        fleet = fleets.Fleet(self.folder())
+        for number in range(fleets.STORES):
+            folder = self.folder()
+            identity = msgspec.msgpack.encode({'disk': f'd{number}'})
+            (folder / 'identity').write_bytes(identity)
+            fleet.stores[f'store-{number}'] = fleets.Host(None, None, folder)
+        disks = ('d0', 'd1', 'lost')
+        group = {'members': [{'disk': disk} for disk in disks], 'following': []}
+        fleet.store.put('carobfork-storage', 'main', group)
+        self.assertFalse(fleet.is_settled())
+        group['members'][-1]['disk'] = 'd2'
+        fleet.store.put('carobfork-storage', 'main', group)
+        self.assertTrue(fleet.is_settled())
+
+    def folder(self):
+        """Return a new folder."""
+        return pathlib.Path(self.enterContext(tempfile.TemporaryDirectory()))
+
+
 class ScheduleTest(unittest.TestCase):
     """What a seed leads to."""
 
