--- a/tests/test_quota_path.py
+++ b/tests/test_quota_path.py
@@ -31,6 +31,15 @@
     }
 
 
+def may_grant(keeper):
+    """Tell whether a store host has been a member for long enough to grant.
+
+    Until then its share of the quota is nobody's.
+    """
+    since_ms = keeper.grant_right.since_ms
+    return since_ms is not None and keeper.boot_timer.now_ms() >= since_ms
+
+
 class QuotaPathTest(unittest.TestCase):
     """Two entry hosts and three store hosts that share a quota."""
 
@@ -46,6 +55,10 @@
             ),
             'the configuration',
         )
+        platform_hosts.wait_until(
+            lambda: all(map(may_grant, self.hosts.keepers.values())),
+            'the right to grant of all store hosts',
+        )
         platform_hosts.wait_until(
             lambda: self.ask('small').status == 200, 'a credit'
         )
