--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -17,6 +17,12 @@
     return frozenset(ENTRY.findall(KNOWN_RED.read_text()))
 
 
+def describe(exc_info):
+    """Return the type and the first line of a failure."""
+    kind, error = exc_info[:2]
+    return f'{kind.__name__}: {error}'.splitlines()[0]
+
+
 class KnownRed(events.Plugin):
     """Print what failed as known, and the closing count."""
 
@@ -39,7 +45,7 @@
             self.counts['red'] += 1
         elif broken:
             self.counts['failed'] += 1
-            self.unexpected.append(name)
+            self.unexpected.append(f'{name}: {describe(event.exc_info)}')
         elif event.outcome == result.SKIP:
             self.counts['skipped'] += 1
         else:
--- a/tests/run.py
+++ b/tests/run.py
@@ -20,7 +20,7 @@
 COUNTS = re.compile(
     r'^(\d+) passed, (\d+) failed, (\d+) skipped$', re.MULTILINE
 )
-FAILED = re.compile(r'^failed: \S+$', re.MULTILINE)
+FAILED = re.compile(r'^failed: .+$', re.MULTILINE)
 FOLDER = pathlib.Path(__file__).parent
 
 
