Release the body of a request that has failed (LOST)

What callers saw: nothing yet; a host over its memory is ended, and with it the requests of all its callers.

Cause: RequestContext.failure holds the error, its traceback the frames of the request, these the context. The cycle kept the body until a garbage collection, after its room had been given back. A timeout did the same by a local variable.

Change: the failure is cleared once the request is over, and a timeout's traceback before the caller's error is raised.

--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -120,9 +120,11 @@
             context.failure = _explain(error, timeout, context)
             if context.failure is None or context.failure is error:
                 raise
-            raise context.failure from None
+            raise context.failure from error.with_traceback(None)
         finally:
             self._close(context)
+            # Its traceback refers to the context, and so to the body.
+            context.failure = None
 
     def _prepare(self, request: contexts.Request) -> contexts.RequestContext:
         self._wait_for_routes()
