--- a/src/carobfork/gateway/fingerprints.py
+++ b/src/carobfork/gateway/fingerprints.py
@@ -13,7 +13,8 @@
 class Fingerprints:
     """Digests of a request, without what differs between attempts.
 
-    :param request: digest of method, path, caller and body.
+    :param request: digest of method, path, caller, the turn that it
+        continues, and body. A turn's body holds its new input only.
     :param path: digest of method and path. Prompts grow with a program's
         history, so programs that ask the same have different bodies.
     """
@@ -32,7 +33,12 @@
     :param body: the body as the caller sent it.
     """
     path_parts = (head.get('host'), *head.first[:2])
-    caller_parts = (call.program, call.session, call.affinity)
+    caller_parts = (
+        call.program,
+        call.session,
+        call.affinity,
+        call.previous_turn,
+    )
     return Fingerprints(
         _digest((*path_parts, *caller_parts), body), _digest(path_parts, b'')
     )
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -14,7 +14,13 @@
 import gevent
 
 from carobfork import clock
-from carobfork.gateway import fingerprints, request_guards, workers
+from carobfork.gateway import (
+    calls,
+    fingerprints,
+    framing,
+    request_guards,
+    workers,
+)
 from carobfork.storage import (
     crash_histories,
     crash_reporters,
@@ -22,7 +28,7 @@
     messages,
     request_blocks,
 )
-from tests import configurations, platform_hosts
+from tests import configurations, plain_calls, platform_hosts
 
 FRONTS = 3
 DEADLY = b'deadly'
@@ -123,6 +129,27 @@
 OTHER_KEYS = fingerprints.Fingerprints('other', 'path')
 
 
+class FingerprintsTest(unittest.TestCase):
+    """Which requests count as the same one."""
+
+    def fingerprint(self, previous_turn):
+        """Return the digest of a turn that continues another one."""
+        call = calls.Call(
+            attempt=plain_calls.new_attempt(),
+            program='p',
+            session='s',
+            previous_turn=previous_turn,
+        )
+        head = framing.parse_head(b'POST /chat/7 HTTP/1.1\r\nHost: h')
+        keys = fingerprints.compute_fingerprints(head, call, b'continue')
+        return keys.request
+
+    def test_turns_with_the_same_input_are_told_apart(self):
+        """One that goes on from elsewhere has not crashed any server."""
+        self.assertEqual(self.fingerprint('t1'), self.fingerprint('t1'))
+        self.assertNotEqual(self.fingerprint('t1'), self.fingerprint('t2'))
+
+
 class GuardTest(unittest.TestCase):
     """One host's decisions, on a manual clock."""
 
