--- a/src/carobfork/roles/store.py
+++ b/src/carobfork/roles/store.py
@@ -113,6 +113,7 @@
         """Start listening, following the platform and joining the group."""
         self.listener.start()
         self.spawn(self.disk.run)
+        self.spawn(self.replica.blocks.run)
         self.spawn(
             functools.partial(
                 self.disk.cleaner.run, self.catch_up.known_until_ms
--- a/src/carobfork/storage/crash_histories.py
+++ b/src/carobfork/storage/crash_histories.py
@@ -1,5 +1,7 @@
 """Remember which requests were on servers that crashed, and block those."""
 
+from collections.abc import Mapping
+
 import attrs
 
 from carobfork import clock
@@ -18,6 +20,24 @@
 """Bounds the memory; the requests whose last crash is oldest are dropped."""
 
 
+@attrs.frozen
+class CrashCount:
+    """The crashes under a request, as they are stored.
+
+    :param weight: the weight of all of them.
+    :param servers: the server processes whose crash was counted.
+    :param left_ms: how long they still count.
+    """
+
+    weight: int
+    servers: tuple[str, ...]
+    left_ms: float
+
+    def aged(self, age_ms: float) -> 'CrashCount':
+        """Return the count as it is some time later."""
+        return attrs.evolve(self, left_ms=self.left_ms - age_ms)
+
+
 @attrs.define
 class _Suspect:
     """A request that was on servers that crashed.
@@ -68,6 +88,26 @@
         suspect = self._touch(fingerprint, left_ms)
         suspect.weight = max(suspect.weight, BLOCKED_WEIGHT)
 
+    def dump(self) -> dict[str, CrashCount]:
+        """Return the crashes that still count, oldest last crash first."""
+        now_ms = self._timer.now_ms()
+        return {
+            fingerprint: CrashCount(
+                suspect.weight,
+                tuple(suspect.servers),
+                suspect.expires_ms - now_ms,
+            )
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.expires_ms > now_ms
+        }
+
+    def restore(self, crashes: Mapping[str, CrashCount]) -> None:
+        """Apply crashes that were stored."""
+        for fingerprint, count in crashes.items():
+            suspect = self._touch(fingerprint, count.left_ms)
+            suspect.weight = max(suspect.weight, count.weight)
+            suspect.servers.update(count.servers)
+
     def clear(self, fingerprint: str) -> None:
         """Forget the crashes under a request."""
         self._suspects.pop(fingerprint, None)
--- a/src/carobfork/storage/disks.py
+++ b/src/carobfork/storage/disks.py
@@ -11,7 +11,7 @@
 import functools
 import pathlib
 import secrets
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -22,6 +22,7 @@
 
 from carobfork import clock
 from carobfork.storage import (
+    crash_files,
     groups,
     record_indexes,
     segment_cleaners,
@@ -34,7 +35,6 @@
 disk hangs must end too."""
 _IDENTITY_FILE = 'identity'
 _SNAPSHOTS_FILE = 'notes'
-_BLOCKED_FILE = 'blocked'
 _DISK_ID_BYTES = 8
 
 Records = list[record_indexes.Record]
@@ -76,6 +76,7 @@
 class Disk:
     """The records, identity and snapshots in one directory.
 
+    :ivar crash_files: stores what is known of requests that crash servers.
     :ivar cleaner: removes the files that are not needed any more.
     :param folder: the directory; it is created if necessary.
     :param timer: the wall clock.
@@ -92,6 +93,9 @@
         self.cleaner = segment_cleaners.SegmentCleaner(
             self.index, self._files, self.write
         )
+        self.crash_files = crash_files.CrashFiles(
+            folder, self._replace_file, timer
+        )
         self.synced_batches = 0
         self._pending: list[Submission] = []
         self._has_pending = event.Event()
@@ -146,32 +150,6 @@
         """Store the platform's snapshots for hosts that start later."""
         self._replace_file(_SNAPSHOTS_FILE, self.snapshots.snapshots)
 
-    def save_blocked(self, blocked: Mapping[str, float]) -> None:
-        """Store how long requests stay blocked, in ms, by fingerprint."""
-        now_ms = self._timer.now_ms()
-        until_ms = {
-            fingerprint: now_ms + left_ms
-            for fingerprint, left_ms in blocked.items()
-        }
-        try:
-            self._replace_file(_BLOCKED_FILE, until_ms)
-        except OSError as error:
-            logger.error('blocked requests not stored', reason=str(error))
-
-    def load_blocked(self) -> dict[str, float]:
-        """Return how long requests stay blocked, in ms, by fingerprint."""
-        path = self._folder / _BLOCKED_FILE
-        if not path.exists():
-            return {}
-        now_ms = self._timer.now_ms()
-        until_ms = msgspec.msgpack.decode(
-            path.read_bytes(), type=dict[str, float]
-        )
-        return {
-            fingerprint: expires_ms - now_ms
-            for fingerprint, expires_ms in until_ms.items()
-        }
-
     def submit(self, submission: Submission) -> None:
         """Queue records for writing; without records, reply at once."""
         if submission.records:
--- a/src/carobfork/storage/request_blocks.py
+++ b/src/carobfork/storage/request_blocks.py
@@ -1,20 +1,25 @@
 """Keep the blocked requests of all entry hosts at a store host.
 
-Every store host gets the reports of crashes itself. Store hosts tell each
-other of the requests that are blocked, and keep them on their disks, so that
-a restart of all hosts unblocks none.
+Every store host gets the reports of crashes itself and keeps them on its disk.
+Store hosts tell each other of the requests that are blocked. So a restart of
+all hosts unblocks none, and counts no request's crashes from the start.
 """
 
 import random
 from collections.abc import Iterable, Mapping
 
+import gevent
 import structlog
+from gevent import event
 
 from carobfork import clock
 from carobfork.storage import crash_histories, disks, messages
 
 CLEARED_TTL_MS = 60_000
 """How long reports about cleared requests are ignored."""
+SAVE_INTERVAL_MS = 200
+"""Time between two writes of crashes; a server that ends reports one for each
+call that it had."""
 _VERSION_RANGE = 1_000_000_000
 
 logger = structlog.get_logger(part='blocks')
@@ -36,7 +41,9 @@
         self._timer = timer
         self._history = crash_histories.CrashHistory(timer)
         self._cleared_ms: dict[str, float] = {}
-        stored = disk.load_blocked()
+        self._has_unsaved = event.Event()
+        self._history.restore(disk.crash_files.load_crashes())
+        stored = disk.crash_files.load_blocked()
         for fingerprint, left_ms in stored.items():
             self._history.block(fingerprint, left_ms)
         self._known = frozenset(stored)
@@ -45,8 +52,17 @@
         """Count a crash that an entry host reports."""
         if not self._is_cleared(crash.fingerprint):
             self._history.add(crash.fingerprint, crash.server, crash.has_output)
+            self._has_unsaved.set()
             self._save_new((crash.fingerprint,))
 
+    def run(self) -> None:
+        """Store crashes that were reported, as long as this host runs."""
+        while True:
+            self._has_unsaved.wait()
+            self._has_unsaved.clear()
+            self._disk.crash_files.save_crashes(self._history.dump())
+            gevent.sleep(clock.to_seconds(SAVE_INTERVAL_MS))
+
     def merge(self, blocked: Mapping[str, float]) -> None:
         """Block the requests that another store host has blocked.
 
@@ -70,6 +86,7 @@
         fingerprint = cleared.fingerprint
         self._cleared_ms[fingerprint] = self._timer.now_ms()
         self._history.clear(fingerprint)
+        self._has_unsaved.set()
         if fingerprint in self._known:
             logger.warning('requests unblocked', fingerprint=fingerprint)
             self._known -= {fingerprint}
@@ -107,7 +124,7 @@
         self.version += 1
         blocked = self.blocked()
         self._known = frozenset(blocked)
-        self._disk.save_blocked(blocked)
+        self._disk.crash_files.save_blocked(blocked)
 
     def _is_cleared(self, fingerprint: str) -> bool:
         cleared_ms = self._cleared_ms.get(fingerprint)
--- a/tests/test_disks.py
+++ b/tests/test_disks.py
@@ -60,7 +60,7 @@
         self.save(self.save_group, groups.Group(1))
         self.save(self.disk.save_completeness, True)
         self.save(self.disk.save_snapshots)
-        self.save(self.disk.save_blocked, {'f': 1})
+        self.save(self.disk.crash_files.save_blocked, {'f': 1})
         self.assertEqual(
             self.written, ['identity', 'identity', 'notes', 'blocked']
         )
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -114,6 +114,18 @@
         self.assertEqual(answer.status, 503)
         self.assertEqual(self.hosts.turn('q', path='/chat/8').status, 200)
 
+    def test_a_restart_below_a_block_forgets_nothing(self):
+        """Store hosts keep the crashes of requests that aren't blocked yet."""
+        self.repeat('/look/7', count=1)
+        before = len(self.crashes())
+        self.assertLess(before, CRASHES)
+        self.hosts.restart_all()
+        platform_hosts.wait_until(self.knows_servers, 'the servers')
+        gevent.sleep(LEARNING_SECONDS)
+        self.repeat('/look/7')
+        self.assert_stopped()
+        self.assertLess(len(self.crashes()), before + CRASHES)
+
     def test_a_restart_of_all_hosts_unblocks_nothing(self):
         """Store hosts keep blocked requests on their disks."""
         self.repeat('/look/7')
@@ -269,6 +281,27 @@
         )
         self.assertEqual(list(reopened.blocked()), ['f'])
 
+    def test_crashes_below_a_block_outlast_a_restart(self):
+        """A restart of all store hosts lets it crash no more servers."""
+        running = gevent.spawn(self.blocks[-1].run)
+        self.addCleanup(running.kill)
+        self.crash(CRASHES - 1)
+        gevent.sleep(LEARNING_SECONDS)
+        reopened = request_blocks.RequestBlocks(
+            self.open_disk(self.folder), self.timer
+        )
+        reopened.add(messages.Crash('f', 't0', has_output=False))
+        self.assertEqual(reopened.blocked(), {})
+        reopened.add(messages.Crash('f', 't9', has_output=False))
+        self.assertEqual(list(reopened.blocked()), ['f'])
+
+    def test_a_file_that_can_not_be_read(self):
+        """A store host starts without the crashes, but with its records."""
+        disk = self.open_disk()
+        pathlib.Path(self.folder, 'crashes').write_bytes(b'\xc1')
+        blocks = request_blocks.RequestBlocks(disk, self.timer)
+        self.assertEqual(blocks.weights(['f']), {})
+
     def test_a_cleared_request_stays_cleared(self):
         """Peers that have not heard of it do not block it again."""
         self.crash(CRASHES)
