--- a/src/carobfork/gateway/request_guards.py
+++ b/src/carobfork/gateway/request_guards.py
@@ -2,8 +2,9 @@
 
 The load pattern: a request crashes a server, and comes again by retries of
 hosts and callers, also at other hosts and from other programs, until no server
-is left. A request is known by its own digest and by that of its path. A path
-that servers have answered lately is not blocked: there, the request alone is.
+is left. A request is known by its own digest and by that of its path. A path is
+blocked only once several requests to it have crashed servers, and not while
+servers answer others: there, the request alone is.
 """
 
 from collections.abc import Callable, Mapping
@@ -71,12 +72,13 @@
         """Count and report the crash of a server under a request."""
         server = f'{worker.instance}@{worker.entry.started_ms:.0f}'
         keys = context.keys
-        suspects = [keys.request]
+        self._count(messages.Crash(keys.request, server, context.has_output))
         if not self._is_answered(keys.path):
-            suspects.append(keys.path)
-        for suspect in suspects:
-            self._history.add(suspect, server, context.has_output)
-            self._report(messages.Crash(suspect, server, context.has_output))
+            self._count(
+                messages.Crash(
+                    keys.path, server, context.has_output, keys.request
+                )
+            )
 
     def record_answer(self, keys: fingerprints.Fingerprints) -> None:
         """Record that a server has answered a request."""
@@ -109,6 +111,12 @@
                 self._history.block(suspect, left_ms)
         self._blocked = frozenset(answer.blocked)
 
+    def _count(self, crash: messages.Crash) -> None:
+        self._history.add(
+            crash.fingerprint, crash.server, crash.has_output, crash.request
+        )
+        self._report(crash)
+
     def _is_answered(self, path: str) -> bool:
         answered_ms = self._answered_ms.get(path)
         if answered_ms is None:
--- a/src/carobfork/storage/crash_histories.py
+++ b/src/carobfork/storage/crash_histories.py
@@ -27,11 +27,13 @@
     :param weight: the weight of all of them.
     :param servers: the server processes whose crash was counted.
     :param left_ms: how long they still count.
+    :param requests: the requests to a path whose crash was counted.
     """
 
     weight: int
     servers: tuple[str, ...]
     left_ms: float
+    requests: tuple[str, ...] = ()
 
     def aged(self, age_ms: float) -> 'CrashCount':
         """Return the count as it is some time later."""
@@ -43,12 +45,14 @@
     """A request that was on servers that crashed.
 
     :param servers: the server processes whose crash was counted.
+    :param requests: the requests whose crash was counted, if this is a path.
     :param expires_ms: when its crashes stop counting.
     """
 
     expires_ms: float
     weight: int = 0
     servers: set[str] = attrs.Factory(set)
+    requests: set[str] = attrs.Factory(set)
 
 
 class CrashHistory:
@@ -62,18 +66,31 @@
         self._timer = timer
         self._suspects: dict[str, _Suspect] = {}
 
-    def add(self, fingerprint: str, server: str, has_output: bool) -> None:
+    def add(
+        self,
+        fingerprint: str,
+        server: str,
+        has_output: bool,
+        request: str = '',
+    ) -> None:
         """Count a crash, once for each server process.
 
+        Crashes under a path also count once for each request: one that comes
+        again and again says nothing about others.
+
         :param server: identifies the server process.
         :param has_output: whether a part of the answer had come.
+        :param request: the request, if the fingerprint is that of its path.
         """
         suspect = self._touch(fingerprint, BLOCK_MS)
-        if server not in suspect.servers:
-            suspect.servers.add(server)
-            suspect.weight += (
-                OUTPUT_CRASH_WEIGHT if has_output else SILENT_CRASH_WEIGHT
-            )
+        if server in suspect.servers or request in suspect.requests:
+            return
+        suspect.servers.add(server)
+        if request:
+            suspect.requests.add(request)
+        suspect.weight += (
+            OUTPUT_CRASH_WEIGHT if has_output else SILENT_CRASH_WEIGHT
+        )
 
     def learn(self, fingerprint: str, weight: int) -> None:
         """Apply the weight of all crashes that another host knows of."""
@@ -96,6 +113,7 @@
                 suspect.weight,
                 tuple(suspect.servers),
                 suspect.expires_ms - now_ms,
+                tuple(suspect.requests),
             )
             for fingerprint, suspect in self._suspects.items()
             if suspect.expires_ms > now_ms
@@ -107,6 +125,7 @@
             suspect = self._touch(fingerprint, count.left_ms)
             suspect.weight = max(suspect.weight, count.weight)
             suspect.servers.update(count.servers)
+            suspect.requests.update(count.requests)
 
     def clear(self, fingerprint: str) -> None:
         """Forget the crashes under a request."""
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -375,11 +375,13 @@
     :param fingerprint: identifies the request, or all requests to its path.
     :param server: identifies the server's process.
     :param has_output: whether a part of the answer had come.
+    :param request: the request, if the fingerprint is that of its path.
     """
 
     fingerprint: str
     server: str
     has_output: bool
+    request: str = ''
 
 
 @register
--- a/src/carobfork/storage/request_blocks.py
+++ b/src/carobfork/storage/request_blocks.py
@@ -51,7 +51,12 @@
     def add(self, crash: messages.Crash) -> None:
         """Count a crash that an entry host reports."""
         if not self._is_cleared(crash.fingerprint):
-            self._history.add(crash.fingerprint, crash.server, crash.has_output)
+            self._history.add(
+                crash.fingerprint,
+                crash.server,
+                crash.has_output,
+                crash.request,
+            )
             self._has_unsaved.set()
             self._save_new((crash.fingerprint,))
 
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -192,6 +192,21 @@
             self.crash(f't{number}', has_output=True)
         self.assertTrue(self.guard.left_ms(KEYS))
 
+    def test_one_request_blocks_no_path(self):
+        """Others to its path are served at hosts that had no answer on it."""
+        for number in range(CRASHES):
+            self.crash(f't{number}')
+        self.assertTrue(self.guard.left_ms(KEYS))
+        self.assertFalse(self.guard.left_ms(OTHER_KEYS))
+
+    def test_several_requests_block_a_path(self):
+        """Programs that ask the same have different bodies."""
+        for number in range(CRASHES):
+            self.crash(
+                f't{number}', fingerprints.Fingerprints(f'r{number}', 'path')
+            )
+        self.assertTrue(self.guard.left_ms(OTHER_KEYS))
+
     def test_a_path_that_is_answered_is_not_blocked(self):
         """Other requests to a path in use go on; the deadly one does not."""
         self.guard.record_answer(OTHER_KEYS)
