--- a/src/carobfork/storage/stream_logs.py
+++ b/src/carobfork/storage/stream_logs.py
@@ -6,8 +6,9 @@
 
 from carobfork.storage import messages, segments
 
-PartKey = tuple[int, str, int]
-"""Number of the take, its attempt, and the position of the part."""
+PartKey = tuple[int, str, int, bool]
+"""Number of the take, its attempt, the position of the part, and whether it has
+events: the part that claims a take has the position of the first events."""
 
 
 @attrs.define
@@ -80,4 +81,4 @@
 
 
 def _key(part: messages.StreamPart) -> PartKey:
-    return part.take, part.attempt, part.position
+    return part.take, part.attempt, part.position, bool(part.events)
--- a/tests/test_taken_up_turns.py
+++ b/tests/test_taken_up_turns.py
@@ -81,6 +81,11 @@
         parts = [BEGUN, ONLY_TAKEN_UP]
         self.assert_beginning(parts, 2, 'a0-1', 'a0-2')
 
+    def test_a_claim_and_the_events_after_it(self):
+        """The part without events changes nothing."""
+        parts = [BEGUN, ONLY_TAKEN_UP, TAKEN_UP]
+        self.assert_beginning(parts, 4, 'a0-1', 'a0-2', 'a1-3', 'a1-4')
+
     def test_an_attempt_whose_events_did_not_arrive(self):
         """The caller goes on after the event that it has."""
         parts = [BEGUN, TAKEN_UP, ALSO_AFTER_TWO]
@@ -255,6 +260,20 @@
         other = self.open_disk(pathlib.Path(folder))
         self.assertEqual(len(other.index.select_unknown(copied)), 1)
 
+    def test_a_member_that_knows_the_claim_only(self):
+        """It copies the events that the attempt brought first."""
+        claim, first = part(1, 0), part(1, 0, 1)
+        self.store(claim)
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        other = self.open_disk(pathlib.Path(folder))
+        index = self.disk.index
+        claimed = [self.disk.read(entry) for entry in index.dump()]
+        self.assertTrue(other.write(other.index.select_unknown(claimed)))
+        self.store(first)
+        self.assertEqual(self.read(), [claim, first])
+        copied = [self.disk.read(entry) for entry in index.dump()]
+        self.assertEqual(len(other.index.select_unknown(copied)), 1)
+
     def test_a_host_of_an_earlier_build(self):
         """It reads and copies a part as a charge that it knows.
 
