--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -74,6 +74,7 @@
         stream, once the caller has an event of it; ``None`` before.
     :param queued_ms: total time that it has waited for slots.
     :param was_reused: whether the last failed attempt used a kept connection.
+    :param last_error: why the latest attempt failed, empty if none has.
     :param failure: the error that the caller gets, if there is one.
     """
 
@@ -106,6 +107,7 @@
     required_version: str | None = None
     queued_ms: float = 0
     was_reused: bool = False
+    last_error: str = ''
     failure: exceptions.CarobforkError | None = None
 
     @property
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -217,6 +217,8 @@
                 refusals=context.refusals,
                 was_kept=context.was_reused,
                 last_event=context.event_log.last_id,
+                reason=context.last_error,
+                left_ms=round(context.deadline_at_ms - self._timer.now_ms()),
             )
 
     def _open_turn(self, context: contexts.RequestContext) -> None:
@@ -306,8 +308,10 @@
             try:
                 self.exchanger.exchange(context, worker, response)
             except exceptions.ServerRefusedError as error:
+                context.last_error = str(error)
                 self._count_refusal(context, error)
             except exceptions.ConnectionFailedError as error:
+                context.last_error = str(error)
                 worker.record_failure(self._timer.now_ms())
                 self.exchanger.pool.discard_idle(worker)
                 if crash_detectors.has_crashed(context, worker, error):
