Show that a silent server's stream is ended without another place (known red)

Stand-ins whose server falls silent for 1.1 s in its answer while the others are full: the stream is broken off and the plain answer is 502, 0.9 to 1.1 s after the request came, though the server goes on.

--- a/tests/backends.py
+++ b/tests/backends.py
@@ -53,6 +53,8 @@
     """Whether all answers say that the server leaves."""
     hang_after: int | None = None
     """Events after which the next streams stop without an end."""
+    silent_until: float = 0
+    """Monotonic time until which nothing is sent; then all goes on."""
 
 
 def _do_nothing() -> None:
@@ -160,6 +162,7 @@
 
     def _delay_answer(self) -> None:
         gevent.sleep(self.faults.delay_ms / 1000)
+        self._wait_while_silent()
         if self.faults.hangs:
             gevent.sleep(_HANG_SECONDS)
         if self.faults.drop_answer:
@@ -186,6 +189,10 @@
         if hanging is not None and number > hanging:
             gevent.sleep(_HANG_SECONDS)
         gevent.sleep(_EVENT_SECONDS + self.faults.delay_ms / 1000)
+        self._wait_while_silent()
+
+    def _wait_while_silent(self) -> None:
+        gevent.sleep(max(0, self.faults.silent_until - time.monotonic()))
 
 
 class _Handler(pywsgi.WSGIHandler):
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -5,15 +5,22 @@
 one.
 """
 
+import time
 import unittest
 from unittest import mock
 
+import gevent
+
 from carobfork import clock
 from carobfork.gateway import calls, contexts, routes, stalls, workers
 from tests import plain_calls, platform_hosts
 
 SERVICE = 'tools'
 LEARNED = 20
+PAUSE_SECONDS = 1.1
+DEADLINE_MS = 1800
+FULL_CALLS = 100
+"""More calls than a server's slots and its own queue take."""
 
 
 class LimitTest(unittest.TestCase):
@@ -136,3 +143,78 @@
             self.assertLessEqual(self.hosts.runs(attempt), 1)
         self.assertLessEqual(statuses.count(504), 2)
         self.assertEqual(set(statuses) - {200, 504}, set())
+
+
+class PausedServersTest(platform_hosts.DeploymentCase):
+    """Sound servers that fall silent for a second and then go on.
+
+    Guards against requests that are taken from them before another server has
+    a place (LOST).
+    """
+
+    def setUp(self):
+        """Let the entry host learn, and fill all servers but the first."""
+        self.table = self.hosts.fronts['front-0'].table
+        for number in range(LEARNED):
+            for path in ('/ask/', '/look/'):
+                self.ask(f'{path}{number}')
+        for instance in ('e1', 't1'):
+            self.table.get(instance).in_flight += FULL_CALLS
+
+    def tearDown(self):
+        """Free the other servers."""
+        for instance in ('e1', 't1'):
+            self.table.get(instance).in_flight -= FULL_CALLS
+        for worker in self.table:
+            worker.avoided_until_ms = 0
+        super().tearDown()
+
+    def ask(self, path):
+        """Send a request and return its attempt and answer."""
+        attempt = plain_calls.new_attempt()
+        headers = {'X-Deadline-Ms': str(DEADLINE_MS)}
+        if path.startswith('/ask/'):
+            headers['Accept'] = 'text/event-stream'
+        answer = self.hosts.ask(path, attempt=attempt, headers=headers)
+        return attempt, answer
+
+    def faults(self, instance):
+        """Return what is wrong with a server."""
+        return self.hosts.backends[instance].faults
+
+    def pause(self, instance):
+        """Let a server fall silent at once."""
+        self.faults(instance).silent_until = time.monotonic() + PAUSE_SECONDS
+
+    def ask_and_pause(self, path, instance, delay_ms):
+        """Pause a server in the middle of its answer; return the latter."""
+        self.faults(instance).delay_ms = delay_ms
+        asking = gevent.spawn(self.ask, path)
+        gevent.sleep(delay_ms * 2.5 / 1000)
+        self.pause(instance)
+        return asking.get()
+
+    def test_a_stream_without_another_place_goes_on(self):
+        """It ends whole at the server that began it."""
+        attempt, answer = self.ask_and_pause('/ask/1', 'e0', delay_ms=50)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(answer.body.count(b'id:'), 4)
+        self.assertEqual(self.hosts.runs(attempt), 1)
+
+    def test_an_answer_without_another_place_arrives(self):
+        """A request that may be repeated is answered by its first server."""
+        self.pause('t0')
+        attempt, answer = self.ask('/look/1')
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.hosts.runs(attempt), 1)
+
+    def test_a_place_that_comes_later_is_used(self):
+        """A server that stays silent gives way once another one has room."""
+        self.faults('e0').hang_after = 1
+        asking = gevent.spawn(self.ask, '/ask/1')
+        gevent.sleep(1.2)
+        self.table.get('e1').in_flight -= FULL_CALLS
+        _attempt, answer = asking.get()
+        self.table.get('e1').in_flight += FULL_CALLS
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(answer.body.count(b'id:'), 4)
