Leave a silent server only once another one has a place (LOST)

What callers saw: a stream was closed in the middle, or a plain request got 502, 1.2 s after it was sent, though its server went on a moment later.

Cause: the stall watch ended the exchange after half a second of silence, and only then was it asked whether another server has a slot. With several servers silent at once the others are full, and a request that a server may have run can't be refused any more, so its connection was closed.

Now the exchange goes on while a place is looked for: a credit, a slot and a connection to a server that can be reached. It is left once there is one. If the server makes progress first, the search ends and gives everything back; if there is no place, the search begins again after the same time.

--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -11,6 +11,7 @@
     histories,
     program_admissions,
     routes,
+    standbys,
     turns,
 )
 from carobfork.tenancy import credit_stocks, tenants
@@ -67,7 +68,9 @@
     :param is_sent: whether a backend server may have run the call.
     :param failed_attempts: attempts that failed after the request was sent.
     :param refusals: number of workers that refused it or were unreachable.
-    :param avoided: workers that have failed or refused it.
+    :param avoided: workers that have failed, refused or not gone on with it.
+    :param standby: a place at another worker, while that of the latest attempt
+        is silent.
     :param worker: the worker of the latest attempt.
     :param server_version: the version of that worker's software.
     :param required_version: the only version whose workers may go on with the
@@ -102,6 +105,7 @@
     failed_attempts: int = 0
     refusals: int = 0
     avoided: frozenset[str] = frozenset()
+    standby: standbys.Standby | None = None
     worker: str = ''
     server_version: str = ''
     required_version: str | None = None
@@ -156,6 +160,10 @@
             and self.failed_attempts + 1 < self.route.max_attempts
         )
 
+    def avoid(self, instance: str) -> None:
+        """Let other workers go first from now on."""
+        self.avoided = self.avoided.union((instance,))
+
     def require_version(self, version: str) -> None:
         """Let only workers of a version go on, unless one is required."""
         if self.required_version is None:
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -47,6 +47,7 @@
 class Exchanger:
     """Send requests to backend servers and relay their answers.
 
+    :ivar stalls: notices servers that do not answer.
     :param codec: translates heads to and from call metadata.
     :param turn_manager: stores complete turns.
     :param timer: the clock for deadlines and durations.
@@ -66,7 +67,7 @@
         self._check_process = check_process
         self.pool = connection_pools.ConnectionPool(timer)
         self.sent_to_limited = 0
-        self._stalls = stalls.StallDetector(timer)
+        self.stalls = stalls.StallDetector(timer)
         self._codec = codec
         self._turns = turn_manager
         self._large_turns = lock.BoundedSemaphore()
@@ -79,12 +80,14 @@
         context: contexts.RequestContext,
         worker: workers.Worker,
         response: ports.ResponseWriter,
+        connection: connection_pools.Connection | None = None,
     ) -> None:
         """Send a request once and relay the answer.
 
         :param context: the request.
         :param worker: the backend server to send it to.
         :param response: the writer of the caller's response.
+        :param connection: an open connection to the server, if there is one.
         :raises ServerRefusedError: if the server did not run the call.
         :raises NotRunError: if too little time is left and nothing was sent.
         :raises DeadlineError: if too little time is left to send it again.
@@ -93,8 +96,9 @@
         :raises AnswerDroppedError: if there is no room for the answer.
         """
         started_ms = self._timer.now_ms()
-        self._left_ms(context)
-        connection = self._connect(context, worker)
+        if connection is None:
+            self._left_ms(context)
+            connection = self.connect(context, worker)
         try:
             with self._watch(context, worker) as watch:
                 answer = self._send(context, worker, connection, watch)
@@ -107,7 +111,7 @@
         worker.record_success(now_ms - started_ms, now_ms)
         self._release_connection(worker, connection, answer)
 
-    def _connect(
+    def connect(
         self, context: contexts.RequestContext, worker: workers.Worker
     ) -> connection_pools.Connection:
         """Return a connection to the process of a worker's entry.
@@ -141,7 +145,7 @@
         :raises ConnectionFailedError: if it stalls and may be tried elsewhere.
         """
         try:
-            with self._stalls.watch(context, worker) as watch:
+            with self.stalls.watch(context, worker) as watch:
                 yield watch
         except stalls.StalledError as error:
             raise exceptions.ConnectionFailedError(
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -9,12 +9,12 @@
 
 from carobfork import clock, exceptions
 from carobfork.gateway import (
-    admissions,
     contexts,
     crash_detectors,
     exchanges,
     fingerprints,
     metrics,
+    places,
     ports,
     request_guards,
     routes,
@@ -23,7 +23,7 @@
     worker_tables,
 )
 from carobfork.storage import messages
-from carobfork.tenancy import key_ages
+from carobfork.tenancy import credit_stocks, key_ages
 
 STARTUP_TIMEOUT_MS = 800
 """How long a request waits for the first configuration: a host gets it within
@@ -92,7 +92,16 @@
         self.table = table
         self._turns = turn_manager
         self._timer = timer
-        self.admission = admissions.AdmissionController(table, timer, policy)
+        self._places = places.Places(
+            table,
+            timer,
+            policy,
+            self.exchanger.connect,
+            places.Credits(self._new_credit, self._give_back),
+            self.guard,
+        )
+        self.admission = self._places.admission
+        self.exchanger.stalls.find_standby = self._places.find_standby
         self._started_ms = timer.now_ms()
         self.key_age = key_ages.KeyAge(timer)
         self.latencies = metrics.Histogram()
@@ -254,13 +263,23 @@
     def _take_credit(self, context: contexts.RequestContext) -> None:
         """Take a credit for the next attempt, unless one is left."""
         if context.credit is None:
-            context.credit = self.quota.take(
-                context.tenant,
-                self.routes.version,
-                context.deadline_at_ms - self._timer.now_ms(),
-            )
+            context.credit = self._new_credit(context)
+
+    def _new_credit(
+        self, context: contexts.RequestContext
+    ) -> credit_stocks.Credit | None:
+        return self.quota.take(
+            context.tenant,
+            self.routes.version,
+            context.deadline_at_ms - self._timer.now_ms(),
+        )
+
+    def _give_back(self, credit: credit_stocks.Credit) -> None:
+        self.quota.give_back(credit)
 
     def _close(self, context: contexts.RequestContext) -> None:
+        if context.standby is not None:
+            context.standby.discard()
         if context.credit is not None and not context.is_sent:
             self.quota.give_back(context.credit)
         if context.turn is not None:
@@ -299,14 +318,13 @@
         response: ports.ResponseWriter,
     ) -> bool:
         """Send the request to one worker; return whether it was answered."""
-        self._take_credit(context)
-        with self.admission.slot(context) as worker:
+        with self._places.claim(context) as (worker, connection):
             context.worker = worker.instance
             context.server_version = worker.entry.version
             if context.turn is not None:
                 self._turns.update_worker(context.turn, worker)
             try:
-                self.exchanger.exchange(context, worker, response)
+                self.exchanger.exchange(context, worker, response, connection)
             except exceptions.ServerRefusedError as error:
                 context.last_error = str(error)
                 self._count_refusal(context, error)
@@ -321,7 +339,7 @@
             else:
                 self.guard.record_answer(context.keys)
                 return True
-            context.avoided = context.avoided.union((worker.instance,))
+            context.avoid(worker.instance)
         return False
 
     def _count_refusal(
--- a/src/carobfork/gateway/stalls.py
+++ b/src/carobfork/gateway/stalls.py
@@ -15,6 +15,7 @@
     contexts,
     duration_estimates,
     routes,
+    standbys,
     workers,
 )
 
@@ -32,15 +33,29 @@
 
 _Key = tuple[str, routes.Kind]
 
+FindStandby = Callable[
+    [contexts.RequestContext, float], standbys.Standby | None
+]
+"""Finds a place at another server for a request, given the time in ms at which
+its server last made progress. It may block."""
+
+
+def _find_none(
+    _context: contexts.RequestContext, _silent_since_ms: float
+) -> None:
+    """Find no place at another server."""
+
 
 class StallDetector:
     """The answer times of all services, and the limits that follow from them.
 
+    :ivar find_standby: finds a place at another server for a stalled request.
     :param timer: the clock for answer times.
     """
 
     def __init__(self, timer: clock.Clock) -> None:
         """Create a detector that has seen no answers."""
+        self.find_standby: FindStandby = _find_none
         self._timer = timer
         self._estimates: dict[_Key, duration_estimates.DurationEstimate] = {}
         self._retries = retry_budgets.RetryBudget()
@@ -86,6 +101,10 @@
         """
         return context.can_retry() and self._retries.take()
 
+    def give_back_retry(self) -> None:
+        """Return a retry that was not used."""
+        self._retries.give_back()
+
     def _estimate(
         self, context: contexts.RequestContext
     ) -> duration_estimates.DurationEstimate:
@@ -103,8 +122,9 @@
     """A watch on the progress of one exchange, as a context manager.
 
     A server that makes no progress in time is reported as failing, so that
-    other calls avoid it. The exchange itself is interrupted only if the
-    request may be sent to another server.
+    other calls avoid it. If the request may be sent to another server, a place
+    is looked for there. The exchange is interrupted once there is one, and goes
+    on if the server makes progress before.
 
     :param detector: knows the limits.
     :param context: the request.
@@ -126,8 +146,12 @@
         self._timer = timer
         self._greenlet = gevent.getcurrent()
         self._started_ms = timer.now_ms()
+        self._progress_ms = self._started_ms
+        self._limit_ms: float | None = None
+        self._is_silent = False
         self._has_begun = False
         self._cancel: Callable[[], None] | None = None
+        self._search: gevent.Greenlet | None = None
 
     def __enter__(self) -> 'Watch':
         """Start the time until the first part of the answer."""
@@ -146,6 +170,7 @@
     def record_progress(self) -> None:
         """Record a part of the answer and stop the time."""
         self.pause()
+        self._is_silent = False
         if not self._has_begun:
             self._has_begun = True
             took_ms = self._timer.now_ms() - self._started_ms
@@ -168,17 +193,54 @@
         if self._cancel is not None:
             self._cancel()
             self._cancel = None
+        search = self._search
+        self._search = None
+        if search is not None:
+            search.kill(block=False)
 
     def _start(self, limit_ms: float | None) -> None:
-        if limit_ms is not None:
-            timer = gevent.get_hub().loop.timer(clock.to_seconds(limit_ms))
+        self._progress_ms = self._timer.now_ms()
+        self._limit_ms = limit_ms
+        self._start_timer()
+
+    def _start_timer(self) -> None:
+        if self._limit_ms is not None:
+            timer = gevent.get_hub().loop.timer(
+                clock.to_seconds(self._limit_ms)
+            )
             timer.start(self._expire)
             self._cancel = timer.close
 
     def _expire(self) -> None:
         self.pause()
-        self._worker.record_failure(self._timer.now_ms())
+        if not self._is_silent:
+            self._is_silent = True
+            self._worker.record_failure(self._timer.now_ms())
         if self._detector.may_retry(self._context):
-            # Thrown at once, as by gevent's timeouts: the greenlet is still
-            # inside the exchange.
+            self._search = gevent.spawn(
+                self._detector.find_standby, self._context, self._progress_ms
+            )
+            self._search.rawlink(self._end_search)
+        elif self._context.can_retry():
+            self._start_timer()
+
+    def _end_search(self, search: gevent.Greenlet) -> None:
+        """Leave the exchange if a place was found and is still needed.
+
+        Runs in the hub, as gevent's timeouts do: the greenlet of the exchange
+        is still inside it.
+        """
+        found = search.value if search.successful() else None
+        standby = found if isinstance(found, standbys.Standby) else None
+        is_needed = search is self._search
+        if is_needed and standby is not None:
+            self._search = None
+            self._context.standby = standby
             self._greenlet.throw(StalledError('no progress in time'))
+            return
+        self._detector.give_back_retry()
+        if standby is not None:
+            standby.discard()
+        if is_needed:
+            self._search = None
+            self._start_timer()
--- a/src/carobfork/retry_budgets.py
+++ b/src/carobfork/retry_budgets.py
@@ -36,3 +36,7 @@
             return False
         self._retries -= 1
         return True
+
+    def give_back(self) -> None:
+        """Return a retry that was taken and not used."""
+        self._retries = min(MAX_SAVED_RETRIES, self._retries + 1)
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -12,13 +12,21 @@
 import gevent
 
 from carobfork import clock
-from carobfork.gateway import calls, contexts, routes, stalls, workers
+from carobfork.gateway import (
+    calls,
+    contexts,
+    routes,
+    stalls,
+    standbys,
+    workers,
+)
 from tests import plain_calls, platform_hosts
 
 SERVICE = 'tools'
 LEARNED = 20
 PAUSE_SECONDS = 1.1
 DEADLINE_MS = 1800
+SEARCH_MS = 40
 FULL_CALLS = 100
 """More calls than a server's slots and its own queue take."""
 
@@ -92,6 +100,75 @@
         self.assertFalse(self.detector.may_retry(context))
 
 
+class SearchTest(unittest.TestCase):
+    """A search for another place while the server is silent."""
+
+    def setUp(self):
+        """Watch a request whose search returns what the test says."""
+        self.detector = stalls.StallDetector(clock.WallClock())
+        self.detector.find_standby = self.find
+        self.found = []
+        self.standbys = []
+        self.context = contexts.RequestContext(
+            mock.Mock(),
+            calls.Call('x'),
+            routes.Route('r', 'h', '/', routes.Kind.safe, (), max_attempts=2),
+            SERVICE,
+            clock.WallClock().now_ms() + 1000 * PAUSE_SECONDS,
+            b'',
+        )
+        worker = workers.Worker(
+            workers.Entry('a', SERVICE, '127.0.0.1', 1, 'z', slots=2)
+        )
+        self.watch = self.detector.watch(self.context, worker)
+        self.enterContext(
+            mock.patch.object(
+                self.detector, 'first_limit_ms', return_value=SEARCH_MS
+            )
+        )
+
+    def find(self, _context, _silent_since_ms):
+        """Return the next place after a while."""
+        gevent.sleep(SEARCH_MS / 1000)
+        place = self.standbys.pop(0) if self.standbys else None
+        self.found.append(place)
+        return place
+
+    def place(self):
+        """Return a place, and count how often it is given back."""
+        place = standbys.Standby(mock.Mock(), mock.Mock(), None, None, None)
+        place.unused = mock.Mock()
+        return place
+
+    def test_progress_ends_the_search(self):
+        """A server that goes on keeps its request."""
+        self.standbys = [self.place()]
+        with self.watch:
+            gevent.sleep(SEARCH_MS * 1.5 / 1000)
+            self.watch.record_progress()
+            gevent.sleep(SEARCH_MS * 2 / 1000)
+        self.assertIsNone(self.context.standby)
+        self.assertEqual(self.found, [])
+
+    def test_progress_in_the_same_moment(self):
+        """A place that was found too late is given back."""
+        place = self.place()
+        search = mock.Mock(value=place)
+        with self.watch:
+            self.watch._end_search(search)
+        self.assertIsNone(self.context.standby)
+        place.unused.close.assert_called()
+
+    def test_the_search_goes_on(self):
+        """The exchange is left at the first place that is found."""
+        place = self.place()
+        self.standbys = [None, place]
+        with self.assertRaises(stalls.StalledError), self.watch:
+            gevent.sleep(PAUSE_SECONDS)
+        self.assertIs(self.context.standby, place)
+        self.assertEqual(self.found, [None, place])
+
+
 class StalledServersTest(platform_hosts.DeploymentCase):
     """Deployments in which one backend server holds its requests."""
 
