--- a/src/carobfork/gateway/admissions.py
+++ b/src/carobfork/gateway/admissions.py
@@ -206,4 +206,5 @@
             context.tenant_name,
             context.tenant.rate_per_s if context.tenant else 0,
             context.program_start,
+            is_begun=context.is_begun,
         )
--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -153,6 +153,14 @@
         """Whether the caller has events of the stream, of any attempt."""
         return self.resumes_stream or self.event_log.count > 0
 
+    @property
+    def is_begun(self) -> bool:
+        """Whether the caller has a part of this answer.
+
+        It can't be refused any more, only broken off.
+        """
+        return self.event_log.count > 0
+
     def can_retry(self) -> bool:
         """Return whether it may be sent again after a failed attempt."""
         return (
--- a/src/carobfork/gateway/places.py
+++ b/src/carobfork/gateway/places.py
@@ -126,7 +126,7 @@
                 credit = self._take_credit(context, unused)
                 worker = slot.enter_context(self.admission.slot(context))
                 if (
-                    worker.instance in context.avoided
+                    worker.instance == context.worker
                     and worker.last_success_ms < silent_since_ms
                 ):
                     return None
--- a/src/carobfork/gateway/queued_calls.py
+++ b/src/carobfork/gateway/queued_calls.py
@@ -11,6 +11,9 @@
 it."""
 MAX_WAIT_MS = 800
 """Upper bound of that wait."""
+MAX_BEGUN_WAIT_RATIO = 0.8
+"""Share of its remaining time that a call may wait whose answer has begun: it
+can't be refused any more, only broken off."""
 
 
 Precedence = tuple[int, bool]
@@ -36,6 +39,7 @@
     :param start: the start of a program, if it is a first turn; those of
         programs under way go first.
     :param refusal: why its program may not begin, if it was refused for that.
+    :param is_begun: whether the caller has a part of the answer.
     :param arrived_ms: when the call was submitted, set by the queue.
     """
 
@@ -50,11 +54,14 @@
     weight: float = 0
     start: program_admissions.ProgramStart | None = None
     refusal: program_admissions.Reason | None = None
+    is_begun: bool = False
     arrived_ms: float = 0
 
     @property
     def max_wait_ms(self) -> float:
         """How long the call may wait in the queue."""
+        if self.is_begun:
+            return self.left_ms * MAX_BEGUN_WAIT_RATIO
         wait_ms = min(self.left_ms * MAX_WAIT_RATIO, MAX_WAIT_MS)
         return self.start.max_wait_ms(wait_ms) if self.start else wait_ms
 
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -33,7 +33,12 @@
 """Retry delay for callers of a host that has no configuration in time."""
 MAX_REFUSALS = 4
 """Maximum number of backend servers that refuse a request or can't be reached
-before the request is refused."""
+before the request is refused, unless its answer has begun."""
+MIN_RETRY_INTERVAL_MS = 25
+"""Pause after the first refusal of a request that a server may have run: it
+can't be refused any more. The pause doubles with each further refusal."""
+MAX_RETRY_INTERVAL_MS = 200
+"""Upper bound of that pause: a few times what a server needs to free a slot."""
 
 logger = structlog.get_logger(part='relay')
 
@@ -229,6 +234,8 @@
                 reason=context.last_error,
                 left_ms=round(context.deadline_at_ms - self._timer.now_ms()),
             )
+            if context.failed_attempts and context.refusals:
+                _pause(context.refusals)
 
     def _open_turn(self, context: contexts.RequestContext) -> None:
         """Reserve a turn and apply the count of other hosts' turns."""
@@ -348,7 +355,7 @@
         error: exceptions.CarobforkError,
     ) -> None:
         context.refusals += 1
-        if context.refusals >= MAX_REFUSALS:
+        if context.refusals >= MAX_REFUSALS and not context.is_begun:
             raise self.admission.refusal(context, error.message) from error
 
     def _count_failure(
@@ -392,5 +399,11 @@
     return error if isinstance(error, exceptions.CarobforkError) else None
 
 
+def _pause(refusals: int) -> None:
+    """Wait before a request that was refused goes to the next server."""
+    interval_ms = MIN_RETRY_INTERVAL_MS * 2 ** (refusals - 1)
+    gevent.sleep(clock.to_seconds(min(interval_ms, MAX_RETRY_INTERVAL_MS)))
+
+
 def _ignore_report(_report: messages.Crash | messages.CrashCleared) -> None:
     """Discard a report where there are no store hosts."""
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -246,10 +246,10 @@
             worker.avoided_until_ms = 0
         super().tearDown()
 
-    def ask(self, path):
+    def ask(self, path, deadline_ms=DEADLINE_MS):
         """Send a request and return its attempt and answer."""
         attempt = plain_calls.new_attempt()
-        headers = {'X-Deadline-Ms': str(DEADLINE_MS)}
+        headers = {'X-Deadline-Ms': str(deadline_ms)}
         if path.startswith('/ask/'):
             headers['Accept'] = 'text/event-stream'
         answer = self.hosts.ask(path, attempt=attempt, headers=headers)
@@ -295,3 +295,17 @@
         self.table.get('e1').in_flight += FULL_CALLS
         self.assertTrue(answer.is_whole)
         self.assertEqual(answer.body.count(b'id:'), 4)
+
+    def test_a_standby_that_refuses(self):
+        """A request that left its server waits for the next place."""
+        self.faults('e0').hang_after = 1
+        self.faults('e1').full = True
+        asking = gevent.spawn(self.ask, '/ask/1', deadline_ms=3000)
+        gevent.sleep(0.3)
+        self.table.get('e1').in_flight -= FULL_CALLS
+        gevent.sleep(1.2)
+        self.faults('e1').full = False
+        _attempt, answer = asking.get()
+        self.table.get('e1').in_flight += FULL_CALLS
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(answer.body.count(b'id:'), 4)
