--- a/src/carobfork/gateway/connection_pools.py
+++ b/src/carobfork/gateway/connection_pools.py
@@ -28,9 +28,12 @@
 MAX_STREAM_IDLE_MS = 10_000
 """For turns that run at most once. The limit is higher than for other calls,
 since callers send a failed turn again from its start."""
-USER_TIMEOUT_MS = 1200
-"""How long sent bytes may stay unacknowledged (``TCP_USER_TIMEOUT``); longer
-than the second after which a lost packet is sent again."""
+MAX_PAUSE_MS = 1500
+"""How long a sound server may be silent, also as a host on the network."""
+USER_TIMEOUT_MS = 2 * MAX_PAUSE_MS
+"""How long sent bytes may stay unacknowledged (``TCP_USER_TIMEOUT``). Lost
+bytes are sent again at doubling intervals, so the first time after a pause
+comes before twice its length."""
 MAX_ROOM_WAIT_MS = 5000
 """How long an answer waits for room: the caller of another one that reads
 nothing is given up within this time."""
