--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 import time
+from typing import ClassVar
 
 import attrs
 import gevent
@@ -40,6 +41,8 @@
     :param tenant: whose key it has.
     """
 
+    reads_slowly: ClassVar[bool] = False
+    """Whether it may give up an answer that comes as fast as it reads."""
     fleet: fleets.Fleet
     found: records.Records
     dice: random.Random
@@ -159,15 +162,32 @@
                     body=body,
                     attempt=attempt,
                 )
-        except _NO_ANSWER:
+        except _NO_ANSWER as error:
             # The host was killed, paused, or is starting.
-            seen = records.Seen(attempt, path, 0, is_whole=False)
+            is_late = isinstance(error, gevent.Timeout)
+            seen = records.Seen(
+                attempt,
+                path,
+                0,
+                is_whole=False,
+                has_left=is_late and self.reads_slowly,
+            )
         else:
-            seen = records.Seen(attempt, path, answer.status, answer.is_whole)
+            seen = records.Seen(
+                attempt,
+                path,
+                answer.status,
+                answer.is_whole,
+                has_left=0 < most_events <= answer.body.count(b'\n\n'),
+            )
             self._check_owner(seen, answer)
             self._note_leaving(name, attempt, answer)
         seen = attrs.evolve(
-            seen, host=name, tenant=self.tenant, sent_seconds=sent_seconds
+            seen,
+            host=name,
+            tenant=self.tenant,
+            sent_seconds=sent_seconds,
+            took_seconds=time.monotonic() - sent_seconds,
         )
         self.found.note(seen)
         return seen, answer.body if answer else b''
@@ -209,9 +229,20 @@
         gevent.sleep(PAUSE_SECONDS * self.dice.random())
 
 
+class StreamingCaller(Caller):
+    """A caller that sends one stream after the other."""
+
+    def run_program(self) -> None:
+        """Send one stream, and take it up where it breaks off."""
+        self._stream(plain_calls.new_attempt())
+        gevent.sleep(PAUSE_SECONDS * self.dice.random())
+
+
 class SlowReader(Caller):
     """A caller that reads large answers slowly, or leaves in the middle."""
 
+    reads_slowly = True
+
     def run_program(self) -> None:
         """Send one call and check the answer's length."""
         path = f'/look/{backends.LARGE}'
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,12 +12,16 @@
 
 import gevent
 
+from tests import configurations
 from tests.soak import fleets, records, tenants
 
 Hosts = dict[str, fleets.Host]
 Fault = Callable[[fleets.Fleet, random.Random, float], None]
 HostFault = Callable[[Hosts, random.Random, float], None]
 FAULTS: dict[str, Fault] = {}  # noqa: WPS407
+SOUND: set[str] = set()  # noqa: WPS407
+"""The kinds that leave all hosts, servers and ways between them sound: callers
+must notice nothing but a delay."""
 SETTLE_SECONDS = 10
 TWICE_SHARE = 0.5
 """Of the disks that are lost, those that are lost again while they join."""
@@ -29,6 +33,11 @@
     '{"Service": "\xff"}',
 )
 VERSIONS = ('v1', 'v2', 'v3')
+TIMEOUTS_MS = (1500, 1800, 2600, configurations.TIMEOUT_MS)
+SERVICE_PREFIXES = 'et'
+"""First letters of the names of a service's servers."""
+SHORTEST_PAUSE_SECONDS = 0.8
+LONGEST_PAUSE_SECONDS = 1.5
 
 
 def register(fault: Fault) -> Fault:
@@ -37,6 +46,24 @@
     return fault
 
 
+def register_sound(fault: Fault) -> Fault:
+    """Register a kind that leaves everything sound."""
+    SOUND.add(fault.__name__)
+    return register(fault)
+
+
+def inject(
+    kind: str, fleet: fleets.Fleet, dice: random.Random, span: float
+) -> None:
+    """Let a fault happen.
+
+    :param kind: its registered name.
+    """
+    is_sound = kind in SOUND
+    with contextlib.nullcontext() if is_sound else fleet.disturbed():
+        FAULTS[kind](fleet, dice, span)
+
+
 def register_for(*groups: str) -> Callable[[HostFault], HostFault]:
     """Register a kind for each of the fleet's groups of hosts."""
 
@@ -105,7 +132,7 @@
             host.process.start()
 
 
-@register
+@register_sound
 def reload_fronts(fleet, dice, span):
     """Tell all entry hosts that their settings have changed."""
     for host in fleet.fronts.values():
@@ -227,6 +254,23 @@
     link.faults.delay_seconds = 0
 
 
+@register_sound
+def backends_pause(fleet, dice, span):
+    """Let one server of a service, or all, fall silent and go on."""
+    prefix = dice.choice(SERVICE_PREFIXES)
+    names = [name for name in sorted(fleet.links) if name.startswith(prefix)]
+    if dice.choice((True, False)):
+        names = [dice.choice(names)]
+    links = [fleet.links[name] for name in names]
+    if dice.choice((True, False)):
+        fleet.configure(timeout_ms=dice.choice(TIMEOUTS_MS))
+    for held in links:
+        held.hold()
+    gevent.sleep(dice.uniform(SHORTEST_PAUSE_SECONDS, LONGEST_PAUSE_SECONDS))
+    for moving in links:
+        moving.go_on()
+
+
 @register
 def backend_breaks(fleet, dice, span):
     """Let a backend server's streams break off, or its answers be lost."""
@@ -341,7 +385,13 @@
     fleet.configure()
 
 
-@register
+@register_sound
 def configure(fleet, dice, span):
     """Write another version of the configuration."""
     fleet.configure()
+
+
+@register_sound
+def change_timeouts(fleet, dice, span):
+    """Write a configuration whose routes have another time limit."""
+    fleet.configure(timeout_ms=dice.choice(TIMEOUTS_MS))
--- a/tests/soak/fleets.py
+++ b/tests/soak/fleets.py
@@ -5,6 +5,7 @@
 import shutil
 import signal
 import time
+from collections.abc import Iterator
 
 import attrs
 import msgspec
@@ -19,6 +20,14 @@
 STORES = 3
 BACKENDS = 3
 """Of each service."""
+SLOTS = 8
+CONFIG_SECONDS = 3
+"""Longest time after which a configuration is in force; generous, as it only
+decides which time limits a request may have."""
+CONTACT_SECONDS = 3
+"""How long after a disturbance the fleet counts as sound again."""
+CALLERS_DEADLINE_MS = 3000
+"""Of plain calls."""
 SETTINGS = """
 NodeName = "{name}"
 PacesServers = true
@@ -92,9 +101,12 @@
 
     :param folder: for settings, logs and disks.
     :param limits: tables that are added to the settings.
+    :param slots: calls that each backend server runs at a time.
     """
 
-    def __init__(self, folder: pathlib.Path, limits: str = '') -> None:
+    def __init__(
+        self, folder: pathlib.Path, limits: str = '', slots: int = SLOTS
+    ) -> None:
         """Prepare the fleet."""
         self.store = object_store.ObjectStoreApplication()
         self.fronts: dict[str, Host] = {}
@@ -102,11 +114,15 @@
         self.backends: dict[str, backends.BackendApplication] = {}
         self.links: dict[str, proxies.Proxy] = {}
         self.version = 1
+        self.timeouts: list[tuple[float, float]] = []
+        """When each configuration was written, and its time limit in ms."""
         self.releases = 0
         self.revoked: set[str] = set()
+        self._disturbed: list[list[float]] = []
         self.retired: list[backends.BackendApplication] = []
         self._folder = folder
         self._limits = limits
+        self._slots = slots
         self._stack = contextlib.ExitStack()
         self._addresses: dict[str, tuple[str, int]] = {}
 
@@ -137,11 +153,19 @@
                 host.kill()
         self._stack.close()
 
-    def configure(self, **fields) -> None:
-        """Write the next version of the configuration."""
+    def configure(self, timeout_ms: float = 0, **fields) -> None:
+        """Write the next version of the configuration.
+
+        :param timeout_ms: time limit of its routes; by default as before.
+        """
         self.version += 1
         spec = configurations.configuration(self.version, **fields)
         spec['Routes'].append(configurations.talk_route())
+        known_ms = self.timeouts[-1][1] if self.timeouts else 0
+        timeout_ms = timeout_ms or known_ms or configurations.TIMEOUT_MS
+        for route in spec['Routes']:
+            route['TimeoutMs'] = min(route['TimeoutMs'], timeout_ms)
+        self.timeouts.append((time.monotonic(), timeout_ms))
         spec['Tenants'] = tenants.entries(self.revoked)
         self.store.put('config', 'main', spec)
 
@@ -155,7 +179,7 @@
             else configurations.TOOLS,
             'Address': f'{ip}:{port}',
             'Zone': 'a',
-            'Slots': 8,
+            'Slots': self._slots,
             'State': 'ready',
             'born': self.backends[instance].started_ms,
             'Version': self.backends[instance].version,
@@ -163,6 +187,11 @@
         }
         self.store.put('servers', instance, entry)
 
+    def delay(self, delay_ms: float) -> None:
+        """Let the backend servers take longer for answers and events."""
+        for backend in self.backends.values():
+            backend.faults.delay_ms = delay_ms
+
     def address(self, name: str) -> tuple[str, int]:
         """Return where callers reach an entry host."""
         address = self.fronts[name].process.address
@@ -186,6 +215,35 @@
         stored = self.store.get('carobfork-storage', 'main')
         return stored is not None and bool(stored['Spec']['following'])
 
+    @contextlib.contextmanager
+    def disturbed(self) -> Iterator[None]:
+        """Note that something is not sound while the context is open."""
+        span = [time.monotonic(), float('inf')]
+        self._disturbed.append(span)
+        try:
+            yield
+        finally:
+            span[1] = time.monotonic()
+
+    def is_sound(self, begin: float, end: float) -> bool:
+        """Tell whether all was sound in a span of time and before it."""
+        return not any(
+            start <= end and begin - CONTACT_SECONDS <= over
+            for start, over in self._disturbed
+        )
+
+    def time_limit_ms(self, sent_seconds: float) -> float:
+        """Return the shortest time limit that may hold for a request.
+
+        :param sent_seconds: when the caller sent it.
+        """
+        limits_ms = [CALLERS_DEADLINE_MS]
+        for written, timeout_ms in reversed(self.timeouts):
+            limits_ms.append(timeout_ms)
+            if written < sent_seconds - CONFIG_SECONDS:
+                break
+        return min(limits_ms)
+
     def served(self) -> list[backends.BackendApplication]:
         """Return all backend servers that there are and were."""
         return [*self.backends.values(), *self.retired]
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -1,10 +1,10 @@
-"""Proxies: loopback connections that are delayed, reset, cut or silenced."""
+"""Proxies: loopback connections that are delayed, held, reset or cut."""
 
 import contextlib
 
 import attrs
 import gevent
-from gevent import server, socket
+from gevent import event, server, socket
 
 _READ_BYTES = 65_536
 
@@ -32,7 +32,10 @@
     ) -> None:
         """Prepare the listener."""
         self.faults = LinkFaults()
+        self.address = address
         self.target = target
+        self._moving = event.Event()
+        self._moving.set()
         self._open: set[socket.socket] = set()
         self._server = server.StreamServer(address, self._serve)
 
@@ -52,6 +55,17 @@
             sock.close()
         self._open.clear()
 
+    def hold(self) -> None:
+        """Hold all bytes, both ways, as if the server stood still.
+
+        New connections are accepted, as by the kernel of such a server.
+        """
+        self._moving.clear()
+
+    def go_on(self) -> None:
+        """Pass on what was held, in its order."""
+        self._moving.set()
+
     def _serve(self, near: socket.socket, _address: tuple) -> None:
         if self.faults.is_cut:
             near.close()
@@ -75,6 +89,7 @@
             received = source.recv(_READ_BYTES)
             while received:
                 gevent.sleep(self.faults.delay_seconds)
+                self._moving.wait()
                 if not (is_answer and self.faults.is_silent):
                     sink.sendall(received)
                 received = source.recv(_READ_BYTES)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -17,6 +17,10 @@
 """Statuses that say that a request has not run and never will."""
 DRAIN_SECONDS = clock.to_seconds(settings.DEFAULT_DRAIN_MS)
 """How long a server that says that it leaves may get requests."""
+UNKNOWN_OUTCOMES = frozenset((500, 502, 504))
+"""Statuses that tell of an answer that the caller doesn't get."""
+USED_RATIO = 0.7
+"""Share of its time after which a request may end without an answer."""
 _UNKNOWN_KEY = 401
 
 
@@ -29,6 +33,8 @@
     :param host: the entry host that was asked.
     :param tenant: whose key it carried.
     :param sent_seconds: when it was sent.
+    :param took_seconds: until the answer or the connection ended.
+    :param has_left: whether the caller left in the middle.
     """
 
     attempt: str
@@ -39,6 +45,14 @@
     host: str = ''
     tenant: str = tenants.KEPT
     sent_seconds: float = 0
+    took_seconds: float = 0
+    has_left: bool = False
+
+    @property
+    def was_ended(self) -> bool:
+        """Whether it got neither its whole answer nor a true refusal."""
+        is_broken = not self.is_whole or self.status in UNKNOWN_OUTCOMES
+        return is_broken and not self.has_left
 
 
 @attrs.define
@@ -124,6 +138,29 @@
             if seen.status in PROMISES and runs:
                 self.fail('not run', f'{seen} ran {runs} times')
 
+    def check_kept(
+        self,
+        is_sound: Callable[[float, float], bool],
+        time_limit_ms: Callable[[float], float],
+    ) -> None:
+        """Check that no request of a sound fleet was ended before its time.
+
+        :param is_sound: tells whether all was sound in a span of time.
+        :param time_limit_ms: returns the time limit of a request that was sent
+            at a time.
+        """
+        for seen in self.seen:
+            left_ms = time_limit_ms(seen.sent_seconds) * USED_RATIO
+            has_time = seen.took_seconds < clock.to_seconds(left_ms)
+            over = seen.sent_seconds + seen.took_seconds
+            is_early = has_time or not seen.status
+            if (
+                seen.was_ended
+                and is_early
+                and is_sound(seen.sent_seconds, over)
+            ):
+                self.fail('kept', f'{seen} was ended')
+
     def note_leaving(
         self, host: str, server: backends.BackendApplication, attempt: str
     ) -> None:
--- a/tests/soak/runs.py
+++ b/tests/soak/runs.py
@@ -14,6 +14,7 @@
 CALLERS = (
     *((callers.Caller, tenants.KEPT) for _ in range(3)),
     *((callers.Caller, tenants.REVOCABLE) for _ in range(3)),
+    *((callers.StreamingCaller, tenants.KEPT) for _ in range(3)),
     *((callers.RepeatingCaller, tenants.LIMITED) for _ in range(2)),
     (callers.RepeatingCaller, tenants.STRANGER),
     (callers.SlowReader, tenants.KEPT),
@@ -26,6 +27,13 @@
 RECOVERY_SECONDS = 60
 """After the last fault, until all is served again; generous, since a run gives
 no verdict on time."""
+SOUND_PERIOD = 4
+"""Each seed that it divides leaves everything sound: there it is certain that
+nothing but a host ended a request."""
+SOUND_SLOTS = 2
+"""Of each server then, so that there is rarely a place at another one."""
+SOUND_DELAY_MS = 80
+"""Of answers and events then, so that streams are under way."""
 
 
 @attrs.frozen
@@ -37,10 +45,15 @@
     span_seconds: float
 
 
+def is_sound(seed: int) -> bool:
+    """Tell whether a seed leaves everything sound."""
+    return seed % SOUND_PERIOD == 0
+
+
 def plan(seed: int, seconds: float) -> list[Planned]:
     """Return a seed's schedule: the same for the same seed."""
     dice = random.Random(seed)
-    kinds = sorted(faults.FAULTS)
+    kinds = sorted(faults.SOUND if is_sound(seed) else faults.FAULTS)
     schedule = []
     at_seconds = dice.uniform(0, GAP_SECONDS)
     while at_seconds < seconds:
@@ -56,9 +69,12 @@
     The hosts' logs are kept if a promise was broken.
     """
     found = records.Records()
+    slots = SOUND_SLOTS if is_sound(seed) else fleets.SLOTS
     with tempfile.TemporaryDirectory() as name:
-        with fleets.Fleet(pathlib.Path(name)) as fleet:
+        with fleets.Fleet(pathlib.Path(name), slots=slots) as fleet:
             _wait(fleet.is_settled, 'the storage group')
+            if is_sound(seed):
+                fleet.delay(SOUND_DELAY_MS)
             _disturb(fleet, found, seed, seconds)
             found.check_runs(fleet.served())
             found.check_leaving(
@@ -67,6 +83,7 @@
                     begin, end
                 ),
             )
+            found.check_kept(fleet.is_sound, fleet.time_limit_ms)
             found.check_tenants(fleet.served())
             found.check_quota(fleet.served())
         if found.broken:
@@ -94,7 +111,8 @@
     started = [
         gevent.spawn_later(
             fault.at_seconds,
-            faults.FAULTS[fault.kind],
+            faults.inject,
+            fault.kind,
             fleet,
             random.Random(dice.random()),
             fault.span_seconds,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,9 +14,10 @@
 from gevent import server, socket
 
 from tests import backends, configurations
-from tests.soak import fleets, proxies, records, runs, tenants
+from tests.soak import faults, fleets, proxies, records, runs, tenants
 
 SEED = 1
+SOUND_SEED = 8
 SECONDS = 6
 LIMIT_SECONDS = 300
 
@@ -105,6 +106,42 @@
         self.assertEqual(runs.plan(SEED, 30), runs.plan(SEED, 30))
         self.assertNotEqual(runs.plan(SEED, 30), runs.plan(SEED + 1, 30))
 
+    def test_seeds_that_leave_all_sound(self):
+        """They let servers pause and change time limits, and kill nothing."""
+        kinds = {planned.kind for planned in runs.plan(SOUND_SEED, 30)}
+        self.assertLessEqual({'backends_pause', 'change_timeouts'}, kinds)
+        self.assertEqual(kinds, faults.SOUND)
+        self.assertFalse(runs.is_sound(SEED))
+
+
+class SoundSpansTest(unittest.TestCase):
+    """What a fleet knows of the times at which it was sound."""
+
+    def setUp(self):
+        """Create a fleet that is not started."""
+        self.fleet = fleets.Fleet(pathlib.Path())
+
+    def test_a_disturbance(self):
+        """A request under it or soon after it is not judged."""
+        before = time.monotonic()
+        with self.fleet.disturbed():
+            during = time.monotonic()
+        after = time.monotonic() + fleets.CONTACT_SECONDS
+        self.assertTrue(self.fleet.is_sound(before - 2, before - 1))
+        self.assertFalse(self.fleet.is_sound(before - 2, during))
+        self.assertFalse(self.fleet.is_sound(during + 1, during + 2))
+        self.assertTrue(self.fleet.is_sound(after + 1, after + 2))
+
+    def test_time_limits(self):
+        """Until a configuration is surely in force, the shorter limit holds."""
+        self.fleet.configure(timeout_ms=1500)
+        self.fleet.configure(timeout_ms=2600)
+        self.fleet.configure()
+        now = time.monotonic()
+        later = now + fleets.CONFIG_SECONDS + 1
+        self.assertEqual(self.fleet.time_limit_ms(now), 1500)
+        self.assertEqual(self.fleet.time_limit_ms(later), 2600)
+
 
 class ProxyTest(unittest.TestCase):
     """A proxy before a server that sends back what it gets."""
@@ -147,6 +184,19 @@
         with contextlib.suppress(OSError):
             self.assertEqual(self.sock.recv(1), b'')
 
+    def test_what_is_held(self):
+        """Nothing passes while the server pauses, and all of it afterwards."""
+        self.proxy.hold()
+        self.sock.sendall(b'x')
+        with contextlib.closing(
+            socket.create_connection(self.address, timeout=30)
+        ) as other:
+            other.sendall(b'y')
+            gevent.sleep(0.2)
+            self.assertEqual(self.heard, [])
+            self.proxy.go_on()
+            self.assertEqual((self.sock.recv(1), other.recv(1)), (b'x', b'y'))
+
     def test_a_cut(self):
         """New connections end without a byte."""
         self.proxy.faults.is_cut = True
@@ -179,6 +229,28 @@
         self.found.check_runs([self.backend])
         self.assertEqual(self.broken(), ['at most once', 'not run'])
 
+    def test_requests_that_were_ended(self):
+        """Those of a sound fleet with time left, but for their callers."""
+        for attempt, status, is_whole, fields in (
+            ('whole', 200, True, {}),
+            ('refused', 503, True, {}),
+            ('broken', 200, False, {}),
+            ('left', 200, False, {'has_left': True}),
+            ('late', 504, True, {'took_seconds': 1.5}),
+            ('ended', 502, True, {'took_seconds': 1.3}),
+            ('unsound', 502, True, {'sent_seconds': 50}),
+            ('unanswered', 0, False, {'took_seconds': 5}),
+        ):
+            seen = records.Seen(attempt, '/look/1', status, is_whole, **fields)
+            self.found.note(seen)
+        self.found.check_kept(lambda begin, end: begin < 50, lambda sent: 2000)
+        self.assertEqual(set(self.broken()), {'kept'})
+        self.assertEqual(len(self.found.broken), 3)
+        for line, attempt in zip(
+            self.found.broken, ('broken', 'ended', 'unanswered'), strict=True
+        ):
+            self.assertIn(attempt, line)
+
     def test_leaving_servers(self):
         """A request that comes late to the process that said so."""
         self.backend.reached['a'] = [1]
@@ -275,7 +347,15 @@
 
     def test_a_short_run(self):
         """No promise is broken."""
-        words = (str(SEED), '1', str(SECONDS))
+        self.check_run(SEED)
+
+    def test_a_stream_is_ended_as_its_server_falls_silent(self):
+        """Nothing is ended while servers only pause."""
+        self.check_run(SOUND_SEED)
+
+    def check_run(self, seed):
+        """Check that a seed breaks no promise."""
+        words = (str(seed), '1', str(SECONDS))
         done = subprocess.run(
             [sys.executable, '-m', 'tests.soak', *words],
             capture_output=True,
