Keep a server's limit while its entry is gone (LIMIT)

What callers saw: nothing in their answers. A server with a limit of 1 request a second whose entry was away for some seconds got 20 and 24 requests in 4 s once it was back, 11 allowed; 20 of the 24 within 0.3 s, before its first answer.

Cause: entry hosts kept the limit with their other observations of a server, which are dropped once its entry has been gone for 1.5 s. The same process then came back without a limit at each host.

Change: a server's limit, the time at which it was heard and the host's permits are one object, kept by name and start for ten minutes after the entry is gone, 4,096 at most. Another start begins without a limit. An entry whose version changes, or that names no start, keeps it: the next answer ends a limit that doesn't hold. Store hosts know no entries and forget nothing with one.

--- a/src/carobfork/gateway/limiters.py
+++ b/src/carobfork/gateway/limiters.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from carobfork import clock
-from carobfork.gateway import permits, workers
+from carobfork.gateway import limited_processes, permits, workers
 from carobfork.storage import messages, rate_schedules
 
 MAX_WAIT_MS = 300
@@ -57,6 +57,7 @@
 class Limiter:
     """Permits for the limited backend servers.
 
+    :ivar processes: the processes that have named a limit.
     :param timer: the clock for permits.
     :param source: sends requests for permits.
     :param count_hosts: returns the number of entry hosts, 0 if it is unknown.
@@ -69,6 +70,7 @@
         count_hosts: Callable[[], int] = single_host,
     ) -> None:
         """Create a limiter without permits."""
+        self.processes = limited_processes.LimitedProcesses(timer)
         self._timer = timer
         self._source = source
         self._count_hosts = count_hosts
@@ -82,7 +84,9 @@
         now_ms = self._timer.now_ms()
         was_limited = worker.limit_per_s is not None
         worker.record_limit(limit_per_s, now_ms)
-        if was_limited and limit_per_s is None:
+        if limit_per_s is not None:
+            self.processes.record(worker)
+        elif was_limited:
             request = messages.PermitRequest(worker.instance, None, 0, 0)
             self._source(request, _ignore_reply)
 
@@ -119,7 +123,7 @@
         request = messages.PermitRequest(
             worker.instance,
             worker.limit_per_s,
-            now_ms - worker.limit_heard_ms,
+            now_ms - worker.permit_stock.limit_heard_ms,
             max_wait_ms,
         )
         self._source(
--- a/src/carobfork/gateway/permits.py
+++ b/src/carobfork/gateway/permits.py
@@ -1,4 +1,4 @@
-"""Hold the permits to send requests to one backend server with a limit."""
+"""Hold the limit of one backend server and the permits to send to it."""
 
 import attrs
 
@@ -7,8 +7,11 @@
 
 @attrs.define(eq=False)
 class PermitStock:
-    """This host's permits for one backend server.
+    """This host's permits for one process of a backend server.
 
+    :param limit_per_s: requests a second that it takes from all hosts
+        together, if it names a limit.
+    :param limit_heard_ms: when an answer last named a limit or none.
     :param valid_from_ms: from when each permit that was not used is valid.
     :param requested_ms: when a permit was requested that has not been granted
         or refused yet, else ``None``.
@@ -19,6 +22,8 @@
     :param alone_until_ms: time until which that schedule is used.
     """
 
+    limit_per_s: float | None = None
+    limit_heard_ms: float = float('-inf')
     valid_from_ms: list[float] = attrs.Factory(list)
     requested_ms: float | None = None
     retry_at_ms: float = 0
--- a/src/carobfork/gateway/worker_tables.py
+++ b/src/carobfork/gateway/worker_tables.py
@@ -13,6 +13,7 @@
     leaving_servers,
     limiters,
     pacers,
+    permits,
     worker_indexes,
     workers,
 )
@@ -106,6 +107,7 @@
                 self._mark_unlisted(worker, now_ms)
         self._index.rebuild(self)
         self.leaving.prune(self)
+        self.limiter.processes.prune(self)
 
     def renew(self, worker: workers.Worker) -> None:
         """Apply that another process has taken the name of a worker.
@@ -118,16 +120,20 @@
             return
         logger.info('worker back', worker=worker.instance)
         entry = worker.entry
-        if self.leaving.is_inherited(entry):
+        is_known = self.leaving.is_inherited(entry)
+        if is_known:
             self.leaving.forget(entry)
         else:
             if not entry.started_ms:
                 # Its entry stays the same.
                 self.leaving.forget(entry)
             self.leaving.forget(entry.unknown)
+            self.limiter.processes.forget_unknown(entry.instance)
             entry = entry.unknown
         reason = self._apply_entry(entry)
         renewed = self._workers[worker.instance]
+        if not is_known:
+            renewed.permit_stock = permits.PermitStock()
         if renewed is not worker and worker.entry.started_ms:
             renewed.renewed_from = worker.entry.process
         renewed.leaving_since_ms = None
@@ -289,6 +295,7 @@
                 entry,
                 is_local=entry.failure_domain == self._failure_domain,
                 leaving_since_ms=self.leaving.since_ms(entry),
+                permit_stock=self.limiter.processes.find(entry, known),
                 can_be_paced=self.pacer.is_enabled,
             )
             self._workers[entry.instance] = added
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -90,10 +90,7 @@
     :param mean_duration_ms: moving mean of the durations of its calls.
     :param is_local: whether it is in the preferred failure domain.
     :param is_replaced: whether another process has taken its name.
-    :param limit_per_s: requests a second that it takes from all hosts
-        together, if it names a limit.
-    :param limit_heard_ms: when an answer last named a limit or none.
-    :param permit_stock: this host's permits while it is limited.
+    :param permit_stock: its limit, and this host's permits while it has one.
     :param pace: how many calls it takes after a start or a recovery.
     :param can_be_paced: whether this host paces servers.
     :param leaving_since_ms: when this host first heard that it leaves.
@@ -119,8 +116,6 @@
     mean_duration_ms: float = 0
     is_local: bool = False
     is_replaced: bool = False
-    limit_per_s: float | None = None
-    limit_heard_ms: float = NEVER_MS
     permit_stock: permits.PermitStock = attrs.Factory(permits.PermitStock)
     pace: paces.Pace = attrs.Factory(paces.Pace)
     can_be_paced: bool = True
@@ -134,6 +129,25 @@
         """The server's identifier."""
         return self.entry.instance
 
+    @property
+    def limit_per_s(self) -> float | None:
+        """The requests a second that it takes, ``None`` if it names no limit.
+
+        The limit holds for the requests of all hosts together.
+        """
+        return self.permit_stock.limit_per_s
+
+    @limit_per_s.setter
+    def limit_per_s(self, limit_per_s: float | None) -> None:
+        if limit_per_s != self.limit_per_s:
+            logger.info(
+                'worker limit',
+                worker=self.instance,
+                limit_per_s=limit_per_s,
+                before=self.limit_per_s,
+            )
+        self.permit_stock.limit_per_s = limit_per_s
+
     def is_same_process(self, entry: Entry) -> bool:
         """Return whether an entry is of the process that this one describes."""
         return self.entry.process == entry.process
@@ -167,12 +181,12 @@
 
     def record_limit(self, limit_per_s: float | None, now_ms: float) -> None:
         """Apply the request limit that an answer names, or its absence."""
-        self.limit_heard_ms = now_ms
-        self._change_limit(limit_per_s)
+        self.permit_stock.limit_heard_ms = now_ms
+        self.limit_per_s = limit_per_s
 
     def clear_limit(self) -> None:
         """Drop the limit, because another host heard that it has ended."""
-        self._change_limit(None)
+        self.limit_per_s = None
 
     def time_ratio(self, now_ms: float) -> float:
         """Return how long calls are expected to take, relative to usual."""
@@ -235,13 +249,3 @@
         """
         if self.can_be_paced:
             self.pace.begin(self.instance, reason, now_ms, pause_ms)
-
-    def _change_limit(self, limit_per_s: float | None) -> None:
-        if limit_per_s != self.limit_per_s:
-            logger.info(
-                'worker limit',
-                worker=self.instance,
-                limit_per_s=limit_per_s,
-                before=self.limit_per_s,
-            )
-            self.limit_per_s = limit_per_s
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -13,7 +13,12 @@
 import gevent
 
 from carobfork import clock
-from carobfork.gateway import limiters, workers
+from carobfork.gateway import (
+    limited_processes,
+    limiters,
+    worker_tables,
+    workers,
+)
 from carobfork.storage import (
     groups,
     messages,
@@ -21,7 +26,8 @@
     permit_tables,
     rate_schedules,
 )
-from tests import platform_hosts
+from tests import configurations, platform_hosts
+from tests.test_gateway_decisions import entry
 
 FRONTS = 3
 LIMIT_PER_S = 4
@@ -29,11 +35,11 @@
 CALLS = 240
 SERVICE_MS = 60
 """Duration of a call; one server can run all calls, but not at twice that."""
+SLOW_SERVICE_MS = 300
+"""Duration of calls that fill the slots of both servers."""
 WINDOW_SECONDS = 4
 LEARNING_SECONDS = 1
 """Time in which hosts learn of a limit; the platform allows some seconds."""
-MOST_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_SECONDS + 5
-"""The platform's bound on what a server gets in the window."""
 
 
 def most_in_window(arrivals, since):
@@ -81,11 +87,11 @@
             gevent.sleep(1 / CALLS_PER_S)
         gevent.joinall(callers, raise_error=True)
 
-    def assert_within_limit(self, instance, since):
+    def assert_within_limit(self, instance, since, limit_per_s=LIMIT_PER_S):
         """Check the platform's bound for one server."""
         arrivals = self.hosts.backends[instance].arrivals
         most = most_in_window(arrivals, since + LEARNING_SECONDS)
-        self.assertLessEqual(most, MOST_IN_WINDOW)
+        self.assertLessEqual(most, 1.5 * limit_per_s * WINDOW_SECONDS + 5)
         return most
 
     def test_hosts_together_keep_to_a_limit(self):
@@ -123,6 +129,24 @@
         at_once = sum(took < SERVICE_MS / 1000 for took in refused)
         self.assertGreater(at_once, 0.8 * len(refused))
 
+    def test_a_limit_outlives_the_entry_of_its_server(self):
+        """The bound holds once an entry that was lost is back."""
+        for backend in self.hosts.backends.values():
+            backend.faults.delay_ms = SLOW_SERVICE_MS
+        since = self.limit('t0', limit_per_s=1)
+        caller = gevent.spawn(self.press)
+        gevent.sleep(2)
+        self.hosts.store.remove('servers', 't0')
+        for _ in range(4):
+            gevent.sleep(0.6)
+            self.hosts.register('t1', configurations.TOOLS)
+        known = {front.table.get('t0') for front in self.hosts.fronts.values()}
+        self.assertEqual(known, {None})
+        self.hosts.register('t0', configurations.TOOLS)
+        caller.join()
+        most = self.assert_within_limit('t0', since, limit_per_s=1)
+        self.assertGreater(most, 0)
+
     def test_a_limit_that_ends(self):
         """Servers are used as before soon after they name no limit."""
         for backend in self.hosts.backends.values():
@@ -136,6 +160,95 @@
         self.assertEqual({status for status, _ in self.answers}, {200})
 
 
+class ForgottenLimitsTest(unittest.TestCase):
+    """Which limits one host knows while entries come and go."""
+
+    def setUp(self):
+        """Hear the limit of a server that has started at 1 ms."""
+        self.timer = clock.ManualClock()
+        self.table = worker_tables.WorkerTable(self.timer)
+        self.apply(entry('e0', started_ms=1, version='v1'))
+        self.hear(LIMIT_PER_S)
+
+    def apply(self, *entries):
+        """Apply a listing of the registry beside another server."""
+        listed = [entry('e1', started_ms=1), *entries]
+        self.table.apply(listed, was_unreachable=False)
+
+    def hear(self, limit_per_s):
+        """Hear an answer of the server."""
+        self.table.limiter.record(self.table.get('e0'), limit_per_s)
+
+    def lose_entry(self, gone_ms=10_000):
+        """Remove the server's entry for a while."""
+        self.apply()
+        self.timer.advance(gone_ms)
+        self.apply()
+        self.assertIsNone(self.table.get('e0'))
+
+    def assert_limit(self, limit_per_s, **fields):
+        """Check what is known of the process of an entry."""
+        self.apply(entry('e0', **fields))
+        self.assertEqual(self.table.get('e0').limit_per_s, limit_per_s)
+
+    def test_the_entry_is_lost_and_comes_back(self):
+        """The process has its limit and permits; another start has none."""
+        stock = self.table.get('e0').permit_stock
+        self.timer.advance(limited_processes.REMEMBERED_MS)
+        self.lose_entry()
+        self.assert_limit(None, started_ms=2, version='v1')
+        self.assert_limit(LIMIT_PER_S, started_ms=1, version='v1')
+        self.assertIs(self.table.get('e0').permit_stock, stock)
+
+    def test_an_entry_that_changes(self):
+        """Only another start tells of another process."""
+        self.assert_limit(LIMIT_PER_S, started_ms=1, version='v2')
+        self.lose_entry()
+        self.apply(workers.Entry('e0', 's', '127.0.0.2', 2, 'b', 4, False, 1))
+        self.assertEqual(self.table.get('e0').limit_per_s, LIMIT_PER_S)
+        self.assert_limit(LIMIT_PER_S, started_ms=0)
+
+    def test_an_end_is_not_forgotten(self):
+        """A limit that has ended is not back with the entry."""
+        self.hear(None)
+        self.lose_entry()
+        self.assertEqual(len(self.table.limiter.processes._limited), 0)
+        self.assert_limit(None, started_ms=1, version='v1')
+
+    def test_a_process_of_unknown_start(self):
+        """It begins without a limit, and its entry has what it named."""
+        for start, is_gone in ((2, False), (4, True)):
+            self.table.renew(self.table.get('e0'))
+            self.assertIsNone(self.table.get('e0').limit_per_s)
+            self.hear(1)
+            if is_gone:
+                self.lose_entry()
+            self.assert_limit(1, started_ms=start)
+            self.assert_limit(None, started_ms=start + 1)
+
+    def test_a_server_without_a_start(self):
+        """It has no limit any more once it is known to be another process."""
+        self.assert_limit(LIMIT_PER_S, started_ms=0)
+        self.hear(LIMIT_PER_S)
+        self.table.renew(self.table.get('e0'))
+        self.assertIsNone(self.table.get('e0').limit_per_s)
+        self.lose_entry()
+        self.assert_limit(None, started_ms=0)
+
+    def test_limits_are_forgotten(self):
+        """The memory is bounded by time and number."""
+        memory = self.table.limiter.processes
+        with mock.patch.object(limited_processes, 'MAX_REMEMBERED', 5):
+            for start in range(1, 20):
+                self.apply(entry('e0', started_ms=start))
+                self.hear(LIMIT_PER_S)
+        self.assertEqual(len(memory._limited), 5)
+        self.lose_entry(limited_processes.REMEMBERED_MS - 1)
+        self.assertEqual(len(memory._limited), 5)
+        self.lose_entry()
+        self.assertEqual(len(memory._limited), 0)
+
+
 HOSTS = 171
 SERVER_LIMIT_PER_S = 8
 TICK_MS = 10
@@ -266,6 +379,16 @@
             with self.subTest(lost=len(lost)):
                 self.assertLessEqual(fleet.most_in_window(), self.most_allowed)
 
+    def test_a_granter_that_has_forgotten(self):
+        """A server that nobody asked for in the meantime earns no credit."""
+        fleet = Fleet()
+        fleet.play(1000)
+        fleet.timer.advance(permit_tables.LIMIT_TTL_MS + 1)
+        fleet.table.grant(messages.PermitRequest('e1', 1, 0, 0))
+        self.assertNotIn('e0', fleet.table._limits)
+        fleet.play(50_000)
+        self.assertLessEqual(fleet.most_in_window(), self.most_allowed)
+
     def test_the_end_of_a_limit_reaches_all(self):
         """A host that gets no answers learns of the end from its requests."""
         fleet = Fleet()
