--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -189,3 +189,15 @@
         self.context.event_log.accept(events.Event(b': comment\n\n', None))
         self.context.has_output = True
         self.assertTrue(self.context.is_begun)
+
+    def test_a_free_server_passed_over_for_the_silent_one(self):
+        """A server that refused once is better than one that is silent."""
+        silent = self.table.get('e0')
+        silent.in_flight = 1
+        silent.idle_connections = 1
+        silent.last_kept_ms = self.timer.now_ms()
+        self.context.avoid('e1')
+        self.timer.advance(1)
+        found = self.places.find_standby(self.context, self.timer.now_ms())
+        self.assertIsNotNone(found)
+        self.assertIs(found.worker, self.worker)
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -4,10 +4,13 @@
 """
 
 import time
+from unittest import mock
 
 import gevent
 
-from tests import plain_calls, platform_hosts
+from carobfork import exceptions
+from carobfork.gateway import turns
+from tests import configurations, plain_calls, platform_hosts
 
 LEARNED = 20
 SLOTS = 4
@@ -22,8 +25,8 @@
 """Time between two events of a slow stream."""
 
 
-class SilentServersTest(platform_hosts.DeploymentCase):
-    """Deployments in which a sound server pauses."""
+class SilentCase(platform_hosts.DeploymentCase):
+    """Cases in which a sound server pauses."""
 
     def setUp(self):
         """Let the entry host learn how long answers take."""
@@ -77,6 +80,10 @@
         self.table.get(other).in_flight -= FULL_CALLS
         return asking
 
+
+class SilentServersTest(SilentCase):
+    """Servers of one software version."""
+
     def ask_before_a_pause(self):
         """Pause the only server just after it has ended another stream."""
         self.table.get('e1').leaving_since_ms = 0
@@ -153,3 +160,28 @@
         self.assertEqual([call.value[1].status for call in asking], [200] * 4)
         _attempt, answer = self.ask('/look/5')
         self.assertEqual(answer.status, 200)
+
+
+class SilentVersionsTest(SilentCase):
+    """Servers of two software versions."""
+
+    @classmethod
+    def setUpClass(cls):
+        """Start a server of another version."""
+        super().setUpClass()
+        cls.hosts.add_backend('e2', configurations.ENGINES, 'v2')
+        table = cls.hosts.fronts['front-0'].table
+        platform_hosts.wait_until(lambda: table.get('e2'), 'the server')
+
+    def test_a_stream_lost_to_a_version_that_is_not_recorded(self):
+        """It stays where it is until store hosts have the other version."""
+        self.occupy('e1')
+        self.pause('e0')
+        asking = self.ask_first('/ask/1', 'e0', 'e2')
+        unrecorded = exceptions.NotRunError('no quorum', step='record')
+        with mock.patch.object(
+            turns.TurnManager, '_change_version', side_effect=unrecorded
+        ):
+            _attempt, answer = asking.get()
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.is_whole)
