--- a/src/carobfork/gateway/process_checks.py
+++ b/src/carobfork/gateway/process_checks.py
@@ -32,6 +32,10 @@
 
 REPORT_TIMEOUT_MS = 300
 """Reports need no slot; this covers many round trips to a busy server."""
+REPEATED_REPORT_TIMEOUT_MS = 2 * REPORT_TIMEOUT_MS
+"""For requests that another server has turned away or not answered: if all
+servers of a service are silent for a moment, they are asked for longer than
+that before the request is refused."""
 PROOF_TIMEOUT_MS = 100
 """How long a server may take to prove a connection alive: some round trips.
 Another connection is opened after it."""
@@ -101,7 +105,10 @@
             return True
         is_open = True
         if connection.worker.entry.started_ms:
-            is_open = self._compare(connection)
+            timeout_ms = REPORT_TIMEOUT_MS
+            if context.refusals:
+                timeout_ms = REPEATED_REPORT_TIMEOUT_MS
+            is_open = self._compare(connection, timeout_ms)
         connection.is_confirmed = True
         return is_open
 
@@ -168,11 +175,13 @@
         self.proved += is_proved
         return is_proved and answer.keeps_open
 
-    def _compare(self, connection: connection_pools.Connection) -> bool:
+    def _compare(
+        self, connection: connection_pools.Connection, timeout_ms: float
+    ) -> bool:
         worker = connection.worker
         self.reports += 1
         request = self._codec.encode_state_request(worker.instance)
-        answer = self._ask(connection, request, REPORT_TIMEOUT_MS)
+        answer = self._ask(connection, request, timeout_ms)
         is_open = answer.keeps_open
         started_ms = None
         if answer.told.status == _OK:
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -94,6 +94,7 @@
                 service = configurations.ENGINES
             cls.hosts.register(instance, service)
         cls.front = cls.hosts.fronts['front-0']
+        cls.pool = cls.front.relay.exchanger.pool
         platform_hosts.wait_until(
             lambda: all(
                 worker.entry.port == cls.links[worker.instance].address[1]
@@ -207,6 +208,15 @@
         answer = self.hosts.turn(f'p{attempt}', attempt=attempt, body=b'x')
         return attempt, answer
 
+    def test_requests_on_new_connections(self):
+        """They wait for silent servers, and are not refused before."""
+        for seconds in PAUSES_SECONDS:
+            for prefix, paths in SERVED.items():
+                with self.subTest(seconds=seconds, paths=paths):
+                    self.pool.close()
+                    self.pause(prefix, seconds)
+                    self.check_whole(self.ask_all(*paths))
+
     def check_whole(self, found):
         """Check that all requests were answered whole."""
         answers = [answer for _attempt, answer in found]
