--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -77,7 +77,8 @@
     :param in_flight: number of calls of this host that it runs.
     :param remote_in_flight: number of calls of other hosts, as last reported.
     :param remote_updated_ms: when ``remote_in_flight`` was last updated.
-    :param consecutive_failures: failed calls since the last success.
+    :param consecutive_failures: failed calls since the last success; those
+        that fail together count once.
     :param avoided_until_ms: time until which failures keep new calls away.
     :param unlisted_since_ms: when its entry was removed, or ``None``.
     :param idle_connections: number of idle connections kept to it.
@@ -212,10 +213,15 @@
             self.mean_duration_ms = duration_ms
 
     def record_failure(self, now_ms: float) -> None:
-        """Record a failed call; avoid the worker for a doubling interval."""
-        doublings = min(self.consecutive_failures, _MAX_DOUBLINGS)
+        """Record a failed call; avoid the worker for a doubling interval.
+
+        Calls that fail while it is avoided had been sent before: they fail for
+        the same reason, so the interval begins anew and doesn't double.
+        """
+        if self.avoided_until_ms <= now_ms or not self.consecutive_failures:
+            self.consecutive_failures += 1
+        doublings = min(self.consecutive_failures - 1, _MAX_DOUBLINGS)
         pause_ms = min(MIN_AVOID_MS * 2**doublings, MAX_AVOID_MS)
-        self.consecutive_failures += 1
         self.last_failure_ms = now_ms
         self.avoided_until_ms = now_ms + pause_ms
         self.begin_pace(paces.Reason.failed, now_ms, pause_ms)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -139,6 +139,18 @@
         self.apply('a')
         self.assertEqual(self.usable(), ['a'])
 
+    def test_calls_that_fail_together(self):
+        """They are one failure: a pause of the server may end them all."""
+        failing = self.table.get('a')
+        for _ in range(6):
+            failing.record_failure(self.timer.now_ms())
+            self.timer.advance(1)
+        self.timer.advance(workers.MIN_AVOID_MS)
+        self.assertEqual(self.usable(), ['a', 'b'])
+        failing.record_failure(self.timer.now_ms())
+        self.timer.advance(workers.MIN_AVOID_MS)
+        self.assertEqual(self.usable(), ['b'])
+
     def test_a_server_that_fails_other_hosts(self):
         """Two suspecting hosts suffice, unless a call has just succeeded."""
         self.timer.advance(1000)
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -240,6 +240,19 @@
                     self.check_whole(self.ask_all(path))
                 before.join()
 
+    def test_a_server_that_paused_alone(self):
+        """Soon after its pause its slots are used again."""
+        self.delay(80)
+        before = gevent.spawn(self.ask_all, '/ask/')
+        gevent.sleep(0.2)
+        self.pause('e0')
+        gevent.sleep(SHORT_PAUSE_SECONDS + SETTLE_SECONDS)
+        found = self.ask_all('/ask/')
+        self.check_whole(found)
+        runs = self.hosts.backends['e0'].runs
+        self.assertTrue(any(attempt in runs for attempt, _answer in found))
+        before.join()
+
     def test_a_time_limit_that_gets_shorter(self):
         """Requests that run or wait for a slot keep the longer one."""
         self.delay(150)
