--- a/tests/scripted_servers.py
+++ b/tests/scripted_servers.py
@@ -60,6 +60,11 @@
         """Stop listening."""
         self._server.stop(timeout=0)
 
+    @property
+    def listener(self):
+        """The socket on which connections arrive."""
+        return self._server.socket
+
     def send_forever(self, sock, piece):
         """Send bytes until the peer closes."""
         while True:
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -72,6 +72,37 @@
                 self.assertEqual(self.scripted.runs, runs + 1)
 
 
+class UnreachableServersTest(scripted_servers.ScriptedCase):
+    """The only server of a service, whose host drops all packets for a while.
+
+    No connection is kept, so that another one is needed.
+    """
+
+    def check_call(self, method, seconds):
+        """Check that a call waits until the server can be reached again."""
+        front = self.hosts.fronts['front-0']
+        front.relay.exchanger.pool.close()
+        dropping = silence(
+            packet_filters.drop_packets(self.scripted.listener), seconds
+        )
+        gevent.sleep(0)
+        answer = self.ask(f'/{method}/1')
+        dropping.join()
+        self.assertEqual((answer.status, answer.body), (200, b'whole'))
+
+    def test_a_call_that_may_be_repeated(self):
+        """It is answered once the server is back."""
+        for seconds in PAUSES_SECONDS:
+            with self.subTest(seconds=seconds):
+                self.check_call('look', seconds)
+
+    def test_a_call_that_runs_once(self):
+        """It is answered once the server is back, as nothing was sent."""
+        for seconds in PAUSES_SECONDS:
+            with self.subTest(seconds=seconds):
+                self.check_call('order', seconds)
+
+
 class PausedServersTest(unittest.TestCase):
     """Servers behind proxies that hold all bytes for a while."""
 
