--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -72,6 +72,37 @@
                 self.assertEqual(self.scripted.runs, runs + 1)
 
 
+class UnreachableServersTest(scripted_servers.ScriptedCase):
+    """The only server of a service, whose host drops all packets for a while.
+
+    No connection is kept, so that another one is needed.
+    """
+
+    def check_call(self, method, seconds):
+        """Check that a call waits until the server can be reached again."""
+        front = self.hosts.fronts['front-0']
+        front.relay.exchanger.pool.close()
+        dropping = silence(
+            packet_filters.drop_packets(self.scripted.listener), seconds
+        )
+        gevent.sleep(0)
+        answer = self.ask(f'/{method}/1')
+        dropping.join()
+        self.assertEqual((answer.status, answer.body), (200, b'whole'))
+
+    def test_a_call_that_may_be_repeated(self):
+        """It is answered once the server is back."""
+        for seconds in PAUSES_SECONDS:
+            with self.subTest(seconds=seconds):
+                self.check_call('look', seconds)
+
+    def test_a_call_that_runs_once(self):
+        """It is answered once the server is back, as nothing was sent."""
+        for seconds in PAUSES_SECONDS:
+            with self.subTest(seconds=seconds):
+                self.check_call('order', seconds)
+
+
 class PausedServersTest(unittest.TestCase):
     """Servers behind proxies that hold all bytes for a while."""
 
@@ -240,6 +271,19 @@
                     self.check_whole(self.ask_all(path))
                 before.join()
 
+    def test_a_server_that_paused_alone(self):
+        """Soon after its pause its slots are used again."""
+        self.delay(80)
+        before = gevent.spawn(self.ask_all, '/ask/')
+        gevent.sleep(0.2)
+        self.pause('e0')
+        gevent.sleep(SHORT_PAUSE_SECONDS + SETTLE_SECONDS)
+        found = self.ask_all('/ask/')
+        self.check_whole(found)
+        runs = self.hosts.backends['e0'].runs
+        self.assertTrue(any(attempt in runs for attempt, _answer in found))
+        before.join()
+
     def test_a_time_limit_that_gets_shorter(self):
         """Requests that run or wait for a slot keep the longer one."""
         self.delay(150)
