Check again whether a request is blocked once it gets a slot (BUDGET)

What callers saw: nothing in one answer. A request that was blocked for the crashes under it while it waited for a slot was sent to one more server.

Cause: blocked requests were looked up on arrival and after a failed attempt, but not after the wait that follows.

The test test_a_request_blocked_while_it_waits failed before and passes.

--- a/src/carobfork/gateway/places.py
+++ b/src/carobfork/gateway/places.py
@@ -88,6 +88,8 @@
             if context.credit is None:
                 context.credit = self._credits.take(context)
             with self.admission.slot(context) as worker:
+                # Servers may have crashed under it while it waited.
+                self._guard.check(context)
                 yield worker, None
         else:
             context.standby = None
