Break off a begun stream only once its time is over (LOST)

What callers saw: a stream that had begun was closed with most of its time left: after a comment, as that was not counted as a part of the answer; when the queue was estimated to be too long for it; or since it went back to the server that had failed it, while another one was merely full for a moment.

Cause: three decisions still treated it like a request that may be refused.

Now a request is committed once any byte of its answer is sent. Estimates don't end its wait, and servers that have refused it go before those that have failed it.

--- a/src/carobfork/gateway/admissions.py
+++ b/src/carobfork/gateway/admissions.py
@@ -206,5 +206,6 @@
             context.tenant_name,
             context.tenant.rate_per_s if context.tenant else 0,
             context.program_start,
-            is_begun=context.is_begun,
+            failed=context.failed,
+            is_committed=context.is_committed,
         )
--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -65,10 +65,13 @@
     :param history: what backend servers get before the input of a turn.
     :param turn: the turn, if it is part of a program's conversation.
     :param has_output: whether the latest attempt got a part of an answer.
+    :param is_committed: whether its answer has begun, so that it can't be
+        refused any more and waits for servers as long as it has time.
     :param is_sent: whether a backend server may have run the call.
     :param failed_attempts: attempts that failed after the request was sent.
     :param refusals: number of workers that refused it or were unreachable.
     :param avoided: workers that have failed, refused or not gone on with it.
+    :param failed: workers among them that got it and failed.
     :param standby: a place at another worker, while that of the latest attempt
         is silent.
     :param worker: the worker of the latest attempt.
@@ -101,10 +104,12 @@
     history: histories.History = histories.History()
     turn: turns.Turn | None = None
     has_output: bool = False
+    is_committed: bool = False
     is_sent: bool = False
     failed_attempts: int = 0
     refusals: int = 0
     avoided: frozenset[str] = frozenset()
+    failed: frozenset[str] = frozenset()
     standby: standbys.Standby | None = None
     worker: str = ''
     server_version: str = ''
@@ -153,14 +158,6 @@
         """Whether the caller has events of the stream, of any attempt."""
         return self.resumes_stream or self.event_log.count > 0
 
-    @property
-    def is_begun(self) -> bool:
-        """Whether the caller has a part of this answer.
-
-        It can't be refused any more, only broken off.
-        """
-        return self.event_log.count > 0
-
     def can_retry(self) -> bool:
         """Return whether it may be sent again after a failed attempt."""
         return (
@@ -168,10 +165,20 @@
             and self.failed_attempts + 1 < self.route.max_attempts
         )
 
+    def record_output(self) -> None:
+        """Record that a part of the answer goes to the caller."""
+        self.has_output = True
+        self.is_committed = True
+
     def avoid(self, instance: str) -> None:
-        """Let other workers go first from now on."""
+        """Let workers that were not tried go first from now on."""
         self.avoided = self.avoided.union((instance,))
 
+    def record_failed(self, instance: str) -> None:
+        """Let all other workers go first from now on."""
+        self.avoid(instance)
+        self.failed = self.failed.union((instance,))
+
     def require_version(self, version: str) -> None:
         """Let only workers of a version go on, unless one is required."""
         if self.required_version is None:
--- a/src/carobfork/gateway/queued_calls.py
+++ b/src/carobfork/gateway/queued_calls.py
@@ -11,9 +11,9 @@
 it."""
 MAX_WAIT_MS = 800
 """Upper bound of that wait."""
-MAX_BEGUN_WAIT_RATIO = 0.8
-"""Share of its remaining time that a call may wait whose answer has begun: it
-can't be refused any more, only broken off."""
+MAX_COMMITTED_WAIT_RATIO = 0.8
+"""Share of its remaining time that a committed call may wait: it can't be
+refused any more, only broken off."""
 
 
 Precedence = tuple[int, bool]
@@ -39,7 +39,8 @@
     :param start: the start of a program, if it is a first turn; those of
         programs under way go first.
     :param refusal: why its program may not begin, if it was refused for that.
-    :param is_begun: whether the caller has a part of the answer.
+    :param failed: workers among them that got the call and failed.
+    :param is_committed: whether it waits as long as it has time.
     :param arrived_ms: when the call was submitted, set by the queue.
     """
 
@@ -54,14 +55,15 @@
     weight: float = 0
     start: program_admissions.ProgramStart | None = None
     refusal: program_admissions.Reason | None = None
-    is_begun: bool = False
+    failed: frozenset[str] = frozenset()
+    is_committed: bool = False
     arrived_ms: float = 0
 
     @property
     def max_wait_ms(self) -> float:
         """How long the call may wait in the queue."""
-        if self.is_begun:
-            return self.left_ms * MAX_BEGUN_WAIT_RATIO
+        if self.is_committed:
+            return self.left_ms * MAX_COMMITTED_WAIT_RATIO
         wait_ms = min(self.left_ms * MAX_WAIT_RATIO, MAX_WAIT_MS)
         return self.start.max_wait_ms(wait_ms) if self.start else wait_ms
 
@@ -85,7 +87,7 @@
         return self.rank, self.start is not None
 
     @property
-    def eligibility(self) -> tuple[str | None, frozenset[str], bool]:
+    def eligibility(self) -> tuple:
         """What decides which workers may run the call.
 
         Calls of one service that are equal in it are interchangeable: if none
@@ -93,7 +95,7 @@
         """
         return (
             self.version,
-            self.avoided,
+            (self.avoided, self.failed),
             not self.avoided or self.route.is_repeatable,
         )
 
--- a/src/carobfork/gateway/queues.py
+++ b/src/carobfork/gateway/queues.py
@@ -98,8 +98,12 @@
             queued.refusal = self.programs.decide(
                 queued.rank, queued.start, wait_ms, queued.max_wait_ms
             )
-        is_in_time = wait_ms <= queued.max_wait_ms and not queued.refusal
-        if is_in_time and self.selector.candidates(queued):
+        is_in_time = queued.is_committed or wait_ms <= queued.max_wait_ms
+        if (
+            is_in_time
+            and not queued.refusal
+            and self.selector.candidates(queued)
+        ):
             self.calls.add(queued)
             self._on_wait()
         else:
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -33,7 +33,7 @@
 """Retry delay for callers of a host that has no configuration in time."""
 MAX_REFUSALS = 4
 """Maximum number of backend servers that refuse a request or can't be reached
-before the request is refused, unless its answer has begun."""
+before the request is refused, unless it is committed."""
 MIN_RETRY_INTERVAL_MS = 25
 """Pause after the first refusal of a request that a server may have run: it
 can't be refused any more. The pause doubles with each further refusal."""
@@ -234,7 +234,8 @@
                 reason=context.last_error,
                 left_ms=round(context.deadline_at_ms - self._timer.now_ms()),
             )
-            if context.failed_attempts and context.refusals:
+            is_paced = context.failed_attempts and context.refusals
+            if is_paced and context.standby is None:
                 _pause(context.refusals)
 
     def _open_turn(self, context: contexts.RequestContext) -> None:
@@ -343,6 +344,7 @@
                     self.crashes_seen += 1
                     self.guard.record_crash(context, worker)
                 self._count_failure(context, error)
+                context.record_failed(worker.instance)
             else:
                 self.guard.record_answer(context.keys)
                 return True
@@ -355,7 +357,7 @@
         error: exceptions.CarobforkError,
     ) -> None:
         context.refusals += 1
-        if context.refusals >= MAX_REFUSALS and not context.is_begun:
+        if context.refusals >= MAX_REFUSALS and not context.is_committed:
             raise self.admission.refusal(context, error.message) from error
 
     def _count_failure(
--- a/src/carobfork/gateway/selections.py
+++ b/src/carobfork/gateway/selections.py
@@ -52,7 +52,10 @@
         ]
         if untried or not queued.route.is_repeatable:
             return untried
-        return usable
+        sound = [
+            worker for worker in usable if worker.instance not in queued.failed
+        ]
+        return sound or usable
 
     def is_in_vain(self, queued: queued_calls.QueuedCall) -> bool:
         """Return whether a call without a candidate waits for nothing.
--- a/src/carobfork/gateway/stream_relays.py
+++ b/src/carobfork/gateway/stream_relays.py
@@ -125,7 +125,7 @@
             )
         if has_content:
             self._watch.record_progress()
-        self._context.has_output = True
+        self._context.record_output()
         self._context.require_version(self._context.server_version)
         if self._context.turn is not None:
             self._watch.pause()
