--- a/src/carobfork/gateway/connection_pools.py
+++ b/src/carobfork/gateway/connection_pools.py
@@ -136,9 +136,12 @@
             connection.close()
         return self.open(worker)
 
-    def open(self, worker: workers.Worker) -> Connection:
+    def open(
+        self, worker: workers.Worker, timeout_ms: float = CONNECT_TIMEOUT_MS
+    ) -> Connection:
         """Open a connection to a server.
 
+        :param timeout_ms: how long the server may take to accept it.
         :raises ConnectionFailedError: if the server can't be reached; nothing
             was sent.
         """
@@ -146,7 +149,7 @@
         try:
             sock = socket.create_connection(
                 (worker.entry.ip, worker.entry.port),
-                timeout=clock.to_seconds(CONNECT_TIMEOUT_MS),
+                timeout=clock.to_seconds(timeout_ms),
             )
         except OSError as error:
             raise exceptions.ConnectionFailedError(
--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -65,6 +65,7 @@
     :param turn: the turn, if it is part of a program's conversation.
     :param has_output: whether the latest attempt got a part of an answer.
     :param is_sent: whether a backend server may have run the call.
+    :param is_at_server: whether the latest attempt was sent to its server.
     :param failed_attempts: attempts that failed after the request was sent.
     :param refusals: number of workers that refused it or were unreachable.
     :param avoided: workers that have failed or refused it.
@@ -98,6 +99,7 @@
     turn: turns.Turn | None = None
     has_output: bool = False
     is_sent: bool = False
+    is_at_server: bool = False
     failed_attempts: int = 0
     refusals: int = 0
     avoided: frozenset[str] = frozenset()
--- a/src/carobfork/gateway/exchanges.py
+++ b/src/carobfork/gateway/exchanges.py
@@ -93,6 +93,7 @@
         :raises AnswerDroppedError: if there is no room for the answer.
         """
         started_ms = self._timer.now_ms()
+        context.is_at_server = False
         self._left_ms(context)
         connection = self._connect(context, worker)
         try:
@@ -182,6 +183,7 @@
         ) as request:
             head = self._encode_head(context, worker, connection)
             context.is_sent = True
+            context.is_at_server = True
             context.has_output = False
             self._log_limited(context, worker)
             with failures.raise_as_failure(worker.instance):
--- a/src/carobfork/gateway/process_checks.py
+++ b/src/carobfork/gateway/process_checks.py
@@ -136,6 +136,29 @@
             return is_inherited
         return started_ms is not None
 
+    def is_same_process(
+        self, connection: connection_pools.Connection
+    ) -> bool | None:
+        """Return whether a server is still the process that it was.
+
+        Return ``None`` if it does not tell.
+
+        :param connection: a new connection to it.
+        :raises ConnectionFailedError: if the server does not answer in time.
+        """
+        worker = connection.worker
+        request = self._codec.encode_state_request(worker.instance)
+        answer = self._ask(connection, request, REPORT_TIMEOUT_MS)
+        started_ms = None
+        if answer.told.status == _OK:
+            started_ms = self._codec.decode_report(answer.body)
+        if not started_ms:
+            return False if answer.told.is_elsewhere else None
+        # The registry may tell of another process for long.
+        known_ms = worker.told_started_ms or worker.entry.started_ms
+        worker.told_started_ms = started_ms
+        return started_ms == known_ms if known_ms else None
+
     def _is_alive(
         self, service: str, connection: connection_pools.Connection
     ) -> bool:
--- a/src/carobfork/gateway/relays.py
+++ b/src/carobfork/gateway/relays.py
@@ -88,6 +88,9 @@
             table,
             check_process or exchanges.trust_process,
         )
+        self.crashes = crash_detectors.CrashDetector(
+            table, timer, self.guard, self.exchanger.pool
+        )
         self._codec = codec
         self.table = table
         self._turns = turn_manager
@@ -97,7 +100,6 @@
         self.key_age = key_ages.KeyAge(timer)
         self.latencies = metrics.Histogram()
         self.queue_times = metrics.Histogram()
-        self.crashes_seen = 0
         self.streams_resumed = 0
         self.streams_continued = 0
 
@@ -310,10 +312,11 @@
             except exceptions.ConnectionFailedError as error:
                 worker.record_failure(self._timer.now_ms())
                 self.exchanger.pool.discard_idle(worker)
-                if crash_detectors.has_crashed(context, worker, error):
-                    self.crashes_seen += 1
-                    self.guard.record_crash(context, worker)
+                self.crashes.check(context, worker, error)
                 self._count_failure(context, error)
+            except BaseException as error:
+                self.crashes.abandon(context, worker, error)
+                raise
             else:
                 self.guard.record_answer(context.keys)
                 return True
--- a/src/carobfork/gateway/request_guards.py
+++ b/src/carobfork/gateway/request_guards.py
@@ -10,7 +10,12 @@
 from collections.abc import Callable, Mapping
 
 from carobfork import clock, exceptions
-from carobfork.gateway import contexts, fingerprints, workers
+from carobfork.gateway import (
+    contexts,
+    fingerprints,
+    unanswered_calls,
+    workers,
+)
 from carobfork.storage import crash_histories, messages
 
 ANSWERED_TTL_MS = 60_000
@@ -67,17 +72,15 @@
         return max(left_ms, self._history.left_ms(keys.path))
 
     def record_crash(
-        self, context: contexts.RequestContext, worker: workers.Worker
+        self, call: unanswered_calls.UnansweredCall, worker: workers.Worker
     ) -> None:
-        """Count and report the crash of a server under a request."""
+        """Count and report the crash of a server under a call."""
         server = f'{worker.instance}@{worker.entry.started_ms:.0f}'
-        keys = context.keys
-        self._count(messages.Crash(keys.request, server, context.has_output))
+        keys = call.keys
+        self._count(messages.Crash(keys.request, server, call.has_output))
         if not self._is_answered(keys.path):
             self._count(
-                messages.Crash(
-                    keys.path, server, context.has_output, keys.request
-                )
+                messages.Crash(keys.path, server, call.has_output, keys.request)
             )
 
     def record_answer(self, keys: fingerprints.Fingerprints) -> None:
--- a/src/carobfork/gateway/workers.py
+++ b/src/carobfork/gateway/workers.py
@@ -97,6 +97,7 @@
     :param pace: how many calls it takes after a start or a recovery.
     :param can_be_paced: whether this host paces servers.
     :param leaving_since_ms: when this host first heard that it leaves.
+    :param told_started_ms: when its process started, as it last told.
     :param renewed_from: the process that had its name before, if its own start
         and version are unknown. The registry may still tell of that process.
     :param replaced_by: the worker of the entry that arrived while its own
@@ -125,6 +126,7 @@
     pace: paces.Pace = attrs.Factory(paces.Pace)
     can_be_paced: bool = True
     leaving_since_ms: float | None = None
+    told_started_ms: float = 0
     renewed_from: tuple | None = None
     replaced_by: 'Worker | None' = None
     _slowdown: slowdowns.Slowdown = attrs.Factory(slowdowns.Slowdown)
--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -41,6 +41,7 @@
 from carobfork.tenancy import key_ages, quotas
 
 POOL_TRIM_INTERVAL_MS = 500
+CRASH_CHECK_INTERVAL_MS = 200
 NEWS_CHECK_INTERVAL_MS = 250
 """How often to check that store hosts still report on the platform: once per
 heartbeat."""
@@ -141,6 +142,7 @@
         self.successors = successor_probes.SuccessorProber(
             self.table, self.relay.exchanger.pool, self.processes
         )
+        self.relay.crashes.checker = self.processes
         self.server = servers.Server(
             host_settings.front,
             self.relay,
@@ -184,6 +186,7 @@
         self.repeat(self.updates.check, NEWS_CHECK_INTERVAL_MS)
         self.spawn(self.relay.admission.run)
         self.repeat(self._trim_pool, POOL_TRIM_INTERVAL_MS)
+        self.repeat(self.relay.crashes.probe_due, CRASH_CHECK_INTERVAL_MS)
         for endpoint in self._endpoints:
             endpoint.start()
         self.server.start()
@@ -197,6 +200,7 @@
             endpoint.stop()
         self.links.close()
         self.successors.close()
+        self.relay.crashes.close()
         self.relay.exchanger.pool.close()
         super().__exit__(*failure)
 
--- a/tests/backends.py
+++ b/tests/backends.py
@@ -11,7 +11,7 @@
 
 import attrs
 import gevent
-from gevent import pool, pywsgi
+from gevent import event, pool, pywsgi
 from werkzeug import Request, Response
 from werkzeug import exceptions as http_exceptions
 from werkzeug.routing import Rule
@@ -45,6 +45,10 @@
     """Whether requests are read and never answered."""
     crashes_on: bytes = b''
     """Body of the requests that end the server."""
+    crash_after: int = 0
+    """Events of such a request after which it does."""
+    silent_ms: int = 0
+    """How long the server is silent before it ends."""
     limit_per_s: float | None = None
     """Request limit that the answers name."""
     comments: bool = False
@@ -55,6 +59,14 @@
     """Events after which the next streams stop without an end."""
 
 
+def _is_closed(sock: sockets.socket) -> bool:
+    """Tell whether the host has closed a connection."""
+    try:
+        return not sock._sock.recv(1, sockets.MSG_PEEK | sockets.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+
+
 def _do_nothing() -> None:
     """Ignore a crash."""
 
@@ -89,14 +101,27 @@
         self.arrivals: list[float] = []
         self.run_moments: dict[str, list[float]] = collections.defaultdict(list)
         self.crashes: list[float] = []
+        self.deadly_arrivals: list[float] = []
         self.on_crash = _do_nothing
+        self._is_speaking = event.Event()
+        self._is_speaking.set()
 
     def restart(self) -> None:
         """Take the place of a new process, which does not leave."""
         self.started_ms += 1
         self.faults.leaving = False
 
+    def pause(self, seconds: float) -> None:
+        """Fall silent for a while, then go on."""
+        self._is_speaking.clear()
+        gevent.spawn_later(seconds, self.resume)
+
+    def resume(self) -> None:
+        """Go on after a pause, or as a new process."""
+        self._is_speaking.set()
+
     def _report(self, request: Request) -> Response:
+        self._is_speaking.wait()
         response = web.json_response({'Busy': False, 'born': self.started_ms})
         response.headers.extend(self._state_headers())
         return response
@@ -110,6 +135,11 @@
                 headers={'X-Instance-Id': self.instance},
             )
         self.arrivals.append(time.monotonic())
+        if self._is_deadly(request):
+            self.deadly_arrivals.append(self.arrivals[-1])
+        self._is_speaking.wait()
+        if _is_closed(request.environ['backends.socket']):
+            return Response(status=_SHED)
         self.reached[attempt].append(self.started_ms)
         if self.faults.full:
             return Response(
@@ -123,13 +153,8 @@
         self.runs[attempt] += 1
         self.run_moments[attempt].append(self.arrivals[-1])
         self.bodies[attempt] = request.get_data()
-        if self.faults.crashes_on and (
-            self.bodies[attempt] == self.faults.crashes_on
-        ):
-            self.crashes.append(time.monotonic())
-            self.on_crash()
-            request.environ['backends.socket'].shutdown(sockets.SHUT_RDWR)
-            gevent.sleep(_HANG_SECONDS)
+        if self._is_deadly(request) and not self.faults.crash_after:
+            self._crash(request)
         self.heads[attempt] = dict(request.headers)
         self._delay_answer()
         headers = {
@@ -141,7 +166,7 @@
         if request.headers.get('Accept') == 'text/event-stream':
             first = int(request.headers.get('Last-Event-Id') or 0) + 1
             return Response(
-                self._events(first),
+                self._events(first, request),
                 headers=headers,
                 content_type='text/event-stream',
             )
@@ -150,6 +175,19 @@
             body = body.ljust(LARGE_BYTES)
         return Response(body, headers=headers)
 
+    def _is_deadly(self, request: Request) -> bool:
+        deadly = self.faults.crashes_on
+        return bool(deadly) and request.get_data() == deadly
+
+    def _crash(self, request: Request) -> None:
+        """End the server, of which no more is heard from now on."""
+        self.crashes.append(time.monotonic())
+        self._is_speaking.clear()
+        gevent.sleep(self.faults.silent_ms / 1000)
+        self.on_crash()
+        request.environ['backends.socket'].shutdown(sockets.SHUT_RDWR)
+        gevent.sleep(_HANG_SECONDS)
+
     def _state_headers(self) -> dict[str, str]:
         headers = {}
         if self.faults.limit_per_s is not None:
@@ -165,10 +203,15 @@
         if self.faults.drop_answer:
             raise http_exceptions.BadGateway
 
-    def _events(self, first: int):
+    def _events(self, first: int, request: Request):
         finished = False
+        crash_after = self.faults.crash_after
+        is_deadly = bool(crash_after) and self._is_deadly(request)
         try:
             for number in range(first, EVENTS + 1):
+                if is_deadly and number > crash_after:
+                    self._crash(request)
+                self._is_speaking.wait()
                 self._delay_event(number)
                 if self.faults.comments:
                     yield b': comment\n\n\n'
--- a/tests/platform_hosts.py
+++ b/tests/platform_hosts.py
@@ -32,9 +32,10 @@
 
     :param stores: how many store hosts there are at the start.
     :param fronts: how many entry hosts there are at the start.
+    :param crash_seconds: how long a backend server that crashed is away.
     """
 
-    def __init__(self, stores=3, fronts=1):
+    def __init__(self, stores=3, fronts=1, crash_seconds=CRASH_SECONDS):
         """Prepare the deployment."""
         self.store = object_store.ObjectStoreApplication()
         self.backends = {}
@@ -45,6 +46,7 @@
         self._servers = {}
         self._ports = {}
         self._counts = (stores, fronts)
+        self._crash_seconds = crash_seconds
         self._store_address = ('127.0.0.1', configurations.free_port())
 
     def __enter__(self):
@@ -295,8 +297,9 @@
     def _restart(self, instance, address, service):
         application = self.backends[instance]
         self._servers[instance].stop(0)
-        gevent.sleep(CRASH_SECONDS)
+        gevent.sleep(self._crash_seconds)
         application.started_ms = len(application.crashes) + 1
+        application.resume()
         self._servers[instance] = backends.serve(application, address)
         self.register(instance, service, born=application.started_ms)
 
