--- a/src/carobfork/storage/crash_histories.py
+++ b/src/carobfork/storage/crash_histories.py
@@ -13,6 +13,9 @@
 more likely that another one crashed the server."""
 BLOCKED_WEIGHT = 6
 """Weight from which on a request is blocked: three silent crashes."""
+MAX_CRASHES_BY_REQUEST = 2
+"""How many of the crashes that one request explains count under its path: one
+request blocks no path, and the first crash under another one does."""
 BLOCK_MS = 600_000
 """How long a request is blocked after its last crash, and how long a crash
 counts: long compared with the retries of callers."""
@@ -20,6 +23,20 @@
 """Bounds the memory; the requests whose last crash is oldest are dropped."""
 
 
+@attrs.frozen
+class CrashedServer:
+    """A crash under a request or path, as it is stored.
+
+    :param server: the server process.
+    :param weight: the weight of its crash.
+    :param requests: the requests to a path that it had.
+    """
+
+    server: str
+    weight: int
+    requests: tuple[str, ...] = ()
+
+
 @attrs.frozen
 class CrashCount:
     """The crashes under a request, as they are stored.
@@ -28,31 +45,86 @@
     :param servers: the server processes whose crash was counted.
     :param left_ms: how long they still count.
     :param requests: the requests to a path whose crash was counted.
+    :param crashes: each of the crashes; older versions don't store them.
     """
 
     weight: int
     servers: tuple[str, ...]
     left_ms: float
     requests: tuple[str, ...] = ()
+    crashes: tuple[CrashedServer, ...] = ()
 
     def aged(self, age_ms: float) -> 'CrashCount':
         """Return the count as it is some time later."""
         return attrs.evolve(self, left_ms=self.left_ms - age_ms)
 
 
+@attrs.define(eq=False)
+class _Crash:
+    """A crash that was counted.
+
+    :param requests: the requests that the server had, if this is under a path.
+    """
+
+    server: str
+    weight: int = 0
+    requests: set[str] = attrs.Factory(set)
+
+
 @attrs.define
 class _Suspect:
-    """A request that was on servers that crashed.
+    """A request, or all requests to a path, that were on crashed servers.
 
-    :param servers: the server processes whose crash was counted.
-    :param requests: the requests whose crash was counted, if this is a path.
     :param expires_ms: when its crashes stop counting.
+    :param other_weight: weight of crashes that are known as a sum only.
+    :param crashes: the crashes that this host has counted.
     """
 
     expires_ms: float
-    weight: int = 0
-    servers: set[str] = attrs.Factory(set)
-    requests: set[str] = attrs.Factory(set)
+    other_weight: int = 0
+    crashes: list[_Crash] = attrs.Factory(list)
+
+    @property
+    def weight(self) -> int:
+        """The weight of all crashes."""
+        return self.other_weight + sum(
+            crash.weight for crash in self._independent()
+        )
+
+    def find(self, server: str) -> _Crash:
+        """Return the crash of a server process, a new one if none is known."""
+        for crash in self.crashes:
+            if crash.server == server:
+                return crash
+        added = _Crash(server)
+        self.crashes.append(added)
+        return added
+
+    def raise_to(self, weight: int) -> None:
+        """Apply that the crashes weigh at least so much."""
+        self.other_weight += max(0, weight - self.weight)
+
+    def _independent(self) -> list[_Crash]:
+        """Return the crashes that no single request explains.
+
+        Of those that one does, a few are returned.
+        """
+        requests = set().union(*(crash.requests for crash in self.crashes))
+        explained = max(
+            (self._crashes_under(request) for request in requests),
+            key=len,
+            default=[],
+        )
+        explained.sort(key=_weigh, reverse=True)
+        others = [crash for crash in self.crashes if crash not in explained]
+        return [*others, *explained[:MAX_CRASHES_BY_REQUEST]]
+
+    def _crashes_under(self, request: str) -> list[_Crash]:
+        return [crash for crash in self.crashes if request in crash.requests]
+
+
+def _weigh(crash: _Crash) -> int:
+    return crash.weight
 
 
 class CrashHistory:
@@ -75,46 +147,36 @@
     ) -> None:
         """Count a crash, once for each server process.
 
-        Crashes under a path also count once for each request: one that comes
-        again and again says nothing about others.
+        Under a path, a few crashes count of those that one request explains:
+        one that comes again and again says little about others.
 
         :param server: identifies the server process.
         :param has_output: whether a part of the answer had come.
         :param request: the request, if the fingerprint is that of its path.
         """
-        suspect = self._touch(fingerprint, BLOCK_MS)
-        if server in suspect.servers or request in suspect.requests:
-            return
-        suspect.servers.add(server)
+        weight = OUTPUT_CRASH_WEIGHT if has_output else SILENT_CRASH_WEIGHT
+        crash = self._touch(fingerprint, BLOCK_MS).find(server)
+        crash.weight = max(crash.weight, weight)
         if request:
-            suspect.requests.add(request)
-        suspect.weight += (
-            OUTPUT_CRASH_WEIGHT if has_output else SILENT_CRASH_WEIGHT
-        )
+            crash.requests.add(request)
 
     def learn(self, fingerprint: str, weight: int) -> None:
         """Apply the weight of all crashes that another host knows of."""
         if weight > self.weight(fingerprint):
-            self._touch(fingerprint, BLOCK_MS).weight = weight
+            self._touch(fingerprint, BLOCK_MS).raise_to(weight)
 
     def block(self, fingerprint: str, left_ms: float) -> None:
         """Block a request that another host has blocked.
 
         :param left_ms: how long it stays blocked.
         """
-        suspect = self._touch(fingerprint, left_ms)
-        suspect.weight = max(suspect.weight, BLOCKED_WEIGHT)
+        self._touch(fingerprint, left_ms).raise_to(BLOCKED_WEIGHT)
 
     def dump(self) -> dict[str, CrashCount]:
         """Return the crashes that still count, oldest last crash first."""
         now_ms = self._timer.now_ms()
         return {
-            fingerprint: CrashCount(
-                suspect.weight,
-                tuple(suspect.servers),
-                suspect.expires_ms - now_ms,
-                tuple(suspect.requests),
-            )
+            fingerprint: _dump_suspect(suspect, suspect.expires_ms - now_ms)
             for fingerprint, suspect in self._suspects.items()
             if suspect.expires_ms > now_ms
         }
@@ -123,9 +185,13 @@
         """Apply crashes that were stored."""
         for fingerprint, count in crashes.items():
             suspect = self._touch(fingerprint, count.left_ms)
-            suspect.weight = max(suspect.weight, count.weight)
-            suspect.servers.update(count.servers)
-            suspect.requests.update(count.requests)
+            for server in count.servers:
+                suspect.find(server)
+            for stored in count.crashes:
+                crash = suspect.find(stored.server)
+                crash.weight = max(crash.weight, stored.weight)
+                crash.requests.update(stored.requests)
+            suspect.raise_to(count.weight)
 
     def clear(self, fingerprint: str) -> None:
         """Forget the crashes under a request."""
@@ -156,3 +222,17 @@
         if len(self._suspects) > MAX_REQUESTS:
             self._suspects.pop(next(iter(self._suspects)))
         return suspect
+
+
+def _dump_suspect(suspect: _Suspect, left_ms: float) -> CrashCount:
+    requests = set().union(*(crash.requests for crash in suspect.crashes))
+    return CrashCount(
+        suspect.weight,
+        tuple(crash.server for crash in suspect.crashes),
+        left_ms,
+        tuple(requests),
+        tuple(
+            CrashedServer(crash.server, crash.weight, tuple(crash.requests))
+            for crash in suspect.crashes
+        ),
+    )
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -199,6 +199,26 @@
         self.assertTrue(self.guard.left_ms(KEYS))
         self.assertFalse(self.guard.left_ms(OTHER_KEYS))
 
+    def test_the_first_crash_under_another_request(self):
+        """Programs that come one after the other don't crash three each."""
+        for number in range(CRASHES):
+            self.crash(f't{number}')
+        self.crash('t9', OTHER_KEYS)
+        self.assertTrue(
+            self.guard.left_ms(fingerprints.Fingerprints('third', 'path'))
+        )
+
+    def test_requests_beside_a_deadly_one(self):
+        """Crashes that one request explains say nothing about others."""
+        for number in range(CRASHES):
+            self.crash(f't{number}')
+            beside = fingerprints.Fingerprints(f'beside-{number}', 'path')
+            self.crash(f't{number}', beside)
+        self.assertTrue(self.guard.left_ms(KEYS))
+        self.assertFalse(
+            self.guard.left_ms(fingerprints.Fingerprints('third', 'path'))
+        )
+
     def test_several_requests_block_a_path(self):
         """Programs that ask the same have different bodies."""
         for number in range(CRASHES):
--- a/tests/test_uncounted_crashes.py
+++ b/tests/test_uncounted_crashes.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import functools
 import itertools
 import unittest
 
@@ -160,6 +161,30 @@
         self.assert_stopped()
 
 
+class PathTest(CrashCase):
+    """Programs that ask the same, one after the other."""
+
+    def test_programs_that_come_one_after_the_other(self):
+        """Those after the first one don't end three servers each."""
+        for number in range(2, 4):
+            self.hosts.add_backend(f'e{number}', configurations.ENGINES)
+        platform_hosts.wait_until(self.knows_servers, 'the servers')
+        self.spoil()
+        self.repeat(self.draft, count=CRASHES)
+        gevent.sleep(CONTACT_SECONDS)
+        for program in ('q', 'r', 's'):
+            self.repeat(
+                functools.partial(self.draft, program=program), count=CRASHES
+            )
+        self.assert_stopped()
+
+    def draft(self, front, program='p'):
+        """Send the deadly request as a turn of a program."""
+        return self.hosts.turn(
+            program, front=front, path='/chat/7', body=DEADLY
+        )
+
+
 class UnansweredCallsTest(unittest.TestCase):
     """Which calls count once a server has ended, on a manual clock."""
 
