--- a/src/carobfork/storage/crash_histories.py
+++ b/src/carobfork/storage/crash_histories.py
@@ -13,6 +13,9 @@
 more likely that another one crashed the server."""
 BLOCKED_WEIGHT = 6
 """Weight from which on a request is blocked: three silent crashes."""
+MAX_CRASHES = 4
+"""Number of crashes from which on a request is blocked whatever output it had:
+some retries may reach servers without being counted as crashes."""
 MAX_CRASHES_BY_REQUEST = 2
 """How many of the crashes that one request explains count under its path: one
 request blocks no path, and the first crash under another one does."""
@@ -87,9 +90,11 @@
     @property
     def weight(self) -> int:
         """The weight of all crashes."""
-        return self.other_weight + sum(
-            crash.weight for crash in self._independent()
-        )
+        independent = self._independent()
+        weight = sum(crash.weight for crash in independent)
+        if len(independent) >= MAX_CRASHES:
+            weight = max(weight, BLOCKED_WEIGHT)
+        return self.other_weight + weight
 
     def find(self, server: str) -> _Crash:
         """Return the crash of a server process, a new one if none is known."""
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -185,9 +185,9 @@
             self.crash('t0')
         self.assertFalse(self.guard.left_ms(KEYS))
 
-    def test_calls_that_had_begun_count_half(self):
+    def test_calls_that_had_begun_count_less(self):
         """A call whose answer had begun was probably there by chance."""
-        for number in range(2 * CRASHES):
+        for number in range(CRASHES + 1):
             self.assertFalse(self.guard.left_ms(KEYS))
             self.crash(f't{number}', has_output=True)
         self.assertTrue(self.guard.left_ms(KEYS))
--- a/tests/test_uncounted_crashes.py
+++ b/tests/test_uncounted_crashes.py
@@ -35,6 +35,13 @@
 """Between two deadly ones; they earn the retry of a call that stalls."""
 SILENT_MS = 900
 PAUSE_SECONDS = 1.1
+TURN = {  # noqa: WPS407
+    'Accept': 'text/event-stream',
+    'X-Program-Id': 'p',
+    'X-Session-Id': 'p',
+    'X-Token-Budget': '10000',
+    'X-Token-Count': '100,40',
+}
 
 
 class CrashCase(unittest.TestCase):
@@ -185,6 +192,31 @@
         )
 
 
+class OutputTest(CrashCase):
+    """Servers that end after the first event."""
+
+    def test_a_retry_that_reaches_a_server_that_pauses(self):
+        """Some retries are left for those that crash no server."""
+        for number in range(2, 4):
+            self.hosts.add_backend(f'e{number}', configurations.ENGINES)
+        platform_hosts.wait_until(self.knows_servers, 'the servers')
+        self.spoil(crash_after=1)
+        self.repeat(self.draft, count=CRASHES)
+        gevent.sleep(CONTACT_SECONDS)
+        for backend in self.hosts.backends.values():
+            backend.pause(PAUSE_SECONDS)
+        self.ask_and_leave('front-0', path='/chat/7', headers=TURN)
+        gevent.sleep(PAUSE_SECONDS)
+        self.repeat(self.draft)
+        self.assert_stopped()
+
+    def draft(self, front):
+        """Send the deadly request as a turn that servers begin to answer."""
+        return self.hosts.ask(
+            '/chat/7', front=front, method='POST', body=DEADLY, headers=TURN
+        )
+
+
 class UnansweredCallsTest(unittest.TestCase):
     """Which calls count once a server has ended, on a manual clock."""
 
