--- a/src/carobfork/gateway/request_guards.py
+++ b/src/carobfork/gateway/request_guards.py
@@ -77,10 +77,15 @@
         """Count and report the crash of a server under a call."""
         server = f'{worker.instance}@{worker.entry.started_ms:.0f}'
         keys = call.keys
-        self._count(messages.Crash(keys.request, server, call.has_output))
+        age_ms = self._timer.now_ms() - call.ended_ms
+        self._count(
+            messages.Crash(keys.request, server, call.has_output, age_ms=age_ms)
+        )
         if not self._is_answered(keys.path):
             self._count(
-                messages.Crash(keys.path, server, call.has_output, keys.request)
+                messages.Crash(
+                    keys.path, server, call.has_output, keys.request, age_ms
+                )
             )
 
     def record_answer(self, keys: fingerprints.Fingerprints) -> None:
@@ -116,7 +121,11 @@
 
     def _count(self, crash: messages.Crash) -> None:
         self._history.add(
-            crash.fingerprint, crash.server, crash.has_output, crash.request
+            crash.fingerprint,
+            crash.server,
+            crash.has_output,
+            crash.request,
+            crash.age_ms,
         )
         self._report(crash)
 
--- a/src/carobfork/storage/crash_histories.py
+++ b/src/carobfork/storage/crash_histories.py
@@ -19,6 +19,11 @@
 MAX_CRASHES_BY_REQUEST = 2
 """How many of the crashes that one request explains count under its path: one
 request blocks no path, and the first crash under another one does."""
+SAME_CRASH_MS = 4000
+"""Crashes of a server this far apart are of two processes, though the registry
+names one: the hosts that see a crash do so within the time of a call."""
+MAX_KEPT_CRASHES = 64
+"""Bounds the memory for each request; the oldest crashes are dropped."""
 BLOCK_MS = 600_000
 """How long a request is blocked after its last crash, and how long a crash
 counts: long compared with the retries of callers."""
@@ -66,10 +71,12 @@
 class _Crash:
     """A crash that was counted.
 
+    :param moment_ms: when the first call that it broke had ended.
     :param requests: the requests that the server had, if this is under a path.
     """
 
     server: str
+    moment_ms: float
     weight: int = 0
     requests: set[str] = attrs.Factory(set)
 
@@ -96,13 +103,14 @@
             weight = max(weight, BLOCKED_WEIGHT)
         return self.other_weight + weight
 
-    def find(self, server: str) -> _Crash:
+    def find(self, server: str, moment_ms: float) -> _Crash:
         """Return the crash of a server process, a new one if none is known."""
         for crash in self.crashes:
-            if crash.server == server:
+            age_ms = abs(moment_ms - crash.moment_ms)
+            if crash.server == server and age_ms < SAME_CRASH_MS:
                 return crash
-        added = _Crash(server)
-        self.crashes.append(added)
+        added = _Crash(server, moment_ms)
+        self.crashes = [*self.crashes, added][-MAX_KEPT_CRASHES:]
         return added
 
     def raise_to(self, weight: int) -> None:
@@ -149,6 +157,7 @@
         server: str,
         has_output: bool,
         request: str = '',
+        age_ms: float = 0,
     ) -> None:
         """Count a crash, once for each server process.
 
@@ -158,9 +167,11 @@
         :param server: identifies the server process.
         :param has_output: whether a part of the answer had come.
         :param request: the request, if the fingerprint is that of its path.
+        :param age_ms: how long ago the call ended that the crash broke.
         """
         weight = OUTPUT_CRASH_WEIGHT if has_output else SILENT_CRASH_WEIGHT
-        crash = self._touch(fingerprint, BLOCK_MS).find(server)
+        moment_ms = self._timer.now_ms() - age_ms
+        crash = self._touch(fingerprint, BLOCK_MS).find(server, moment_ms)
         crash.weight = max(crash.weight, weight)
         if request:
             crash.requests.add(request)
@@ -188,12 +199,13 @@
 
     def restore(self, crashes: Mapping[str, CrashCount]) -> None:
         """Apply crashes that were stored."""
+        now_ms = self._timer.now_ms()
         for fingerprint, count in crashes.items():
             suspect = self._touch(fingerprint, count.left_ms)
             for server in count.servers:
-                suspect.find(server)
+                suspect.find(server, now_ms)
             for stored in count.crashes:
-                crash = suspect.find(stored.server)
+                crash = suspect.find(stored.server, now_ms)
                 crash.weight = max(crash.weight, stored.weight)
                 crash.requests.update(stored.requests)
             suspect.raise_to(count.weight)
--- a/src/carobfork/storage/crash_reporters.py
+++ b/src/carobfork/storage/crash_reporters.py
@@ -3,6 +3,7 @@
 import functools
 from typing import Any
 
+import attrs
 import gevent
 
 from carobfork import clock
@@ -47,6 +48,9 @@
 
     def _retry(self, disk: str, report: Report, tries: int, reply: Any) -> None:
         if reply is None and tries:
+            if isinstance(report, messages.Crash):
+                age_ms = report.age_ms + RETRY_INTERVAL_MS
+                report = attrs.evolve(report, age_ms=age_ms)
             gevent.spawn_later(
                 clock.to_seconds(RETRY_INTERVAL_MS),
                 self._send,
--- a/src/carobfork/storage/messages.py
+++ b/src/carobfork/storage/messages.py
@@ -376,12 +376,14 @@
     :param server: identifies the server's process.
     :param has_output: whether a part of the answer had come.
     :param request: the request, if the fingerprint is that of its path.
+    :param age_ms: time since the call ended that the crash broke.
     """
 
     fingerprint: str
     server: str
     has_output: bool
     request: str = ''
+    age_ms: float = 0
 
 
 @register
--- a/src/carobfork/storage/request_blocks.py
+++ b/src/carobfork/storage/request_blocks.py
@@ -56,6 +56,7 @@
                 crash.server,
                 crash.has_output,
                 crash.request,
+                crash.age_ms,
             )
             self._has_unsaved.set()
             self._save_new((crash.fingerprint,))
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -19,6 +19,7 @@
     fingerprints,
     framing,
     request_guards,
+    unanswered_calls,
     workers,
 )
 from carobfork.storage import (
@@ -176,8 +177,10 @@
     def crash(self, server, keys=KEYS, has_output=False):
         """Record the crash of a server under a request."""
         entry = workers.Entry(server, 'tools', '127.0.0.1', 1, 'z', 4)
-        context = mock.Mock(keys=keys, has_output=has_output)
-        self.guard.record_crash(context, workers.Worker(entry))
+        call = unanswered_calls.UnansweredCall(
+            keys, 'x', has_output, self.timer.now_ms()
+        )
+        self.guard.record_crash(call, workers.Worker(entry))
 
     def test_a_server_counts_once(self):
         """Retries on one server process do not add up."""
@@ -185,6 +188,25 @@
             self.crash('t0')
         self.assertFalse(self.guard.left_ms(KEYS))
 
+    def test_a_server_that_the_registry_tells_of_late(self):
+        """A process of the same entry that crashes later is another one."""
+        for _ in range(CRASHES):
+            self.assertFalse(self.guard.left_ms(KEYS))
+            self.crash('t0')
+            self.timer.advance(crash_histories.SAME_CRASH_MS)
+        self.assertTrue(self.guard.left_ms(KEYS))
+
+    def test_a_crash_that_several_hosts_report(self):
+        """Reports that arrive late count as the crash that they tell of."""
+        late_ms = 2 * crash_histories.SAME_CRASH_MS
+        history = crash_histories.CrashHistory(self.timer)
+        history.add('f', 't0', has_output=False)
+        self.timer.advance(late_ms)
+        history.add('f', 't0', has_output=False, age_ms=late_ms)
+        self.assertEqual(
+            history.weight('f'), crash_histories.SILENT_CRASH_WEIGHT
+        )
+
     def test_calls_that_had_begun_count_less(self):
         """A call whose answer had begun was probably there by chance."""
         for number in range(CRASHES + 1):
--- a/tests/test_uncounted_crashes.py
+++ b/tests/test_uncounted_crashes.py
@@ -168,6 +168,27 @@
         self.assert_stopped()
 
 
+class UnknownSuccessorTest(CrashCase):
+    """Servers that start again while the registry can't be reached."""
+
+    def test_crashes_of_one_server_in_an_outage(self):
+        """Its entry names its first process all the time."""
+        for name in ('t1', 't2', 't3'):
+            self.hosts.store.remove('servers', name)
+        platform_hosts.wait_until(self.knows_one_server, 'the last server')
+        self.spoil()
+        self.hosts.store.faults.down = True
+        self.repeat(self.ask, count=8, pause_seconds=CONTACT_SECONDS + 1.5)
+        self.assert_stopped()
+
+    def knows_one_server(self):
+        """Tell whether one server is left at all entry hosts."""
+        return all(
+            len(front.table.usable(configurations.TOOLS)) == 1
+            for front in self.hosts.fronts.values()
+        )
+
+
 class PathTest(CrashCase):
     """Programs that ask the same, one after the other."""
 
