--- a/src/carobfork/roles/front.py
+++ b/src/carobfork/roles/front.py
@@ -102,7 +102,9 @@
             host_settings.zone,
             self.timer,
         )
-        self.crash_reporter = crash_reporters.CrashReporter(self.links)
+        self.crash_reporter = crash_reporters.CrashReporter(
+            self.links, self.timer
+        )
         self.permits = permit_clients.PermitClient(self.storage, self.links)
         self.credits = credit_clients.CreditClient(
             self.storage, self.links, host_settings.node, host_settings.zone
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -386,7 +386,7 @@
     def test_reports_go_to_store_hosts_that_keep_them(self):
         """Others would not know the message."""
         links = {disk: mock.Mock() for disk in ('old', 'new')}
-        reporter = crash_reporters.CrashReporter(links)
+        reporter = crash_reporters.CrashReporter(links, clock.ManualClock())
         reporter.set_keeper('new', keeps_crashes=True)
         crash = messages.Crash('f', 't0', has_output=False)
         reporter.report(crash)
@@ -397,7 +397,9 @@
         """A store host that restarts gets the report a little later."""
         link = mock.Mock()
         link.send_request.side_effect = [None, None]
-        reporter = crash_reporters.CrashReporter({'new': link})
+        reporter = crash_reporters.CrashReporter(
+            {'new': link}, clock.ManualClock()
+        )
         reporter.set_keeper('new', keeps_crashes=True)
         reporter.report(messages.Crash('f', 't0', has_output=False))
         link.send_request.call_args.args[1](None)
--- a/tests/test_uncounted_crashes.py
+++ b/tests/test_uncounted_crashes.py
@@ -189,6 +189,28 @@
         )
 
 
+class ReportTest(CrashCase):
+    """Store hosts that are away when servers end."""
+
+    def test_crashes_while_all_store_hosts_are_away(self):
+        """Hosts report them once the store hosts are back."""
+        self.spoil()
+        keepers = list(self.hosts.keepers)
+        for name in keepers:
+            self.hosts.keepers.pop(name).__exit__(None, None, None)
+        for front in ('front-0', 'front-1'):
+            self.ask(front)
+            gevent.sleep(PAUSE_SECONDS)
+        self.assertGreaterEqual(len(self.moments('crashes')), CRASHES)
+        gevent.sleep(2 * CONTACT_SECONDS)
+        for name in keepers:
+            self.hosts.start_keeper(name)
+        platform_hosts.wait_until(self.hosts.is_settled, 'the store hosts')
+        gevent.sleep(CONTACT_SECONDS)
+        self.repeat(self.ask)
+        self.assert_stopped()
+
+
 class PathTest(CrashCase):
     """Programs that ask the same, one after the other."""
 
