--- a/src/carobfork/gateway/contexts.py
+++ b/src/carobfork/gateway/contexts.py
@@ -68,6 +68,7 @@
     :param is_committed: whether its answer has begun, so that it can't be
         refused any more and waits for servers as long as it has time.
     :param is_sent: whether a backend server may have run the call.
+    :param is_at_server: whether the latest attempt was sent to its server.
     :param failed_attempts: attempts that failed after the request was sent.
     :param refusals: number of workers that refused it or were unreachable.
     :param avoided: workers that have failed, refused or not gone on with it.
@@ -106,6 +107,7 @@
     has_output: bool = False
     is_committed: bool = False
     is_sent: bool = False
+    is_at_server: bool = False
     failed_attempts: int = 0
     refusals: int = 0
     avoided: frozenset[str] = frozenset()
--- a/src/carobfork/gateway/request_guards.py
+++ b/src/carobfork/gateway/request_guards.py
@@ -10,7 +10,12 @@
 from collections.abc import Callable, Mapping
 
 from carobfork import clock, exceptions
-from carobfork.gateway import contexts, fingerprints, workers
+from carobfork.gateway import (
+    contexts,
+    fingerprints,
+    unanswered_calls,
+    workers,
+)
 from carobfork.storage import crash_histories, messages
 
 ANSWERED_TTL_MS = 60_000
@@ -67,16 +72,19 @@
         return max(left_ms, self._history.left_ms(keys.path))
 
     def record_crash(
-        self, context: contexts.RequestContext, worker: workers.Worker
+        self, call: unanswered_calls.UnansweredCall, worker: workers.Worker
     ) -> None:
-        """Count and report the crash of a server under a request."""
+        """Count and report the crash of a server under a call."""
         server = f'{worker.instance}@{worker.entry.started_ms:.0f}'
-        keys = context.keys
-        self._count(messages.Crash(keys.request, server, context.has_output))
+        keys = call.keys
+        age_ms = self._timer.now_ms() - call.ended_ms
+        self._count(
+            messages.Crash(keys.request, server, call.has_output, age_ms=age_ms)
+        )
         if not self._is_answered(keys.path):
             self._count(
                 messages.Crash(
-                    keys.path, server, context.has_output, keys.request
+                    keys.path, server, call.has_output, keys.request, age_ms
                 )
             )
 
@@ -113,7 +121,11 @@
 
     def _count(self, crash: messages.Crash) -> None:
         self._history.add(
-            crash.fingerprint, crash.server, crash.has_output, crash.request
+            crash.fingerprint,
+            crash.server,
+            crash.has_output,
+            crash.request,
+            crash.age_ms,
         )
         self._report(crash)
 
--- a/tests/test_server_crashes.py
+++ b/tests/test_server_crashes.py
@@ -19,6 +19,7 @@
     fingerprints,
     framing,
     request_guards,
+    unanswered_calls,
     workers,
 )
 from carobfork.storage import (
@@ -176,8 +177,10 @@
     def crash(self, server, keys=KEYS, has_output=False):
         """Record the crash of a server under a request."""
         entry = workers.Entry(server, 'tools', '127.0.0.1', 1, 'z', 4)
-        context = mock.Mock(keys=keys, has_output=has_output)
-        self.guard.record_crash(context, workers.Worker(entry))
+        call = unanswered_calls.UnansweredCall(
+            keys, 'x', has_output, self.timer.now_ms()
+        )
+        self.guard.record_crash(call, workers.Worker(entry))
 
     def test_a_server_counts_once(self):
         """Retries on one server process do not add up."""
@@ -185,9 +188,28 @@
             self.crash('t0')
         self.assertFalse(self.guard.left_ms(KEYS))
 
-    def test_calls_that_had_begun_count_half(self):
+    def test_a_server_that_the_registry_tells_of_late(self):
+        """A process of the same entry that crashes later is another one."""
+        for _ in range(CRASHES):
+            self.assertFalse(self.guard.left_ms(KEYS))
+            self.crash('t0')
+            self.timer.advance(crash_histories.SAME_CRASH_MS)
+        self.assertTrue(self.guard.left_ms(KEYS))
+
+    def test_a_crash_that_several_hosts_report(self):
+        """Reports that arrive late count as the crash that they tell of."""
+        late_ms = 2 * crash_histories.SAME_CRASH_MS
+        history = crash_histories.CrashHistory(self.timer)
+        history.add('f', 't0', has_output=False)
+        self.timer.advance(late_ms)
+        history.add('f', 't0', has_output=False, age_ms=late_ms)
+        self.assertEqual(
+            history.weight('f'), crash_histories.SILENT_CRASH_WEIGHT
+        )
+
+    def test_calls_that_had_begun_count_less(self):
         """A call whose answer had begun was probably there by chance."""
-        for number in range(2 * CRASHES):
+        for number in range(CRASHES + 1):
             self.assertFalse(self.guard.left_ms(KEYS))
             self.crash(f't{number}', has_output=True)
         self.assertTrue(self.guard.left_ms(KEYS))
@@ -199,6 +221,26 @@
         self.assertTrue(self.guard.left_ms(KEYS))
         self.assertFalse(self.guard.left_ms(OTHER_KEYS))
 
+    def test_the_first_crash_under_another_request(self):
+        """Programs that come one after the other don't crash three each."""
+        for number in range(CRASHES):
+            self.crash(f't{number}')
+        self.crash('t9', OTHER_KEYS)
+        self.assertTrue(
+            self.guard.left_ms(fingerprints.Fingerprints('third', 'path'))
+        )
+
+    def test_requests_beside_a_deadly_one(self):
+        """Crashes that one request explains say nothing about others."""
+        for number in range(CRASHES):
+            self.crash(f't{number}')
+            beside = fingerprints.Fingerprints(f'beside-{number}', 'path')
+            self.crash(f't{number}', beside)
+        self.assertTrue(self.guard.left_ms(KEYS))
+        self.assertFalse(
+            self.guard.left_ms(fingerprints.Fingerprints('third', 'path'))
+        )
+
     def test_several_requests_block_a_path(self):
         """Programs that ask the same have different bodies."""
         for number in range(CRASHES):
@@ -344,7 +386,7 @@
     def test_reports_go_to_store_hosts_that_keep_them(self):
         """Others would not know the message."""
         links = {disk: mock.Mock() for disk in ('old', 'new')}
-        reporter = crash_reporters.CrashReporter(links)
+        reporter = crash_reporters.CrashReporter(links, clock.ManualClock())
         reporter.set_keeper('new', keeps_crashes=True)
         crash = messages.Crash('f', 't0', has_output=False)
         reporter.report(crash)
@@ -355,7 +397,9 @@
         """A store host that restarts gets the report a little later."""
         link = mock.Mock()
         link.send_request.side_effect = [None, None]
-        reporter = crash_reporters.CrashReporter({'new': link})
+        reporter = crash_reporters.CrashReporter(
+            {'new': link}, clock.ManualClock()
+        )
         reporter.set_keeper('new', keeps_crashes=True)
         reporter.report(messages.Crash('f', 't0', has_output=False))
         link.send_request.call_args.args[1](None)
