--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -6,11 +6,14 @@
 
 import contextlib
 import functools
+import itertools
 import time
 import unittest
+from unittest import mock
 
 import gevent
 
+from carobfork.tenancy import credit_stocks, quotas
 from tests import (
     configurations,
     packet_filters,
@@ -257,6 +260,18 @@
             [answer.body for answer in answers if answer.status != 200],
         )
 
+    def test_a_tenant_without_another_credit(self):
+        """Its call stays where it is, as it can't be sent once more."""
+        credit = credit_stocks.Credit('red', float('inf'))
+        over = quotas.OverQuotaError('no credit is left', step='quota')
+        quota = mock.Mock()
+        quota.take.side_effect = itertools.chain(
+            [credit], itertools.repeat(over)
+        )
+        with mock.patch.object(self.front.relay, 'quota', quota):
+            self.pause('t')
+            self.check_whole([self.ask('/look/1')])
+
     def test_requests_after_a_pause(self):
         """Soon after a pause of all servers requests are served again."""
         for prefix, paths in SERVED.items():
