--- a/tests/test_silent_places.py
+++ b/tests/test_silent_places.py
@@ -126,7 +126,7 @@
     def test_a_stream_lost_after_a_comment(self):
         """The caller has a part of the answer, which can't be refused."""
 
-        def break_after_a_comment(_first):
+        def break_after_a_comment(*_request):
             yield b': comment\n\n\n'
             gevent.sleep(EVENT_MS / 1000)
             raise ConnectionResetError('broken off by the test')
