--- a/src/carobfork/gateway/unanswered_calls.py
+++ b/src/carobfork/gateway/unanswered_calls.py
@@ -23,7 +23,8 @@
 one that goes on after a pause may begin to run the call then."""
 PROBE_INTERVAL_RATIO = 0.25
 """Pause between two probes, as a part of the time that a server is silent."""
-MIN_PROBE_INTERVAL_MS = 800
+MIN_PROBE_INTERVAL_MS = 1000
+"""Also the time until the first one: most pauses of sound servers are over."""
 KEPT_MS = 20_000
 """How long a call is kept: longer than servers that crash take to return."""
 MAX_CALLS = 256
@@ -88,7 +89,7 @@
         """
         if _is_leaving(worker) or worker.unlisted_since_ms is not None:
             return False
-        probe_at_ms = call.ended_ms + MIN_SILENCE_MS
+        probe_at_ms = call.ended_ms + MIN_PROBE_INTERVAL_MS
         silence = self._silences.setdefault(worker, _Silence([], probe_at_ms))
         silence.calls.append(call)
         silence.calls = silence.calls[-MAX_CALLS:]
--- a/src/carobfork/roles/front_metrics.py
+++ b/src/carobfork/roles/front_metrics.py
@@ -38,6 +38,7 @@
         'server_connections_opened': pool.opened,
         'server_connections_proved': front.processes.proved,
         'server_crashes_seen': front.relay.crashes.seen,
+        'server_crash_probes': front.relay.crashes.probes,
         'streams_resumed': front.relay.streams_resumed,
         'server_reports_read': front.processes.reports,
         'streams_continued': front.relay.streams_continued,
