Show ends of servers that are missed, and calls that are blamed for none (known faults)

busy_ms lets a stand-in answer other requests before a deadly one ends it; only the process that has the request ends.

--- a/tests/backends.py
+++ b/tests/backends.py
@@ -49,6 +49,8 @@
     """Events of such a request after which it does."""
     silent_ms: int = 0
     """How long the server is silent before it ends."""
+    busy_ms: int = 0
+    """How long it answers other requests before that."""
     limit_per_s: float | None = None
     """Request limit that the answers name."""
     comments: bool = False
@@ -183,6 +185,10 @@
 
     def _crash(self, request: Request) -> None:
         """End the server, of which no more is heard from now on."""
+        started_ms = self.started_ms
+        gevent.sleep(self.faults.busy_ms / 1000)
+        if self.started_ms != started_ms:
+            gevent.sleep(_HANG_SECONDS)
         self.crashes.append(time.monotonic())
         self._is_speaking.clear()
         gevent.sleep(self.faults.silent_ms / 1000)
