--- a/src/carobfork/gateway/crash_detectors.py
+++ b/src/carobfork/gateway/crash_detectors.py
@@ -3,6 +3,7 @@
 import contextlib
 from collections.abc import Iterable
 
+import attrs
 import structlog
 from gevent import pool
 
@@ -129,7 +130,8 @@
         if is_same:
             self._calls.clear(worker, asked_ms)
         elif is_same is False:
-            self._count(worker, self._calls.take(worker), 'another process')
+            ended = self._calls.take(worker, asked_ms)
+            self._count(worker, ended, 'another process')
 
     def _count_refused(
         self,
@@ -165,6 +167,8 @@
 
         :param evidence: what tells that it has ended.
         """
+        ended = list(ended)
+        latest_ms = max((call.ended_ms for call in ended), default=0)
         for call in ended:
             self.seen += 1
             age_ms = self._timer.now_ms() - call.ended_ms
@@ -178,7 +182,9 @@
                 evidence=evidence,
                 age_ms=round(age_ms),
             )
-            self._guard.record_crash(call, worker)
+            # All of them tell of one end, which none can have come after.
+            one_end = attrs.evolve(call, ended_ms=latest_ms)
+            self._guard.record_crash(one_end, worker)
 
 
 def _describe(
--- a/src/carobfork/gateway/unanswered_calls.py
+++ b/src/carobfork/gateway/unanswered_calls.py
@@ -56,11 +56,14 @@
     :param calls: the calls, oldest first.
     :param probe_at_ms: when the server is next asked.
     :param was_probed: whether it has left a probe unanswered.
+    :param is_successor: whether the calls came to a process that had replaced
+        the one of the server's entry before.
     """
 
     calls: list[UnansweredCall]
     probe_at_ms: float
     was_probed: bool = False
+    is_successor: bool = False
 
 
 class UnansweredCalls:
@@ -90,15 +93,31 @@
         if _is_leaving(worker) or worker.unlisted_since_ms is not None:
             return False
         probe_at_ms = call.ended_ms + MIN_PROBE_INTERVAL_MS
-        silence = self._silences.setdefault(worker, _Silence([], probe_at_ms))
+        silence = self._silences.setdefault(
+            worker,
+            _Silence([], probe_at_ms, is_successor=worker.is_replaced),
+        )
         silence.calls.append(call)
         silence.calls = silence.calls[-MAX_CALLS:]
         return True
 
-    def take(self, worker: workers.Worker) -> list[UnansweredCall]:
-        """Return the calls of a server that has ended, and forget them."""
-        silence = self._silences.pop(worker, None)
-        return silence.calls if silence else []
+    def take(
+        self, worker: workers.Worker, until_ms: float | None = None
+    ) -> list[UnansweredCall]:
+        """Return the calls of a server that has ended, and forget them.
+
+        :param until_ms: when its end was known, now by default; later calls are
+            kept, as they were on its successor.
+        """
+        if until_ms is None:
+            until_ms = self._timer.now_ms()
+        silence = self._silences.get(worker)
+        if silence is None:
+            return []
+        taken = [call for call in silence.calls if call.ended_ms <= until_ms]
+        silence.is_successor = True
+        self._keep(worker, _ended_after(silence.calls, until_ms))
+        return taken
 
     def take_ended(self) -> dict[workers.Worker, list[UnansweredCall]]:
         """Return the calls of servers that the registry knows to have ended.
@@ -165,10 +184,11 @@
         """Return whether another process has a server's name or address."""
         entry = worker.entry
         known = self._table.get(worker.instance)
-        is_listed = known is not None and bool(known.entry.started_ms)
-        if worker.is_replaced or (
-            is_listed and not known.is_same_process(entry)
-        ):
+        if known is worker:
+            is_replaced = worker.is_replaced
+            if is_replaced and not self._silences[worker].is_successor:
+                return True
+        elif known is not None and _is_another(known.entry, worker):
             return True
         return any(
             other.instance != entry.instance
@@ -178,6 +198,18 @@
         )
 
 
+def _is_another(entry: workers.Entry, worker: workers.Worker) -> bool:
+    """Return whether an entry is of another process than a worker's.
+
+    A process that was in use before the registry told of it is the same.
+    """
+    if not worker.entry.started_ms:
+        return False
+    if entry.started_ms in {0, worker.told_started_ms}:
+        return False
+    return not worker.is_same_process(entry)
+
+
 def _is_leaving(worker: workers.Worker) -> bool:
     """Return whether a server ends as planned."""
     return worker.leaving_since_ms is not None or worker.entry.is_draining
